Requests through several daemons, with tests that cause each fault

Cause: the first path had one daemon and no test of the promises. Change: integration package with a local cluster; tests for crossed, cut and unframed answers, resets, refusals, silent connections, ejection, leaving endpoints, idempotency keys, graceful stop and callers that go away. Found by the tests and mended: a broken answer was reported as lost; a killed daemon waited for its connections; a lone daemon got only two slots, so that retries went back to the endpoint that had refused. Conclusion: at most once, whole own answers and slot limits hold in these cases with three daemons in one process.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -9,7 +9,7 @@
 import { applyDeclarations, MemoryPlatform } from '@vanillathread/platform'
 import { Daemon } from '@vanillathread/daemon'
 import { EndpointStandIn } from '@vanillathread/stand-ins'
-import { createSettings } from './lib/createSettings.js'
+import { createSettings } from '@vanillathread/integration'
 import { placeEndpoints } from './lib/placeEndpoints.js'
 import { Example, readExample } from './lib/readExample.js'
 
--- a/packages/daemon/src/lib/request/CallerGateway.ts
+++ b/packages/daemon/src/lib/request/CallerGateway.ts
@@ -64,7 +64,9 @@
     this.draining = true
   }
 
+  /** Closes every connection, also those that carry a request. */
   async dispose (): Promise<void> {
+    this.server.server.closeAllConnections()
     await this.server.close()
   }
 
--- a/packages/daemon/src/lib/request/PendingRequest.ts
+++ b/packages/daemon/src/lib/request/PendingRequest.ts
@@ -2,7 +2,7 @@
  * A request from its admission to its outcome.
  */
 import type { Subscription } from '@vanillathread/kernel'
-import { ResultCode } from '@vanillathread/model'
+import { Execution, RESULT_CODES, ResultCode } from '@vanillathread/model'
 import { createRefusal, type RequestOutcome, type ServiceRequest } from './ServiceRequest.js'
 
 /** State of one request in a daemon. */
@@ -45,6 +45,7 @@
   /** Ends the request without an answer; one that may have run is never called not run. */
   refuse (code: ResultCode, retryAfterMs?: number): void {
     const possiblyRun = this.mayHaveRun || this.activeAttempts > 0
-    this.settle(possiblyRun ? createRefusal(ResultCode.AnswerLost) : createRefusal(code, retryAfterMs))
+    const contradicts = possiblyRun && RESULT_CODES[code].execution === Execution.NotRun
+    this.settle(contradicts ? createRefusal(ResultCode.AnswerLost) : createRefusal(code, retryAfterMs))
   }
 }
--- /dev/null
+++ b/packages/integration/src/lib/LocalCluster.ts
@@ -0,0 +1,147 @@
+/**
+ * Several daemons, endpoints and a platform in one process, for tests and benches.
+ */
+import { randomUUID } from 'node:crypto'
+import { MemoryEventLog } from '@vanillathread/kernel'
+import { inventorySchema, rulesSchema, type Declarations } from '@vanillathread/model'
+import { applyDeclarations, MemoryPlatform, readConfigurationHead, type Platform } from '@vanillathread/platform'
+import { Daemon, type SlotSourceFactory } from '@vanillathread/daemon'
+import { EndpointStandIn, FaultyPlatform, PlatformFaults } from '@vanillathread/stand-ins'
+import { createSettings } from './createSettings.js'
+import { waitUntil } from './waitUntil.js'
+
+/** Options of {@link LocalCluster.create}. */
+export interface LocalClusterOptions {
+  readonly daemons: number
+  readonly endpoints: number
+  /** Slots of each endpoint. */
+  readonly slots?: number
+  /** Returns the time that a request takes at an endpoint, in milliseconds. */
+  readonly serviceTimeMs?: () => number
+  readonly refuseAboveSlots?: boolean
+  /** Fields of the service that differ from the defaults. */
+  readonly service?: { attemptTimeoutMs?: number, deadlineMs?: number, queueLimit?: number }
+  readonly slotSources?: SlotSourceFactory
+}
+
+/** The one service of a local cluster. */
+export const SERVICE = 'listings'
+const POOL = 'listings'
+const ZONES = ['zone-a', 'zone-b', 'zone-c']
+const DEFAULT_SLOTS = 8
+const DEFAULT_SERVICE_TIME_MS = 5
+
+/** A cluster on this machine. */
+export class LocalCluster {
+  readonly memory = MemoryPlatform.create()
+  readonly faults = PlatformFaults.create()
+  readonly log = MemoryEventLog.create()
+  readonly platform: Platform
+  readonly daemons: Daemon[] = []
+  readonly endpoints: EndpointStandIn[] = []
+  private nextDaemon = 1
+
+  private constructor (private readonly options: LocalClusterOptions) {
+    this.platform = FaultyPlatform.create({
+      platform: this.memory,
+      faults: this.faults,
+      delay: (delayMs) => new Promise((resolve) => { setTimeout(resolve, delayMs) }),
+    })
+  }
+
+  /** Starts endpoints and daemons, and waits until the configuration is in force everywhere. */
+  static async create (options: LocalClusterOptions): Promise<LocalCluster> {
+    const cluster = new LocalCluster(options)
+    await cluster.startEndpoints()
+    await cluster.apply(cluster.createDeclarations())
+    for (let index = 0; index < options.daemons; index++) await cluster.addDaemon()
+    await cluster.waitForMembers()
+    return cluster
+  }
+
+  /** Starts one more daemon. */
+  async addDaemon (): Promise<Daemon> {
+    const number = this.nextDaemon++
+    const daemon = Daemon.create({
+      settings: createSettings({ id: `entry-${number}`, zone: ZONES[number % ZONES.length] ?? '', seeds: this.daemons.map((other) => other.getAddress('peer')) }),
+      platform: this.platform,
+      log: this.log,
+      ...this.options.slotSources === undefined ? {} : { slotSources: this.options.slotSources },
+    })
+    await daemon.start()
+    this.daemons.push(daemon)
+    return daemon
+  }
+
+  /** Stops a daemon at once. */
+  async killDaemon (index: number): Promise<void> {
+    const [daemon] = this.daemons.splice(index, 1)
+    await daemon?.kill()
+  }
+
+  /** Accepts declarations on top of the current version. */
+  async apply (declarations: Declarations): Promise<number> {
+    const head = await readConfigurationHead(this.memory)
+    if (!head.ok) throw new Error('platform failed')
+    const res = await applyDeclarations(this.memory, { declarations, basedOn: head.value.head.version, applyId: randomUUID() })
+    if (!res.ok) throw new Error(`apply failed with code ${res.error.code}`)
+    return res.value.version
+  }
+
+  /** Waits until every daemon sees every other. */
+  async waitForMembers (): Promise<void> {
+    await waitUntil('all daemons see each other', () =>
+      this.daemons.every((daemon) => daemon.parts.membership.listActiveIds().length === this.daemons.length))
+  }
+
+  /** Returns the caller URL of a daemon, up to and with the service. */
+  getUrl (index: number): string {
+    const { host, port } = this.getDaemon(index).getAddress('caller')
+    return `http://${host}:${port}/${SERVICE}`
+  }
+
+  getDaemon (index: number): Daemon {
+    const daemon = this.daemons[index]
+    if (daemon === undefined) throw new Error(`no daemon ${index}`)
+    return daemon
+  }
+
+  getEndpoint (index: number): EndpointStandIn {
+    const endpoint = this.endpoints[index]
+    if (endpoint === undefined) throw new Error(`no endpoint ${index}`)
+    return endpoint
+  }
+
+  /** Builds the declarations of the cluster's one pool. */
+  createDeclarations (): Declarations {
+    const vms = this.endpoints.map((_endpoint, index) => ({ id: `vm-${index + 1}`, zone: ZONES[index % ZONES.length], rack: `rack-${index % ZONES.length}`, pool: POOL }))
+    const endpoints = this.endpoints.map((endpoint, index) => ({
+      id: endpoint.id, vm: `vm-${index + 1}`, host: '127.0.0.1', port: endpoint.port, slots: this.options.slots ?? DEFAULT_SLOTS,
+    }))
+    return {
+      inventory: inventorySchema.parse({
+        regions: [{ id: 'local', zones: ZONES }],
+        pools: [{ id: POOL }],
+        vms,
+        services: [{ id: SERVICE, pool: POOL, endpoints, ...this.options.service }],
+      }),
+      rules: rulesSchema.parse({ budgets: [{ pool: POOL, minAvailable: 0 }], weights: { bufferCost: 0.5, moves: 0.5 } }),
+    }
+  }
+
+  async dispose (): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.kill()))
+    await Promise.all(this.endpoints.map((endpoint) => endpoint.dispose()))
+  }
+
+  private async startEndpoints (): Promise<void> {
+    for (let index = 0; index < this.options.endpoints; index++) {
+      this.endpoints.push(await EndpointStandIn.create({
+        id: `${SERVICE}-${index + 1}`,
+        slots: this.options.slots ?? DEFAULT_SLOTS,
+        serviceTimeMs: this.options.serviceTimeMs ?? (() => DEFAULT_SERVICE_TIME_MS),
+        ...this.options.refuseAboveSlots === undefined ? {} : { refuseAboveSlots: this.options.refuseAboveSlots },
+      }))
+    }
+  }
+}
--- /dev/null
+++ b/packages/integration/src/requests.test.ts
@@ -0,0 +1,282 @@
+/**
+ * The promises to callers, with several daemons, real connections and faulty endpoints.
+ */
+import { setMaxListeners } from 'node:events'
+import { assert, describe } from '@vanillathread/testing'
+import { Execution, ResultCode } from '@vanillathread/model'
+import { FleetVmState } from '@vanillathread/platform'
+import { EndpointFault, PlatformFault } from '@vanillathread/stand-ins'
+import { LocalCluster, SERVICE, type LocalClusterOptions } from './lib/LocalCluster.js'
+import { send, type CallerOutcome } from './lib/send.js'
+import { waitUntil } from './lib/waitUntil.js'
+
+async function withCluster (options: LocalClusterOptions, body: (cluster: LocalCluster) => Promise<void>): Promise<void> {
+  const cluster = await LocalCluster.create(options)
+  try {
+    await body(cluster)
+  } finally {
+    await cluster.dispose()
+  }
+}
+
+function countRuns (cluster: LocalCluster, token: string): number {
+  return cluster.endpoints.flatMap((endpoint) => endpoint.runs).filter((run) => run.token === token).length
+}
+
+function setFault (cluster: LocalCluster, fault: EndpointFault): void {
+  for (const endpoint of cluster.endpoints) endpoint.fault = fault
+}
+
+describe('requests', ({ describe }) => {
+  describe('answers', ({ it }) => {
+    it('reach their own caller through any daemon', () => withCluster({ daemons: 3, endpoints: 3 }, async (cluster) => {
+      const tokens = Array.from({ length: 90 }, (_, index) => `token-${index}`)
+      const outcomes = await Promise.all(tokens.map((token, index) => send(cluster.getUrl(index % 3), { token })))
+      outcomes.forEach((outcome, index) => {
+        assert.is(outcome.status, 200)
+        assert.is(outcome.token, tokens[index])
+      })
+    }))
+
+    it('that are larger than the buffer arrive whole', () => withCluster({ daemons: 1, endpoints: 1 }, async (cluster) => {
+      cluster.getEndpoint(0).answerPadding = 'x'.repeat(3_000_000)
+      const outcome = await send(cluster.getUrl(0), { token: 'large' })
+      assert.is(outcome.text?.length, `large|${SERVICE}-1|`.length + 3_000_000)
+    }))
+
+    for (const fault of [EndpointFault.CutBody, EndpointFault.Crossed, EndpointFault.Unframed]) {
+      it(`with the fault ${fault} are never passed on as whole`, () => withCluster({ daemons: 1, endpoints: 2 }, async (cluster) => {
+        setFault(cluster, fault)
+        const outcome = await send(cluster.getUrl(0), { token: 'mare', method: 'POST', body: 'x' })
+        assert.is(outcome.problem?.code, ResultCode.AnswerBroken)
+        assert.is(outcome.problem?.execution, Execution.Unknown)
+        assert.is(countRuns(cluster, 'mare'), 1)
+      }))
+    }
+
+    it('that break off after the buffer are visibly broken', () => withCluster({ daemons: 1, endpoints: 1 }, async (cluster) => {
+      cluster.getEndpoint(0).answerPadding = 'x'.repeat(3_000_000)
+      setFault(cluster, EndpointFault.CutBody)
+      const outcome = await send(cluster.getUrl(0), { token: 'large', method: 'POST', body: 'x' })
+      assert.is(outcome.text, undefined)
+    }))
+  })
+
+  describe('retries', ({ it }) => {
+    it('of an idempotent request follow a reset', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      cluster.getEndpoint(0).fault = EndpointFault.ResetAfterRun
+      for (let index = 0; index < 10; index++) {
+        const outcome = await send(cluster.getUrl(0), { token: `token-${index}` })
+        assert.is(outcome.token, `token-${index}`)
+      }
+    }))
+
+    it('of a non-idempotent request never follow a reset', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      setFault(cluster, EndpointFault.ResetAfterRun)
+      for (let index = 0; index < 6; index++) {
+        const outcome = await send(cluster.getUrl(0), { token: `token-${index}`, method: 'POST', body: 'x' })
+        assert.is(outcome.problem?.execution, Execution.Unknown)
+        assert.is(countRuns(cluster, `token-${index}`), 1)
+      }
+    }))
+
+    it('of a non-idempotent request follow a refusal as not run', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      cluster.getEndpoint(0).fault = EndpointFault.RefuseNotRun
+      cluster.getEndpoint(1).fault = EndpointFault.RefuseNotRun
+      const outcome = await send(cluster.getUrl(0), { token: 'mare', method: 'POST', body: 'x' })
+      assert.is(outcome.token, 'mare')
+      assert.is(countRuns(cluster, 'mare'), 1)
+    }))
+
+    it('end with a refusal as not run where every endpoint refuses', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      setFault(cluster, EndpointFault.RefuseNotRun)
+      const outcome = await send(cluster.getUrl(0), { token: 'mare', method: 'POST', body: 'x' })
+      assert.is(outcome.problem?.code, ResultCode.EndpointRefused)
+      assert.is(outcome.problem?.execution, Execution.NotRun)
+      assert.is(countRuns(cluster, 'mare'), 0)
+    }))
+
+    it('stay within their budget where everything fails', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      setFault(cluster, EndpointFault.FailFast)
+      for (let index = 0; index < 60; index++) await send(cluster.getUrl(0), { token: `token-${index}` })
+      const runs = cluster.endpoints.reduce((sum, endpoint) => sum + endpoint.runs.length, 0)
+      assert.is(runs <= 60 + 5 + 6, true)
+    }))
+  })
+
+  describe('slots', ({ it }) => {
+    it('are never exceeded by several daemons under overload, loss and arrival', () => withCluster({ daemons: 3, endpoints: 3, slots: 4, serviceTimeMs: () => 20 }, async (cluster) => {
+      const outcomes: Array<Promise<CallerOutcome | undefined>> = []
+      for (let index = 0; index < 600; index++) {
+        const url = cluster.getUrl(index % cluster.daemons.length)
+        outcomes.push(send(url, { token: `token-${index}` }).catch(() => undefined))
+        if (index === 200) await cluster.killDaemon(2)
+        if (index === 400) await cluster.addDaemon()
+        if (index % 10 === 0) await new Promise((resolve) => { setTimeout(resolve, 20) })
+      }
+      const answered = (await Promise.all(outcomes)).filter((outcome) => outcome?.status === 200).length
+      for (const endpoint of cluster.endpoints) assert.is(endpoint.maxRunning <= 4, true, `${endpoint.maxRunning} ran at once`)
+      assert.is(answered > 300, true, `${answered} answered`)
+    }))
+  })
+
+  describe('connections', ({ it }) => {
+    it('that went silent while idle are replaced without an error', () => withCluster({ daemons: 1, endpoints: 1 }, async (cluster) => {
+      await send(cluster.getUrl(0), { token: 'first' })
+      cluster.getEndpoint(0).silenceConnections()
+      await new Promise((resolve) => { setTimeout(resolve, 1_100) })
+      const outcome = await send(cluster.getUrl(0), { token: 'second', method: 'POST', body: 'x' })
+      assert.is(outcome.token, 'second')
+    }))
+
+    it('that went silent in use do not eject their endpoint', () => withCluster({ daemons: 1, endpoints: 1, service: { attemptTimeoutMs: 300 } }, async (cluster) => {
+      await send(cluster.getUrl(0), { token: 'first' })
+      cluster.getEndpoint(0).silenceConnections()
+      const lost = await send(cluster.getUrl(0), { token: 'lost', method: 'POST', body: 'x' })
+      assert.is(lost.problem?.code, ResultCode.AnswerLost)
+      for (let index = 0; index < 4; index++) {
+        const outcome = await send(cluster.getUrl(0), { token: `token-${index}`, method: 'POST', body: 'x' })
+        assert.is(outcome.token, `token-${index}`)
+      }
+    }))
+  })
+
+  describe('endpoints', ({ it }) => {
+    it('that fail everything fast are ejected within a bounded share', () => withCluster({ daemons: 1, endpoints: 3 }, async (cluster) => {
+      // The daemon is in the second endpoint's availability zone.
+      cluster.getEndpoint(1).fault = EndpointFault.FailFast
+      for (let index = 0; index < 80; index++) await send(cluster.getUrl(0), { token: `token-${index}`, method: 'POST', body: 'x' })
+      assert.equal(cluster.getDaemon(0).parts.dispatcher.listLanes().get(SERVICE)?.endpoints.listEjected(), [`${SERVICE}-2`])
+      setFault(cluster, EndpointFault.FailFast)
+      for (let index = 0; index < 80; index++) await send(cluster.getUrl(0), { token: `again-${index}`, method: 'POST', body: 'x' })
+      assert.is(cluster.getDaemon(0).parts.dispatcher.listLanes().get(SERVICE)?.endpoints.listEjected().length, 1)
+    }))
+
+    it('that leave by their own word get no new work', () => withCluster({ daemons: 1, endpoints: 2 }, async (cluster) => {
+      cluster.getEndpoint(0).fault = EndpointFault.Leaving
+      for (let index = 0; index < 20; index++) {
+        const outcome = await send(cluster.getUrl(0), { token: `token-${index}`, method: 'POST', body: 'x' })
+        assert.is(outcome.token, `token-${index}`)
+      }
+      assert.is(cluster.getEndpoint(0).refused <= 1, true)
+    }))
+
+    it('that leave by the fleet list or their row get no new work', () => withCluster({ daemons: 2, endpoints: 3 }, async (cluster) => {
+      cluster.memory.fleet.setVm('vm-1', FleetVmState.Leaving)
+      await cluster.memory.table.transact({ conditions: [], writes: [{ key: 'vm/vm-2', value: { state: 'draining' } }] })
+      await waitUntil('both daemons know', () => cluster.daemons.every((daemon) =>
+        daemon.parts.dispatcher.listLanes().get(SERVICE)?.endpoints.listStaying(performance.now()).length === 1))
+      const before = [cluster.getEndpoint(0).runs.length, cluster.getEndpoint(1).runs.length]
+      for (let index = 0; index < 20; index++) await send(cluster.getUrl(index % 2), { token: `token-${index}` })
+      assert.equal([cluster.getEndpoint(0).runs.length, cluster.getEndpoint(1).runs.length], before)
+    }))
+  })
+
+  describe('idempotency keys', ({ it }) => {
+    const keyed = { method: 'POST' as const, body: 'x', headers: { 'idempotency-key': 'certificate-7' } }
+
+    it('run a request once through two daemons and give the same answer again', () => withCluster({ daemons: 2, endpoints: 3 }, async (cluster) => {
+      const first = await send(cluster.getUrl(0), { token: 'mare', ...keyed })
+      assert.is(first.token, 'mare')
+      await waitUntil('the answer is kept', () => cluster.memory.objects.size > 4)
+      await new Promise((resolve) => { setTimeout(resolve, 50) })
+      const second = await send(cluster.getUrl(1), { token: 'mare', ...keyed })
+      assert.is(second.text, first.text)
+      assert.is(countRuns(cluster, 'mare'), 1)
+    }))
+
+    it('run a request once where two daemons get it at once', () => withCluster({ daemons: 2, endpoints: 3 }, async (cluster) => {
+      const outcomes = await Promise.all(Array.from({ length: 10 }, (_, index) => send(cluster.getUrl(index % 2), { token: 'mare', ...keyed })))
+      assert.is(outcomes.filter((outcome) => outcome.status === 200).length >= 1, true)
+      assert.is(countRuns(cluster, 'mare'), 1)
+    }))
+
+    it('refuse another request under the same key', () => withCluster({ daemons: 1, endpoints: 1 }, async (cluster) => {
+      await send(cluster.getUrl(0), { token: 'mare', ...keyed })
+      const outcome = await send(cluster.getUrl(0), { token: 'mare', ...keyed, body: 'another' })
+      assert.is(outcome.problem?.code, ResultCode.KeyReused)
+    }))
+
+    it('are free again after a refusal as not run', () => withCluster({ daemons: 2, endpoints: 1 }, async (cluster) => {
+      setFault(cluster, EndpointFault.RefuseNotRun)
+      const refused = await send(cluster.getUrl(0), { token: 'mare', ...keyed })
+      assert.is(refused.problem?.execution, Execution.NotRun)
+      setFault(cluster, EndpointFault.None)
+      await new Promise((resolve) => { setTimeout(resolve, 100) })
+      const outcome = await send(cluster.getUrl(1), { token: 'mare', ...keyed })
+      assert.is(outcome.token, 'mare')
+    }))
+
+    it('are refused as not run while the store is down; other requests are served', () => withCluster({ daemons: 1, endpoints: 1 }, async (cluster) => {
+      cluster.faults.fault = PlatformFault.Down
+      const refused = await send(cluster.getUrl(0), { token: 'mare', ...keyed })
+      assert.is(refused.problem?.code, ResultCode.ClaimStoreUnavailable)
+      assert.is(refused.problem?.execution, Execution.NotRun)
+      assert.is(countRuns(cluster, 'mare'), 0)
+      const unkeyed = await send(cluster.getUrl(0), { token: 'stallion', method: 'POST', body: 'x' })
+      assert.is(unkeyed.token, 'stallion')
+    }))
+
+    it('run at most once where the claim\'s answer is lost', () => withCluster({ daemons: 2, endpoints: 1 }, async (cluster) => {
+      cluster.faults.fault = PlatformFault.AnswerLost
+      await send(cluster.getUrl(0), { token: 'mare', ...keyed })
+      cluster.faults.fault = PlatformFault.None
+      await send(cluster.getUrl(1), { token: 'mare', ...keyed })
+      assert.is(countRuns(cluster, 'mare') <= 1, true)
+    }))
+
+    it('never run twice where the daemon is lost between claim and answer', () => withCluster({ daemons: 2, endpoints: 1, serviceTimeMs: () => 200 }, async (cluster) => {
+      const lost = send(cluster.getUrl(0), { token: 'mare', ...keyed }).catch(() => undefined)
+      await waitUntil('the request runs', () => countRuns(cluster, 'mare') === 1)
+      const url = cluster.getUrl(1)
+      await cluster.killDaemon(0)
+      await lost
+      const outcome = await send(url, { token: 'mare', ...keyed })
+      assert.is(outcome.problem?.code, ResultCode.ClaimUndecided)
+      assert.is(countRuns(cluster, 'mare'), 1)
+    }))
+  })
+
+  describe('stops', ({ it }) => {
+    it('of a daemon interrupt no request in flight', () => withCluster({ daemons: 2, endpoints: 2, serviceTimeMs: () => 100 }, async (cluster) => {
+      const sent = Array.from({ length: 40 }, (_, index) => send(cluster.getUrl(0), { token: `token-${index}`, method: 'POST', body: 'x' }))
+      await waitUntil('requests run', () => cluster.endpoints.some((endpoint) => endpoint.runs.length > 0))
+      const [daemon] = cluster.daemons.splice(0, 1)
+      await daemon?.stop()
+      const outcomes = await Promise.all(sent)
+      outcomes.forEach((outcome, index) => {
+        const notRun = outcome.problem?.execution === Execution.NotRun
+        assert.is(notRun ? 0 : 1, countRuns(cluster, `token-${index}`))
+        if (!notRun) assert.is(outcome.token, `token-${index}`)
+      })
+    }))
+  })
+
+  describe('callers', ({ it }) => {
+    it('that go away free their place in the queue', () => withCluster({ daemons: 1, endpoints: 1, slots: 1, serviceTimeMs: () => 100 }, async (cluster) => {
+      const first = send(cluster.getUrl(0), { token: 'first' })
+      await waitUntil('the first runs', () => countRuns(cluster, 'first') === 1)
+      const controller = new AbortController()
+      setMaxListeners(0, controller.signal)
+      const gone = Array.from({ length: 20 }, (_, index) => send(cluster.getUrl(0), { token: `gone-${index}`, signal: controller.signal }).catch(() => undefined))
+      const lane = cluster.getDaemon(0).parts.dispatcher.listLanes().get(SERVICE)
+      await waitUntil('they wait', () => lane?.queued === 20)
+      controller.abort()
+      await waitUntil('the queue is empty', () => lane?.queued === 0)
+      await Promise.all([first, ...gone])
+      assert.is(cluster.getEndpoint(0).runs.length, 1)
+    }))
+
+    it('get an early refusal where the deadline cannot be met', () => withCluster({ daemons: 1, endpoints: 1, slots: 1, serviceTimeMs: () => 100 }, async (cluster) => {
+      await send(cluster.getUrl(0), { token: 'learn' })
+      const sent = Array.from({ length: 10 }, (_, index) => send(cluster.getUrl(0), { token: `token-${index}`, headers: { 'vanillathread-deadline-ms': '250' } }))
+      const outcomes = await Promise.all(sent)
+      const refused = outcomes.filter((outcome) => outcome.problem !== undefined)
+      assert.is(refused.length >= 7, true)
+      for (const { problem, headers } of refused) {
+        assert.is(problem?.execution, Execution.NotRun)
+        assert.type(headers['retry-after'], 'string')
+      }
+    }))
+  })
+})
--- a/packages/policy/src/lib/routing/CreditLedger.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.ts
@@ -30,8 +30,10 @@
   readonly committed: Map<string, number>
 }
 
-/** Slots that every holder keeps while it asks for none, so that a first request needs no round trip. */
-const IDLE_FLOOR_SLOTS = 2
+/** Part of its share that a holder gets while it asks for less, so that a burst need not wait for slots. */
+const IDLE_SHARE = 0.5
+/** Slots that a holder gets more on an endpoint of its own availability zone than on one elsewhere. */
+const OWN_ZONE_ADVANTAGE_SLOTS = 2
 
 /** Accounts for lent slots of one service. @public */
 export class CreditLedger {
@@ -136,7 +138,7 @@
     const before = new Map(active.map((holder) => [holder, new Map(holder.limits)]))
     for (const holder of active) this.capToLentSlots(holder)
     const targets = this.getTargets(active)
-    this.raiseNeedy(active, targets)
+    this.raise(active, targets)
     this.reclaimForNeedy(active, targets)
     return this.issueChanged(before)
   }
@@ -190,23 +192,41 @@
     return shareByDemand(total, active)
   }
 
+  /** Returns the slots for which others give up theirs. */
+  private getWish (holder: Holder, target: number): number {
+    return Math.min(target, Math.max(holder.demand, Math.ceil(target * IDLE_SHARE)))
+  }
+
   private isNeedy (holder: Holder, target: number): boolean {
-    const limit = getTotal(holder.limits)
-    return limit < target && (holder.demand > limit || limit < IDLE_FLOOR_SLOTS)
+    return getTotal(holder.limits) < this.getWish(holder, target)
   }
 
-  /** Gives free slots to holders that want more, one at a time, the neediest first. */
-  private raiseNeedy (active: readonly Holder[], targets: ReadonlyMap<string, number>): void {
+  /** Gives free slots to holders below their share, one at a time, those with unmet demand first. */
+  private raise (active: readonly Holder[], targets: ReadonlyMap<string, number>): void {
     const free = this.getFreeSlots()
     for (;;) {
-      const needy = active.filter((holder) => this.isNeedy(holder, targets.get(holder.daemonId) ?? 0))
-      const neediest = needy.sort((a, b) => getTotal(a.limits) - getTotal(b.limits))[0]
-      if (neediest === undefined) return
-      const endpoint = this.chooseEndpoint(neediest, free)
+      const holder = this.findNeediest(active, targets)
+      if (holder === undefined) return
+      const endpoint = this.chooseEndpoint(holder, free)
       if (endpoint === undefined) return
       free.set(endpoint.endpointId, (free.get(endpoint.endpointId) ?? 0) - 1)
-      raiseByOne(neediest.limits, endpoint.endpointId)
+      raiseByOne(holder.limits, endpoint.endpointId)
+    }
+  }
+
+  private findNeediest (active: readonly Holder[], targets: ReadonlyMap<string, number>): Holder | undefined {
+    let neediest: Holder | undefined
+    let lowestRank: number[] = []
+    for (const holder of active) {
+      const target = targets.get(holder.daemonId) ?? 0
+      const limit = getTotal(holder.limits)
+      if (limit >= target) continue
+      const rank = [this.isNeedy(holder, target) ? 0 : 1, limit]
+      if (neediest !== undefined && compareRanks(rank, lowestRank) >= 0) continue
+      neediest = holder
+      lowestRank = rank
     }
+    return neediest
   }
 
   /** Slots that nobody may be using; none while an earlier lender's grants may be unreported. */
@@ -226,15 +246,13 @@
     return sum
   }
 
-  /** Prefers the holder's availability zone, then the endpoint on which it holds least, then the one most free. */
+  /** Spreads a holder's slots, with more on endpoints of its own availability zone. */
   private chooseEndpoint (holder: Holder, free: ReadonlyMap<string, number>): LentEndpoint | undefined {
     const rank = (endpoint: LentEndpoint): number[] => [
-      endpoint.zone === holder.zone ? 0 : 1,
-      holder.limits.get(endpoint.endpointId) ?? 0,
+      getWeightedHolding(holder, endpoint),
       -(free.get(endpoint.endpointId) ?? 0),
     ]
-    const usable = this.endpoints.filter((endpoint) => (free.get(endpoint.endpointId) ?? 0) > 0)
-    return usable.sort((a, b) => compareRanks(rank(a), rank(b)))[0]
+    return findLowest(this.endpoints.filter((endpoint) => (free.get(endpoint.endpointId) ?? 0) > 0), rank)
   }
 
   /** Lowers limits of holders above their share by as much as needy holders still lack. */
@@ -242,7 +260,7 @@
     let wanted = 0
     for (const holder of active) {
       const target = targets.get(holder.daemonId) ?? 0
-      if (this.isNeedy(holder, target)) wanted += Math.min(target, Math.max(holder.demand, IDLE_FLOOR_SLOTS)) - getTotal(holder.limits)
+      wanted += Math.max(0, this.getWish(holder, target) - getTotal(holder.limits))
     }
     wanted -= this.getPendingReturns()
     while (wanted > 0) {
@@ -277,14 +295,10 @@
     return donor
   }
 
-  /** Takes a slot in another availability zone first, then on the endpoint on which the holder has most. */
+  /** Takes a slot where the holder has most, counting less in its own availability zone. */
   private lowerByOne (holder: Holder): void {
-    const rank = (endpoint: LentEndpoint): number[] => [
-      endpoint.zone === holder.zone ? 1 : 0,
-      -(holder.limits.get(endpoint.endpointId) ?? 0),
-    ]
     const held = this.endpoints.filter((endpoint) => (holder.limits.get(endpoint.endpointId) ?? 0) > 0)
-    const endpoint = held.sort((a, b) => compareRanks(rank(a), rank(b)))[0]
+    const endpoint = findLowest(held, (candidate) => [-getWeightedHolding(holder, candidate)])
     if (endpoint === undefined) return
     setCount(holder.limits, endpoint.endpointId, (holder.limits.get(endpoint.endpointId) ?? 0) - 1)
   }
@@ -303,6 +317,15 @@
   }
 }
 
+function getWeightedHolding (holder: Holder, endpoint: LentEndpoint): number {
+  const advantage = endpoint.zone === holder.zone ? OWN_ZONE_ADVANTAGE_SLOTS : 0
+  return (holder.limits.get(endpoint.endpointId) ?? 0) - advantage
+}
+
+function findLowest<T> (items: readonly T[], rank: (item: T) => number[]): T | undefined {
+  return [...items].sort((a, b) => compareRanks(rank(a), rank(b)))[0]
+}
+
 function getTotal (counts: ReadonlyMap<string, number>): number {
   let sum = 0
   for (const count of counts.values()) sum += count
--- a/packages/testing/src/lib/describe.ts
+++ b/packages/testing/src/lib/describe.ts
@@ -20,7 +20,7 @@
   failed: number
 }
 
-const TEST_TIMEOUT_MS = 120_000
+const TEST_TIMEOUT_MS = 20_000
 
 const counts: TestSummary = { passed: 0, failed: 0 }
 let knownRed: ReadonlySet<string> = new Set()
