Command-line tool, checked files, and benches of the path and of sharing

Change: vanillathread check/apply/diff/get/status/explain; tables of codes and events held equal to the code; bench:path and bench:load, each with its parts in separate processes.

--- /dev/null
+++ b/packages/bench/src/benchLoad.ts
@@ -0,0 +1,129 @@
+/**
+ * `npm run bench:load`: ways of sharing slots, compared under load and faults.
+ */
+import { Command } from 'commander'
+import { WorkClass } from '@vanillathread/model'
+import { EndpointFault } from '@vanillathread/stand-ins'
+import type { CallerResult } from './hosts/callerHost.js'
+import { bed, LoadBed, SERVICE_CAPACITY } from './lib/LoadBed.js'
+import { Sharing } from './lib/sharing.js'
+
+/** Mean demand of a service as a share of what its slots can serve, so that five times the mean is twice that. */
+const MEAN_SHARE = 0.4
+const BURST_FACTOR = 5
+const QUIET_FACTOR = 0.05
+const DEADLINE_MS = 2_000
+const BURST_SERVICE = 'listings'
+const GOODPUT_BOUND = 0.95
+const RETRY_BOUND = 0.1
+
+const command = new Command('bench:load')
+  .option('--ways <list>', 'ways of sharing, separated by commas', Object.values(Sharing).join(','))
+  .option('--faults', 'also run with a fail-everything endpoint and a daemon loss')
+  .option('--seconds <seconds>', 'length of each run', '6')
+command.parse()
+const options = command.opts<{ ways: string, faults?: boolean, seconds: string }>()
+const durationMs = Number(options.seconds) * 1000
+const meanRate = SERVICE_CAPACITY * MEAN_SHARE
+
+interface Row {
+  way: string
+  load: string
+  'goodput %': number
+  'urgent p50': number
+  'urgent p99': number
+  'urgent p99.9': number
+  'normal p99': number
+  'refused %': number
+  'refusal p99': number
+  'unknown + failed': number
+  'runs per answer': number
+  'endpoint refusals %': number
+  'max running': number
+  'core-ms per answer': number
+}
+
+const rows: Row[] = []
+for (const way of options.ways.split(',') as Sharing[]) {
+  const loadBed = await LoadBed.create(way)
+  for (const factor of [0.2, 1]) rows.push(await measure(loadBed, way, `${factor}x all`, () => loadBed.run(createPlan(loadBed, () => factor))))
+  rows.push(await measure(loadBed, way, '5x one', () => loadBed.run(createPlan(loadBed, getBurstFactor))))
+  if (options.faults === true) await measureFaults(loadBed, way)
+  loadBed.dispose()
+}
+console.table(rows)
+const worst = rows.filter((row) => row.way === Sharing.Credits && row.load === '5x one')
+for (const row of worst) {
+  console.log(`credits at 5x: goodput ${row['goodput %']} % (bound ${GOODPUT_BOUND * 100} %), retries ${Math.round((row['runs per answer'] - 1) * 1000) / 10} % (bound ${RETRY_BOUND * 100} %)`)
+}
+
+async function measureFaults (loadBed: LoadBed, way: Sharing): Promise<void> {
+  await loadBed.setFault(`${BURST_SERVICE}-1`, EndpointFault.FailFast)
+  rows.push(await measure(loadBed, way, '1x, one fails all', () => loadBed.run(createPlan(loadBed, () => 1))))
+  rows.push(await measure(loadBed, way, '5x, one fails all', () => loadBed.run(createPlan(loadBed, getBurstFactor))))
+  await loadBed.setFault(`${BURST_SERVICE}-1`, EndpointFault.None)
+  await new Promise((resolve) => { setTimeout(resolve, 6_000) })
+  rows.push(await measure(loadBed, way, '5x, daemon lost', async () => {
+    const running = loadBed.run(createPlan(loadBed, getBurstFactor))
+    await new Promise((resolve) => { setTimeout(resolve, durationMs / 4) })
+    await loadBed.killDaemon()
+    return running
+  }))
+}
+
+function getBurstFactor (service: string): number {
+  return service === BURST_SERVICE ? BURST_FACTOR : QUIET_FACTOR
+}
+
+function createPlan (loadBed: LoadBed, getFactor: (service: string) => number): Parameters<LoadBed['run']>[0] {
+  return {
+    loads: bed.services.map((service) => ({ path: loadBed.getPath(service), requestsPerSecond: meanRate * getFactor(service) })),
+    durationMs,
+    deadlineMs: DEADLINE_MS,
+    seed: 5,
+    measuredPath: loadBed.getPath(BURST_SERVICE),
+  }
+}
+
+async function measure (loadBed: LoadBed, way: string, load: string, run: () => Promise<CallerResult>): Promise<Row> {
+  const before = await snapshot(loadBed)
+  const startedMs = performance.now()
+  const result = await run()
+  const tookMs = performance.now() - startedMs
+  const after = await snapshot(loadBed)
+  const urgent = result.latency[WorkClass.Urgent]
+  const runs = after.runs - before.runs
+  return {
+    way,
+    load,
+    'goodput %': round(100 * result.answered / (SERVICE_CAPACITY * tookMs / 1000)),
+    'urgent p50': round(urgent.p50),
+    'urgent p99': round(urgent.p99),
+    'urgent p99.9': round(urgent.p999),
+    'normal p99': round(result.latency[WorkClass.Normal].p99),
+    'refused %': round(100 * result.refused / result.sent),
+    'refusal p99': round(result.refusal.p99),
+    'unknown + failed': result.unknown + result.failed,
+    'runs per answer': round(runs / Math.max(1, result.answered), 3),
+    'endpoint refusals %': round(100 * (after.refused - before.refused) / Math.max(1, runs)),
+    'max running': after.maxRunning,
+    'core-ms per answer': round((after.cpuMs - before.cpuMs) / Math.max(1, after.allRuns - before.allRuns), 2),
+  }
+}
+
+async function snapshot (loadBed: LoadBed): Promise<{ runs: number, allRuns: number, refused: number, maxRunning: number, cpuMs: number }> {
+  const counts = await loadBed.getEndpointCounts()
+  const burst = counts.filter(({ id }) => id.startsWith(`${BURST_SERVICE}-`))
+  const usage = await loadBed.getUsage()
+  return {
+    runs: burst.reduce((sum, { runs }) => sum + runs, 0),
+    allRuns: counts.reduce((sum, { runs }) => sum + runs, 0),
+    refused: burst.reduce((sum, { refused }) => sum + refused, 0),
+    maxRunning: Math.max(...counts.map(({ maxRunning }) => maxRunning)),
+    cpuMs: usage.reduce((sum, { cpuMs }) => sum + cpuMs, 0),
+  }
+}
+
+function round (value: number, digits = 1): number {
+  return Number(value.toFixed(digits))
+}
--- /dev/null
+++ b/packages/bench/src/benchPath.ts
@@ -0,0 +1,78 @@
+/**
+ * `npm run bench:path`: what a daemon adds to a request, and how many requests one core carries.
+ */
+import { randomUUID } from 'node:crypto'
+import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
+import { inventorySchema, rulesSchema, WorkClass, type Declarations } from '@vanillathread/model'
+import type { CallerPlan, CallerResult } from './hosts/callerHost.js'
+import type { DaemonAddresses, DaemonHostUsage } from './hosts/daemonHost.js'
+import { Host } from './lib/Host.js'
+import { HostRole } from './lib/hostProtocol.js'
+import { Sharing } from './lib/sharing.js'
+
+const REQUESTS_PER_SECOND = 500
+const DURATION_MS = 8_000
+const MEAN_SERVICE_MS = 5
+const ENDPOINTS = 4
+const PORTS_SEED = 1
+const ADDED_P99_BOUND_MS = 5
+const MEMORY_BOUND_MIB = 256
+const BYTES_PER_MEBIBYTE = 1024 * 1024
+
+const platform = Host.start(HostRole.Platform)
+const endpoints = Host.start(HostRole.Endpoints)
+const daemons = Host.start(HostRole.Daemons)
+const callers = Host.start(HostRole.Callers)
+
+const platformUrl = await platform.call<string>('getUrl')
+const ids = Array.from({ length: ENDPOINTS }, (_, index) => `listings-${index + 1}`)
+const ports = await endpoints.call<Record<string, number>>('start', { ids, slots: 64, meanServiceMs: MEAN_SERVICE_MS, seed: PORTS_SEED })
+await accept(createDeclarations(ports))
+const [daemon] = await daemons.call<DaemonAddresses[]>('start', { daemons: [{ id: 'entry-1', zone: 'zone-a', platformUrl }], sharing: Sharing.Credits })
+if (daemon === undefined) throw new Error('no daemon was started')
+
+const direct = ids.map((id) => `http://127.0.0.1:${ports[id]}`)
+const through = [`http://${daemon.caller.host}:${daemon.caller.port}`]
+await run(direct, '', 2_000)
+await run(through, '/listings', 2_000)
+const directResult = await run(direct, '', DURATION_MS)
+const before = await daemons.call<DaemonHostUsage>('getUsage')
+const throughResult = await run(through, '/listings', DURATION_MS)
+const after = await daemons.call<DaemonHostUsage>('getUsage')
+
+const cpuSeconds = (after.cpuMs - before.cpuMs) / 1000
+const perCore = throughResult.answered / cpuSeconds
+const memoryMib = after.memoryBytes / BYTES_PER_MEBIBYTE
+const [a, b] = [directResult.latency[WorkClass.Normal], throughResult.latency[WorkClass.Normal]]
+console.table([
+  { path: 'direct', answered: directResult.answered, 'p50 ms': a.p50, 'p99 ms': a.p99 },
+  { path: 'through the daemon', answered: throughResult.answered, 'p50 ms': b.p50, 'p99 ms': b.p99 },
+])
+console.log(`added p50 ${(b.p50 - a.p50).toFixed(2)} ms, added p99 ${(b.p99 - a.p99).toFixed(2)} ms (bound ${ADDED_P99_BOUND_MS} ms at ${REQUESTS_PER_SECOND} requests/s)`)
+console.log(`${perCore.toFixed(0)} requests/s per core; resident memory ${memoryMib.toFixed(0)} MiB (bound ${MEMORY_BOUND_MIB} MiB)`)
+for (const host of [platform, endpoints, daemons, callers]) host.dispose()
+process.exit(b.p99 - a.p99 <= ADDED_P99_BOUND_MS && memoryMib <= MEMORY_BOUND_MIB ? 0 : 1)
+
+function run (targets: readonly string[], path: string, durationMs: number): Promise<CallerResult> {
+  const plan: CallerPlan = { targets, loads: [{ path, requestsPerSecond: REQUESTS_PER_SECOND }], durationMs, deadlineMs: 10_000, seed: 7 }
+  return callers.call<CallerResult>('run', plan)
+}
+
+function createDeclarations (portById: Readonly<Record<string, number>>): Declarations {
+  return {
+    inventory: inventorySchema.parse({
+      regions: [{ id: 'local', zones: ['zone-a'] }],
+      pools: [{ id: 'listings' }],
+      vms: ids.map((id) => ({ id: `vm-${id}`, zone: 'zone-a', rack: 'rack-1', pool: 'listings' })),
+      services: [{ id: 'listings', pool: 'listings', endpoints: ids.map((id) => ({ id, vm: `vm-${id}`, host: '127.0.0.1', port: portById[id], slots: 64, connections: 640 })) }],
+    }),
+    rules: rulesSchema.parse({ budgets: [{ pool: 'listings', minAvailable: 0 }], weights: { bufferCost: 0.5, moves: 0.5 } }),
+  }
+}
+
+async function accept (declarations: Declarations): Promise<void> {
+  const client = HttpPlatform.create({ url: platformUrl, timeoutMs: 5_000 })
+  const res = await applyDeclarations(client, { declarations, basedOn: 0, applyId: randomUUID() })
+  await client.dispose()
+  if (!res.ok) throw new Error(`apply failed with code ${res.error.code}`)
+}
--- /dev/null
+++ b/packages/bench/src/hosts/callerHost.ts
@@ -0,0 +1,142 @@
+/**
+ * Bench process: callers that send at a given rate, whatever the answers.
+ */
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Agent, request } from 'undici'
+import { WorkClass } from '@vanillathread/model'
+import { RandomSource } from '@vanillathread/policy'
+import { serveCommands } from '../lib/hostProtocol.js'
+
+/** Load on one service. */
+export interface ServiceLoad {
+  /** Path up to the request's own part. */
+  readonly path: string
+  readonly requestsPerSecond: number
+}
+
+/** A run of load. */
+export interface CallerPlan {
+  /** Base URLs of the daemons; each request goes to a random one. */
+  readonly targets: readonly string[]
+  readonly loads: readonly ServiceLoad[]
+  readonly durationMs: number
+  readonly deadlineMs: number
+  readonly seed: number
+  /** Path whose answers count for the result; all count where it is absent. */
+  readonly measuredPath?: string
+}
+
+/** Percentiles of one class, in milliseconds. */
+export interface Latency {
+  readonly count: number
+  readonly p50: number
+  readonly p99: number
+  readonly p999: number
+}
+
+/** What the callers saw. */
+export interface CallerResult {
+  readonly sent: number
+  readonly answered: number
+  readonly refused: number
+  readonly unknown: number
+  readonly failed: number
+  /** Time until refusals, which must come at once. */
+  readonly refusal: Latency
+  readonly latency: Readonly<Record<WorkClass, Latency>>
+}
+
+const TICK_MS = 5
+const MICROSECONDS_PER_MILLISECOND = 1000
+const HIGHEST_MICROSECONDS = 120_000_000
+/** Share of urgent, normal and deferrable requests. */
+const CLASS_SHARES: ReadonlyArray<[WorkClass, number]> = [[WorkClass.Urgent, 0.2], [WorkClass.Normal, 0.6], [WorkClass.Deferrable, 0.2]]
+
+class Run {
+  readonly counts = { sent: 0, answered: 0, refused: 0, unknown: 0, failed: 0 }
+  readonly refusal = createHistogram()
+  readonly latency = new Map(CLASS_SHARES.map(([workClass]) => [workClass, createHistogram()]))
+  private readonly agent = new Agent({ connections: 400, pipelining: 1 })
+  private readonly random: RandomSource
+  private open = 0
+
+  constructor (private readonly plan: CallerPlan) {
+    this.random = RandomSource.create(plan.seed)
+  }
+
+  async execute (): Promise<CallerResult> {
+    const startMs = performance.now()
+    const due = this.plan.loads.map(() => 0)
+    while (performance.now() - startMs < this.plan.durationMs) {
+      const elapsedMs = performance.now() - startMs
+      this.plan.loads.forEach((load, index) => {
+        const target = load.requestsPerSecond * elapsedMs / 1000
+        for (; (due[index] ?? 0) < target; due[index] = (due[index] ?? 0) + 1) this.send(load)
+      })
+      await new Promise((resolve) => { setTimeout(resolve, TICK_MS) })
+    }
+    while (this.open > 0) await new Promise((resolve) => { setTimeout(resolve, TICK_MS) })
+    await this.agent.close()
+    return this.getResult()
+  }
+
+  private async send (load: ServiceLoad): Promise<void> {
+    this.open += 1
+    const measured = this.plan.measuredPath === undefined || this.plan.measuredPath === load.path
+    const target = this.plan.targets[this.random.nextBelow(this.plan.targets.length)] ?? ''
+    const workClass = this.chooseClass()
+    const startedMs = performance.now()
+    if (measured) this.counts.sent += 1
+    try {
+      const res = await request(`${target}${load.path}/items/1`, {
+        method: 'GET',
+        headers: { 'x-request-token': 'bench', 'vanillathread-class': workClass, 'vanillathread-deadline-ms': String(this.plan.deadlineMs) },
+        dispatcher: this.agent,
+      })
+      await res.body.dump()
+      if (measured) this.note(res.statusCode, res.headers['vanillathread-execution'], workClass, performance.now() - startedMs)
+    } catch {
+      if (measured) this.counts.failed += 1
+    } finally {
+      this.open -= 1
+    }
+  }
+
+  private note (status: number, execution: unknown, workClass: WorkClass, timeMs: number): void {
+    const microseconds = Math.round(timeMs * MICROSECONDS_PER_MILLISECOND)
+    if (status === 200) {
+      this.counts.answered += 1
+      this.latency.get(workClass)?.recordValue(microseconds)
+    } else if (execution === 'not-run') {
+      this.counts.refused += 1
+      this.refusal.recordValue(microseconds)
+    } else {
+      this.counts.unknown += 1
+    }
+  }
+
+  private chooseClass (): WorkClass {
+    let rest = this.random.nextFloat()
+    for (const [workClass, share] of CLASS_SHARES) {
+      rest -= share
+      if (rest < 0) return workClass
+    }
+    return WorkClass.Normal
+  }
+
+  private getResult (): CallerResult {
+    const latency = Object.fromEntries([...this.latency].map(([workClass, histogram]) => [workClass, summarize(histogram)]))
+    return { ...this.counts, refusal: summarize(this.refusal), latency: latency as Record<WorkClass, Latency> }
+  }
+}
+
+function createHistogram (): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 3 })
+}
+
+function summarize (histogram: Histogram): Latency {
+  const at = (percentile: number): number => histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND
+  return { count: histogram.totalCount, p50: at(50), p99: at(99), p999: at(99.9) }
+}
+
+serveCommands({ run: (plan: CallerPlan) => new Run(plan).execute() })
--- /dev/null
+++ b/packages/bench/src/hosts/daemonHost.ts
@@ -0,0 +1,67 @@
+/**
+ * Bench process: one or more daemons.
+ */
+import { MemoryEventLog } from '@vanillathread/kernel'
+import type { Address } from '@vanillathread/model'
+import { Daemon } from '@vanillathread/daemon'
+import { createSettings, type LocalDaemon } from '@vanillathread/integration'
+import { createSlotSources, type Sharing } from '../lib/sharing.js'
+import { serveCommands } from '../lib/hostProtocol.js'
+
+/** Daemons to start. */
+export interface DaemonHostPlan {
+  readonly daemons: readonly LocalDaemon[]
+  readonly sharing: Sharing
+}
+
+/** Addresses of a started daemon. */
+export interface DaemonAddresses {
+  readonly id: string
+  readonly caller: Address
+  readonly peer: Address
+}
+
+/** What the process has used. */
+export interface DaemonHostUsage {
+  readonly cpuMs: number
+  readonly memoryBytes: number
+  readonly sentBytes: number
+  readonly receivedBytes: number
+  readonly versions: number[]
+  readonly activeIds: number[]
+}
+
+const MICROSECONDS_PER_MILLISECOND = 1000
+const daemons: Daemon[] = []
+
+async function start (plan: DaemonHostPlan): Promise<DaemonAddresses[]> {
+  const started: DaemonAddresses[] = []
+  for (const local of plan.daemons) {
+    const slotSources = createSlotSources(plan.sharing)
+    const daemon = Daemon.create({ settings: createSettings(local), log: MemoryEventLog.create(), ...slotSources === undefined ? {} : { slotSources } })
+    await daemon.start()
+    daemons.push(daemon)
+    started.push({ id: local.id, caller: daemon.getAddress('caller'), peer: daemon.getAddress('peer') })
+  }
+  return started
+}
+
+function getUsage (): DaemonHostUsage {
+  const { user, system } = process.cpuUsage()
+  const counters = daemons.map((daemon) => daemon.parts.peers.counters)
+  return {
+    cpuMs: (user + system) / MICROSECONDS_PER_MILLISECOND,
+    memoryBytes: process.memoryUsage.rss(),
+    sentBytes: counters.reduce((sum, { sentBytes }) => sum + sentBytes, 0),
+    receivedBytes: counters.reduce((sum, { receivedBytes }) => sum + receivedBytes, 0),
+    versions: daemons.map((daemon) => daemon.parts.configuration.getVersionInForce()),
+    activeIds: daemons.map((daemon) => daemon.parts.membership.listActiveIds().length),
+  }
+}
+
+serveCommands({
+  start,
+  getUsage,
+  kill: async (index: number) => { await daemons.splice(index, 1)[0]?.kill() },
+  stop: async (index: number) => { await daemons.splice(index, 1)[0]?.stop() },
+})
--- /dev/null
+++ b/packages/bench/src/lib/LoadBed.ts
@@ -0,0 +1,138 @@
+/**
+ * The load bench's processes: a platform, endpoints of five services, nine daemons and callers.
+ */
+import { randomUUID } from 'node:crypto'
+import { inventorySchema, rulesSchema, type Declarations } from '@vanillathread/model'
+import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
+import type { EndpointFault } from '@vanillathread/stand-ins'
+import type { CallerPlan, CallerResult } from '../hosts/callerHost.js'
+import type { DaemonAddresses, DaemonHostUsage } from '../hosts/daemonHost.js'
+import type { EndpointCounts } from '../hosts/endpointHost.js'
+import { Host } from './Host.js'
+import { HostRole } from './hostProtocol.js'
+import { FRONT_PREFIX, Sharing } from './sharing.js'
+
+/** Sizes of the bed, from the brief. */
+export const bed = {
+  services: ['listings', 'pedigrees', 'photographs', 'auctions', 'office'],
+  endpointsPerService: 7,
+  slots: 8,
+  meanServiceMs: 80,
+  daemons: 9,
+  daemonProcesses: 3,
+} as const
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c']
+const ENDPOINT_SEED = 11
+const SETTLE_MS = 4_000
+
+/** Requests a second that one service's slots can serve. */
+export const SERVICE_CAPACITY = bed.endpointsPerService * bed.slots / (bed.meanServiceMs / 1000)
+
+/** Started processes of one way of sharing. */
+export class LoadBed {
+  private readonly platform = Host.start(HostRole.Platform)
+  private readonly endpoints = Host.start(HostRole.Endpoints)
+  private readonly callers = Host.start(HostRole.Callers)
+  private readonly daemonHosts: Host[] = []
+  private targets: DaemonAddresses[] = []
+  private ports: Record<string, number> = {}
+
+  private constructor (private readonly sharing: Sharing) {}
+
+  static async create (sharing: Sharing): Promise<LoadBed> {
+    const loadBed = new LoadBed(sharing)
+    await loadBed.start()
+    return loadBed
+  }
+
+  /** Path of a service under this way of sharing. */
+  getPath (service: string): string {
+    return this.sharing === Sharing.Forward ? `/${FRONT_PREFIX}${service}/${service}` : `/${service}`
+  }
+
+  run (plan: Omit<CallerPlan, 'targets'>): Promise<CallerResult> {
+    const targets = this.targets.map(({ caller }) => `http://${caller.host}:${caller.port}`)
+    return this.callers.call<CallerResult>('run', { ...plan, targets })
+  }
+
+  setFault (id: string, fault: EndpointFault): Promise<void> {
+    return this.endpoints.call('setFault', { id, fault })
+  }
+
+  /** Kills the last daemon of the first process; callers keep sending to it until they are told. */
+  async killDaemon (): Promise<void> {
+    const index = bed.daemons / bed.daemonProcesses - 1
+    await this.daemonHosts[0]?.call('kill', index)
+    this.targets = this.targets.filter((_target, place) => place !== index)
+  }
+
+  getEndpointCounts (): Promise<EndpointCounts[]> {
+    return this.endpoints.call<EndpointCounts[]>('getCounts')
+  }
+
+  getUsage (): Promise<DaemonHostUsage[]> {
+    return Promise.all(this.daemonHosts.map((host) => host.call<DaemonHostUsage>('getUsage')))
+  }
+
+  dispose (): void {
+    for (const host of [this.platform, this.endpoints, this.callers, ...this.daemonHosts]) host.dispose()
+  }
+
+  private async start (): Promise<void> {
+    const platformUrl = await this.platform.call<string>('getUrl')
+    const ids = bed.services.flatMap((service) => Array.from({ length: bed.endpointsPerService }, (_, index) => `${service}-${index + 1}`))
+    this.ports = await this.endpoints.call('start', { ids, slots: bed.slots, meanServiceMs: bed.meanServiceMs, seed: ENDPOINT_SEED })
+    await this.startDaemons(platformUrl)
+    await this.accept(platformUrl)
+    await new Promise((resolve) => { setTimeout(resolve, SETTLE_MS) })
+  }
+
+  private async startDaemons (platformUrl: string): Promise<void> {
+    for (let process = 0; process < bed.daemonProcesses; process++) {
+      const host = Host.start(HostRole.Daemons)
+      const daemons = Array.from({ length: bed.daemons / bed.daemonProcesses }, (_, index) => ({
+        id: `entry-${process * 3 + index + 1}`, zone: ZONES[index % ZONES.length], platformUrl, seeds: this.targets.slice(0, 1).map(({ peer }) => peer),
+      }))
+      this.targets.push(...await host.call<DaemonAddresses[]>('start', { daemons, sharing: this.sharing }))
+      this.daemonHosts.push(host)
+    }
+  }
+
+  private async accept (platformUrl: string): Promise<void> {
+    const client = HttpPlatform.create({ url: platformUrl, timeoutMs: 5_000 })
+    const res = await applyDeclarations(client, { declarations: this.createDeclarations(), basedOn: 0, applyId: randomUUID() })
+    await client.dispose()
+    if (!res.ok) throw new Error(`apply failed with code ${res.error.code}`)
+  }
+
+  private createDeclarations (): Declarations {
+    const vms = bed.services.flatMap((service) => Array.from({ length: bed.endpointsPerService }, (_, index) => ({
+      id: `vm-${service}-${index + 1}`, zone: ZONES[index % ZONES.length], rack: `rack-${index % ZONES.length}`, pool: service,
+    })))
+    const services = bed.services.map((service) => ({ id: service, pool: service, endpoints: this.listEndpoints(service) }))
+    const fronts = this.sharing === Sharing.Forward ? bed.services.map((service, index) => this.createFront(service, index)) : []
+    return {
+      inventory: inventorySchema.parse({ regions: [{ id: 'local', zones: ZONES }], pools: bed.services.map((id) => ({ id })), vms, services: [...services, ...fronts] }),
+      rules: rulesSchema.parse({ budgets: bed.services.map((pool) => ({ pool, minAvailable: 0 })), weights: { bufferCost: 0.5, moves: 0.5 } }),
+    }
+  }
+
+  private listEndpoints (service: string): object[] {
+    return Array.from({ length: bed.endpointsPerService }, (_, index) => {
+      const id = `${service}-${index + 1}`
+      return { id, vm: `vm-${id}`, host: '127.0.0.1', port: this.ports[id], slots: bed.slots }
+    })
+  }
+
+  /** A service whose only endpoint is the daemon that owns the real one. */
+  private createFront (service: string, index: number): object {
+    const owner = this.targets[index]?.caller
+    return {
+      id: FRONT_PREFIX + service,
+      pool: service,
+      queueLimit: 100_000,
+      endpoints: [{ id: `owner-${service}`, vm: `vm-${service}-1`, host: owner?.host, port: owner?.port, slots: 1, connections: 100_000 }],
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/exit.ts
@@ -0,0 +1,41 @@
+/**
+ * Exit statuses of the command-line tool. docs/OPERATING.md holds the same table.
+ */
+import { ResultCode } from '@vanillathread/model'
+
+/** Exit statuses. @public */
+export enum CliExit {
+  Done = 0,
+  /** Unexpected failure. */
+  Failed = 1,
+  /** Arguments are not valid. */
+  Usage = 2,
+  /** A file has faults; nothing was changed. */
+  BadDeclarations = 3,
+  /** The configuration changed since the edit was based on it; nothing was changed. */
+  Conflict = 4,
+  /** The platform or a daemon cannot be reached; nothing was changed. */
+  Unavailable = 5,
+  /** The outcome of a write is not known; run the same command with the same `--apply-id` again. */
+  Unknown = 6,
+  /** Accepted, and not in force everywhere within the wait. */
+  NotInForce = 7,
+  /** The named object does not exist. */
+  NotFound = 8,
+}
+
+const EXIT_BY_CODE: ReadonlyMap<ResultCode, CliExit> = new Map([
+  [ResultCode.VersionConflict, CliExit.Conflict],
+  [ResultCode.NothingToApply, CliExit.Done],
+  [ResultCode.PlatformUnavailable, CliExit.Unavailable],
+  [ResultCode.PlatformConflict, CliExit.Conflict],
+  [ResultCode.PlatformOutcomeUnknown, CliExit.Unknown],
+  [ResultCode.RolloutIncomplete, CliExit.NotInForce],
+  [ResultCode.NotFound, CliExit.NotFound],
+  [ResultCode.FileUnreadable, CliExit.BadDeclarations],
+])
+
+/** Returns the exit status of a result code. */
+export function getExit (code: ResultCode): CliExit {
+  return EXIT_BY_CODE.get(code) ?? CliExit.Failed
+}
--- /dev/null
+++ b/packages/integration/src/cli.test.ts
@@ -0,0 +1,153 @@
+/**
+ * The command-line tool and the daemon's entry point against a platform server.
+ */
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { assert, describe } from '@vanillathread/testing'
+import { CliExit, runCli } from '@vanillathread/cli'
+import { DaemonExit, runDaemon } from '@vanillathread/daemon'
+import { Daemon } from '@vanillathread/daemon'
+import { MemoryEventLog } from '@vanillathread/kernel'
+import { MemoryPlatform } from '@vanillathread/platform'
+import { PlatformFault, PlatformFaults, PlatformServer } from '@vanillathread/stand-ins'
+import { createSettings } from './lib/createSettings.js'
+
+const LOWICZ = new URL('../../../examples/lowicz/', import.meta.url)
+
+interface Bench {
+  readonly memory: MemoryPlatform
+  readonly faults: PlatformFaults
+  readonly server: PlatformServer
+  run (...args: string[]): Promise<{ exit: CliExit, out: string, err: string }>
+}
+
+async function withPlatform (body: (bench: Bench) => Promise<void>): Promise<void> {
+  const memory = MemoryPlatform.create()
+  const faults = PlatformFaults.create()
+  const server = await PlatformServer.create({ platform: memory, faults })
+  const run = async (...args: string[]): Promise<{ exit: CliExit, out: string, err: string }> => {
+    const out: string[] = []
+    const err: string[] = []
+    const exit = await runCli(args, { stdout: (line) => out.push(line), stderr: (line) => err.push(line) })
+    return { exit, out: out.join('\n'), err: err.join('\n') }
+  }
+  try {
+    await body({ memory, faults, server, run })
+  } finally {
+    await server.dispose()
+  }
+}
+
+/** Copies an example and changes its files. */
+function createFolder (change: { inventory?: [string, string], rules?: [string, string] } = {}): string {
+  const folder = mkdtempSync(join(tmpdir(), 'vanillathread-'))
+  for (const [name, replacement] of [['inventory.yaml', change.inventory], ['rules.yaml', change.rules]] as const) {
+    const text = readFileSync(new URL(name, LOWICZ), 'utf8')
+    writeFileSync(join(folder, name), replacement === undefined ? text : text.replace(...replacement))
+  }
+  return folder
+}
+
+describe('vanillathread', ({ it, describe }) => {
+  it('checks a folder', () => withPlatform(async ({ run }) => {
+    const { exit, out } = await run('check', createFolder())
+    assert.is(exit, CliExit.Done)
+    assert.is(out, 'valid: 35 vms, 5 pools, 5 services, 5 budgets, 3 teams')
+  }))
+
+  it('names every fault and changes nothing', () => withPlatform(async ({ run, server, memory }) => {
+    const folder = createFolder({ inventory: ['zone: mazovia-a, rack', 'zone: mazovia-z, rack'] })
+    const { exit, err } = await run('apply', folder, '--based-on', '0', '--platform', server.url)
+    assert.is(exit, CliExit.BadDeclarations)
+    assert.match(err, /inventory\.yaml:15: \[1014\] vms\.0\.zone/)
+    assert.equal([memory.table.counters.writes, memory.objects.size], [0, 0])
+  }))
+
+  it('gives faults as JSON on request', () => withPlatform(async ({ run }) => {
+    const { exit, err } = await run('check', join(tmpdir(), 'no-such-folder'), '--output', 'json')
+    assert.is(exit, CliExit.BadDeclarations)
+    assert.is(JSON.parse(err).code, 1003)
+  }))
+
+  it('ends with status 2 on wrong arguments', () => withPlatform(async ({ run }) => {
+    for (const args of [['apply', 'x'], ['explain', 'horse', '1', '--operations', 'http://127.0.0.1:1'], ['check'], ['--colour']]) {
+      assert.is((await run(...args)).exit, CliExit.Usage, args.join(' '))
+    }
+  }))
+
+  describe('apply', ({ it }) => {
+    it('accepts, shows the difference, and recognizes what is in force', () => withPlatform(async ({ run, server }) => {
+      const platform = ['--platform', server.url]
+      assert.is((await run('apply', createFolder(), '--based-on', '0', ...platform)).out, 'accepted as version 1')
+      const edited = createFolder({ rules: ['minAvailable: 6', 'minAvailable: 7'] })
+      assert.is((await run('diff', edited, ...platform)).out, 'against version 1:\n~ budget listings (minAvailable: 6 -> 7)')
+      assert.is((await run('apply', edited, '--based-on', '1', ...platform)).out, 'accepted as version 2')
+      assert.match((await run('apply', edited, '--based-on', '2', ...platform)).out, /nothing to apply/)
+      assert.is(JSON.parse((await run('get', ...platform, '--output', 'json')).out).version, 2)
+    }))
+
+    it('lets exactly one of two conflicting edits win', () => withPlatform(async ({ run, server }) => {
+      const platform = ['--platform', server.url]
+      await run('apply', createFolder(), '--based-on', '0', ...platform)
+      const edits = ['5', '7'].map((count) => createFolder({ rules: ['minAvailable: 6', `minAvailable: ${count}`] }))
+      const results = await Promise.all(edits.map((edit) => run('apply', edit, '--based-on', '1', ...platform)))
+      assert.equal(results.map(({ exit }) => exit).sort(), [CliExit.Done, CliExit.Conflict])
+      const loser = results.find(({ exit }) => exit === CliExit.Conflict)
+      assert.match(loser?.err ?? '', /\[3001\].*based on version 1; version 2/)
+    }))
+
+    it('recognizes its own edit where the answer was lost', () => withPlatform(async ({ run, server, faults }) => {
+      faults.fault = PlatformFault.AnswerLost
+      const lost = await run('apply', createFolder(), '--based-on', '0', '--apply-id', 'edit-1', '--platform', server.url)
+      faults.fault = PlatformFault.None
+      const again = await run('apply', createFolder(), '--based-on', '0', '--apply-id', 'edit-1', '--platform', server.url)
+      assert.is([CliExit.Done, CliExit.Unknown].includes(lost.exit), true)
+      assert.is(again.out, 'accepted as version 1')
+    }))
+
+    it('says that nothing was changed where the platform is down', () => withPlatform(async ({ run, server, faults }) => {
+      faults.fault = PlatformFault.Down
+      const { exit, err } = await run('apply', createFolder(), '--based-on', '0', '--platform', server.url)
+      assert.is(exit, CliExit.Unavailable)
+      assert.match(err, /\[4001\]/)
+    }))
+
+    it('waits until the version is in force everywhere, and status and explain show it', () => withPlatform(async ({ run, server }) => {
+      const daemon = Daemon.create({ settings: createSettings({ id: 'entry-1', zone: 'mazovia-a', platformUrl: server.url }), log: MemoryEventLog.create() })
+      await daemon.start()
+      try {
+        const { host, port } = daemon.getAddress('operations')
+        const operations = ['--operations', `http://${host}:${port}`]
+        const applied = await run('apply', createFolder(), '--based-on', '0', '--platform', server.url, '--wait', ...operations)
+        assert.match(applied.out, /version 1 is in force everywhere/)
+        assert.match((await run('status', ...operations)).out, /daemon entry-1: serving, version 1/)
+        assert.is(JSON.parse((await run('explain', 'vm', 'lowicz-01', ...operations, '--output', 'json')).out).vm.pool, 'listings')
+        assert.match((await run('explain', 'pool', 'office', ...operations)).out, /minAvailable: 4/)
+        assert.is((await run('explain', 'vm', 'lowicz-99', ...operations)).exit, CliExit.NotFound)
+      } finally {
+        await daemon.stop()
+      }
+    }))
+  })
+})
+
+describe('vanillathreadd', ({ it }) => {
+  it('ends with status 2 on settings that are not valid, without starting', async () => {
+    const file = join(mkdtempSync(join(tmpdir(), 'vanillathread-')), 'settings.yaml')
+    writeFileSync(file, 'daemon: { id: entry-1 }\n')
+    assert.is(await runDaemon(['--settings', file]), DaemonExit.BadSettings)
+    assert.is(await runDaemon(['--settings', `${file}.absent`]), DaemonExit.BadSettings)
+  })
+
+  it('ends with status 1 where a port is taken, and leaves nothing running', async () => {
+    const first = Daemon.create({ settings: createSettings({ id: 'entry-1', zone: 'a' }), log: MemoryEventLog.create() })
+    await first.start()
+    const taken = first.getAddress('caller').port
+    const second = Daemon.create({ settings: createSettings({ id: 'entry-2', zone: 'a', callerPort: taken }), log: MemoryEventLog.create() })
+    let failed = false
+    await second.start().catch(() => { failed = true })
+    await first.stop()
+    assert.is(failed, true)
+  })
+})
--- a/packages/model/src/lib/yaml/YamlFile.ts
+++ b/packages/model/src/lib/yaml/YamlFile.ts
@@ -61,7 +61,7 @@
       return issue.keys.map((key) => this.faultAt([...issue.path, key], ResultCode.SchemaViolation, `key "${key}"`, 'only the documented keys'))
     }
     const found = this.describeValue(issue.path)
-    return [this.faultAt(issue.path, ResultCode.SchemaViolation, found, issue.message)]
+    return [this.faultAt(issue.path, ResultCode.SchemaViolation, found, describeAllowed(issue))]
   }
 
   private describeValue (path: KeyPath): string {
@@ -71,3 +71,14 @@
     return (JSON.stringify(value) ?? 'nothing').slice(0, FOUND_TEXT_LIMIT_CHARS)
   }
 }
+
+/** Says what a schema allows, without what was found, which is reported beside it. */
+function describeAllowed (issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type': return `a value of type ${issue.expected}`
+    case 'invalid_value': return issue.values.map(String).join(', ')
+    case 'too_small': return `at least ${issue.minimum}`
+    case 'too_big': return `at most ${issue.maximum}`
+    default: return issue.message
+  }
+}
--- /dev/null
+++ b/packages/platform/src/lib/loadDeclarations.ts
@@ -0,0 +1,39 @@
+/**
+ * Reads the accepted configuration from the platform.
+ */
+import { decodeBundle, decodeManifest, Result, ResultCode, type ConfigurationHead, type Declarations } from '@vanillathread/model'
+import { readConfigurationHead } from './applyDeclarations.js'
+import type { Platform } from './Platform.js'
+import { getPlatformResultCode } from './PlatformError.js'
+
+/** The accepted configuration; declarations are absent before the first edit. @public */
+export interface AcceptedConfiguration {
+  readonly head: ConfigurationHead
+  readonly declarations?: Declarations
+}
+
+/** Reads the head and everything it refers to. @public */
+export async function loadDeclarations (platform: Platform): Promise<Result<AcceptedConfiguration, ResultCode>> {
+  const current = await readConfigurationHead(platform)
+  if (!current.ok) return Result.err(getPlatformResultCode(current.error))
+  const { head } = current.value
+  if (head.version === 0) return Result.ok({ head })
+  const manifest = await getObject(platform, head.manifestDigest)
+  if (!manifest.ok) return manifest
+  const references = decodeManifest(head.manifestDigest, manifest.value)
+  if (!references.ok) return references
+  const chunks = new Map<string, Uint8Array>()
+  for (const { digest } of references.value) {
+    const chunk = await getObject(platform, digest)
+    if (!chunk.ok) return chunk
+    chunks.set(digest, chunk.value)
+  }
+  const declarations = decodeBundle(references.value, chunks)
+  return declarations.ok ? Result.ok({ head, declarations: declarations.value }) : declarations
+}
+
+async function getObject (platform: Platform, digest: string): Promise<Result<Uint8Array, ResultCode>> {
+  const res = await platform.objects.get(digest)
+  if (!res.ok) return Result.err(getPlatformResultCode(res.error))
+  return res.value === undefined ? Result.err(ResultCode.NotFound) : Result.ok(res.value)
+}
