Refuse early what later arrivals will overtake

Cause: under a burst a deferrable request was admitted by the queue ahead of it, overtaken by higher classes, and refused only near its deadline. Ruled out: displacement from a full queue (the queue limit of 256 a daemon was not reached).

--- a/packages/bench/src/benchLoad.ts
+++ b/packages/bench/src/benchLoad.ts
@@ -35,6 +35,7 @@
   'urgent p99.9': number
   'normal p99': number
   'refused %': number
+  'refusal p50': number
   'refusal p99': number
   'unknown + failed': number
   'runs per answer': number
@@ -102,6 +103,7 @@
     'urgent p99.9': round(urgent.p999),
     'normal p99': round(result.latency[WorkClass.Normal].p99),
     'refused %': round(100 * result.refused / result.sent),
+    'refusal p50': round(result.refusal.p50),
     'refusal p99': round(result.refusal.p99),
     'unknown + failed': result.unknown + result.failed,
     'runs per answer': round(runs / Math.max(1, result.answered), 3),
--- a/packages/daemon/src/lib/request/ServiceLane.ts
+++ b/packages/daemon/src/lib/request/ServiceLane.ts
@@ -5,7 +5,7 @@
 import type { EventLog, Metrics, TimerService, Tracing } from '@vanillathread/kernel'
 import { EventCode, ResultCode, type Service } from '@vanillathread/model'
 import {
-  AttemptOutcomeKind, decideAdmission, decideRetry, isServerError, limitRetryAfterMs, pickEndpoint, RetryAction, RetryBudget,
+  ArrivalRates, AttemptOutcomeKind, decideAdmission, decideRetry, isServerError, limitRetryAfterMs, pickEndpoint, RetryAction, RetryBudget,
   ServiceQueue, ServiceTimeEstimate, UnknownReason, type AttemptOutcome, type EndpointCandidate, type QueuedItem, type RandomSource, type SlotSource,
 } from '@vanillathread/policy'
 import { EndpointAttempt, SlotRelease, type AttemptResult } from '../endpoint/EndpointAttempt.js'
@@ -52,6 +52,7 @@
 export class ServiceLane {
   private readonly queue: ServiceQueue<PendingRequest>
   private readonly estimate = ServiceTimeEstimate.create()
+  private readonly arrivals = ArrivalRates.create()
   private readonly budget = RetryBudget.create(retryOptions)
   private nextAttempt = 0
   private inFlight = 0
@@ -110,7 +111,8 @@
     const nowMs = this.options.timers.now()
     if (this.options.endpoints.listStaying(nowMs).length === 0) return createRefusal(ResultCode.NoEndpoint, this.getRetryAfterMs())
     const deadlineMs = req.deadlineMs ?? nowMs + this.service.deadlineMs
-    const decision = this.decide(deadlineMs, this.queue.countAhead(req.workClass, deadlineMs), nowMs)
+    const ahead = this.queue.countAhead(req.workClass, deadlineMs)
+    const decision = this.decide(deadlineMs, ahead, this.arrivals.getRateAbove(req.workClass, nowMs), nowMs)
     return decision.admitted ? undefined : createRefusal(decision.code, decision.retryAfterMs)
   }
 
@@ -140,7 +142,7 @@
     this.options.endpoints.closeStaleConnections(nowMs)
     const refused: Array<{ pending: PendingRequest, code: ResultCode, retryAfterMs: number }> = []
     this.queue.removeWhere((item, ahead) => {
-      const decision = this.decide(item.deadlineMs, ahead, nowMs)
+      const decision = this.decide(item.deadlineMs, ahead, this.arrivals.getRateAbove(item.workClass, nowMs), nowMs)
       if (!decision.admitted) refused.push({ pending: item.payload, ...decision })
       return !decision.admitted
     })
@@ -161,27 +163,29 @@
   private enqueue (pending: PendingRequest, nowMs: number): void {
     const { workClass } = pending.req
     const ahead = this.queue.countAhead(workClass, pending.deadlineMs)
-    const decision = this.decide(pending.deadlineMs, ahead, nowMs)
+    const decision = this.decide(pending.deadlineMs, ahead, this.arrivals.getRateAbove(workClass, nowMs), nowMs)
     if (!decision.admitted) {
       this.refuse(pending, decision.code, decision.retryAfterMs)
       return
     }
     const item: QueuedItem<PendingRequest> = { workClass, deadlineMs: pending.deadlineMs, enqueuedMs: nowMs, payload: pending }
     const offer = this.queue.offer(item)
+    if (offer.accepted) this.arrivals.note(workClass, nowMs)
     if (!offer.accepted) this.refuse(pending, ResultCode.QueueFull, this.getRetryAfterMs())
     else if (offer.displaced !== undefined) this.refuse(offer.displaced.payload, ResultCode.QueueFull, this.getRetryAfterMs())
   }
 
-  private decide (deadlineMs: number, ahead: number, nowMs: number): ReturnType<typeof decideAdmission> {
+  private decide (deadlineMs: number, ahead: number, rateAbove: number, nowMs: number): ReturnType<typeof decideAdmission> {
     const { slots } = this.options
     const limit = slots.getTotalLimit(nowMs)
     const freeNow = slots.getTotalInUse() < limit && ahead === 0
-    const waitMs = freeNow ? 0 : this.estimate.getWaitMs(ahead, limit)
+    const waitMs = freeNow ? 0 : this.estimate.getWaitMs({ ahead, slots: limit, rateAbove })
     return decideAdmission({ nowMs, deadlineMs, waitMs, serviceTimeMs: this.estimate.getMeanMs() })
   }
 
   private getRetryAfterMs (): number {
-    return limitRetryAfterMs(this.estimate.getWaitMs(this.queue.size, this.options.slots.getTotalLimit(this.options.timers.now())))
+    const slots = this.options.slots.getTotalLimit(this.options.timers.now())
+    return limitRetryAfterMs(this.estimate.getWaitMs({ ahead: this.queue.size, slots, rateAbove: 0 }))
   }
 
   private refuse (pending: PendingRequest, code: ResultCode, retryAfterMs?: number): void {
--- a/packages/policy/src/lib/admission/ServiceQueue.ts
+++ b/packages/policy/src/lib/admission/ServiceQueue.ts
@@ -1,7 +1,8 @@
 /**
  * The bounded queue of one service in one daemon.
  */
-import { WorkClass } from '@vanillathread/model'
+import type { WorkClass } from '@vanillathread/model'
+import { CLASS_ORDER } from './classOrder.js'
 
 /** A request that waits. @public */
 export interface QueuedItem<T> {
@@ -17,9 +18,6 @@
   | { readonly accepted: true, readonly displaced?: QueuedItem<T> }
   | { readonly accepted: false }
 
-/** Classes from the most urgent to the least. */
-const CLASS_ORDER: readonly WorkClass[] = [WorkClass.Urgent, WorkClass.Normal, WorkClass.Deferrable]
-
 /** Orders waiting requests by class and deadline. @public */
 export class ServiceQueue<T> {
   private items: Array<QueuedItem<T>> = []
