Pass on that a daemon has left

Cause: a daemon that left told only the peers it knew; those that heard of it by gossip kept its slots blocked until its attempts would have ended.

--- /dev/null
+++ b/packages/policy/src/lib/membership/MembershipView.test.ts
@@ -0,0 +1,95 @@
+/**
+ * Tests of the view of all daemons.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { RandomSource } from '../random/RandomSource.js'
+import { MemberPhase, MembershipView, MemberState, type MemberRecord } from './MembershipView.js'
+
+const SILENT_AFTER_MS = 3_000
+
+function createRecord (daemonId: string, change: Partial<MemberRecord> = {}): MemberRecord {
+  return {
+    daemonId, incarnation: 1, beat: 1, region: 'r', zone: 'z', peer: { host: '127.0.0.1', port: 1 }, version: 0, phase: MemberPhase.Serving, ...change,
+  }
+}
+
+function createView (daemonId = 'self'): MembershipView {
+  return MembershipView.create({ self: createRecord(daemonId), silentAfterMs: SILENT_AFTER_MS, recordsPerHeartbeat: 12 })
+}
+
+describe('MembershipView', ({ it, describe }) => {
+  it('takes in a member and drops older news of it', () => {
+    const view = createView()
+    view.merge([createRecord('a', { beat: 5 })], 0)
+    view.merge([createRecord('a', { beat: 4, version: 9 })], 1)
+    assert.equal(view.listOthers().map(({ record }) => [record.beat, record.version]), [[5, 0]])
+    assert.equal(view.listActiveIds(), ['a', 'self'])
+  })
+
+  describe('silence', ({ it }) => {
+    it('is judged by a counter that stands still, and still counts as listed', () => {
+      const view = createView()
+      view.merge([createRecord('a')], 0)
+      view.merge([createRecord('a')], SILENT_AFTER_MS - 1)
+      const { lost } = view.expire(SILENT_AFTER_MS)
+      assert.equal(lost.map(({ daemonId }) => daemonId), ['a'])
+      assert.equal(view.getReach(), { heard: 1, listed: 2 })
+      assert.equal(view.listActiveIds(), ['self'])
+    })
+
+    it('ends where the counter advances again', () => {
+      const view = createView()
+      view.merge([createRecord('a')], 0)
+      view.expire(SILENT_AFTER_MS)
+      view.merge([createRecord('a', { beat: 2 })], SILENT_AFTER_MS + 1)
+      assert.is(view.listOthers()[0]?.state, MemberState.Live)
+    })
+
+    it('that the platform confirms removes the member; older news does not bring it back, newer does', () => {
+      const view = createView()
+      view.merge([createRecord('a', { beat: 7 })], 0)
+      assert.is(view.confirmGone('a'), false)
+      view.expire(SILENT_AFTER_MS)
+      assert.is(view.confirmGone('a'), true)
+      view.merge([createRecord('a', { beat: 7 })], SILENT_AFTER_MS + 1)
+      assert.is(view.listOthers().length, 0)
+      view.merge([createRecord('a', { beat: 8 })], SILENT_AFTER_MS + 2)
+      assert.is(view.listOthers().length, 1)
+    })
+  })
+
+  describe('leaving', ({ it }) => {
+    it('ends the share of work at once, and the listing at the end', () => {
+      const view = createView()
+      view.merge([createRecord('a')], 0)
+      view.merge([createRecord('a', { beat: 2, phase: MemberPhase.Leaving })], 1)
+      assert.equal([view.listActiveIds(), view.getReach().listed], [['self'], 2])
+      const { left } = view.merge([createRecord('a', { beat: 3, phase: MemberPhase.Left })], 2)
+      assert.equal([left.length, view.getReach().listed], [1, 1])
+    })
+
+    it('is passed on to daemons that the member did not know', () => {
+      const [first, second] = [createView('first'), createView('second')]
+      second.merge([createRecord('a', { phase: MemberPhase.Leaving })], 0)
+      first.merge([createRecord('a', { beat: 2, phase: MemberPhase.Left })], 0)
+      const { left } = second.merge(first.chooseRecords(), 1)
+      assert.equal(left.map(({ daemonId }) => daemonId), ['a'])
+      assert.is(second.listOthers().some(({ record }) => record.daemonId === 'a'), false)
+    })
+  })
+
+  it('spreads a new member to sixty daemons within eight rounds of four messages', () => {
+    const random = RandomSource.create(3)
+    const ids = Array.from({ length: 60 }, (_, index) => `daemon-${index}`)
+    const views = new Map(ids.map((id) => [id, createView(id)]))
+    for (const view of views.values()) view.merge(ids.map((id) => createRecord(id)), 0)
+    views.get('daemon-0')?.merge([createRecord('new')], 0)
+    for (let round = 0; round < 8; round++) {
+      for (const view of views.values()) {
+        for (const target of view.chooseTargets(4, random)) views.get(target.daemonId)?.merge(view.chooseRecords(), round)
+      }
+    }
+    const unaware = [...views.values()].filter((view) => !view.listActiveIds().includes('new'))
+    assert.is(unaware.length, 0)
+  })
+})
--- a/packages/policy/src/lib/membership/MembershipView.ts
+++ b/packages/policy/src/lib/membership/MembershipView.ts
@@ -65,6 +65,9 @@
   readonly recordsPerHeartbeat: number
 }
 
+/** Multiple of the silence time for which the word that a member has left is passed on. */
+const TOMBSTONE_FACTOR = 4
+
 interface Entry {
   record: MemberRecord
   advancedMs: number
@@ -110,6 +113,10 @@
     const change = createChange()
     for (const [daemonId, entry] of this.entries) {
       if (nowMs - entry.advancedMs < this.options.silentAfterMs) continue
+      if (entry.record.phase === MemberPhase.Left) {
+        if (nowMs - entry.advancedMs >= TOMBSTONE_FACTOR * this.options.silentAfterMs) this.forget(daemonId)
+        continue
+      }
       if (!entry.silent) change.lost.push(entry.record)
       entry.silent = true
       if (entry.record.phase === MemberPhase.Leaving) this.forget(daemonId)
@@ -127,7 +134,8 @@
 
   /** Returns every listed member but this daemon. */
   listOthers (): Member[] {
-    return [...this.entries.values()].map((entry) => ({ record: entry.record, state: getState(entry) }))
+    const present = [...this.entries.values()].filter((entry) => entry.record.phase !== MemberPhase.Left)
+    return present.map((entry) => ({ record: entry.record, state: getState(entry) }))
   }
 
   /** Returns the ids of the daemons that share work, this one included unless it is leaving. */
@@ -163,9 +171,9 @@
     if (last !== undefined && !isNewer(record, last)) return
     const entry = this.entries.get(record.daemonId)
     if (entry === undefined) {
-      if (record.phase === MemberPhase.Left) return
       this.entries.set(record.daemonId, { record, advancedMs: nowMs, silent: false, sentCount: 0 })
-      change.joined.push(record)
+      if (record.phase === MemberPhase.Left) change.left.push(record)
+      else change.joined.push(record)
       return
     }
     if (!isNewer(record, entry.record)) return
@@ -173,9 +181,7 @@
     if (returned && record.phase !== MemberPhase.Left) change.joined.push(record)
     if (record.phase === MemberPhase.Leaving && entry.record.phase === MemberPhase.Serving) change.leaving.push(record)
     Object.assign(entry, { record, advancedMs: nowMs, silent: false, sentCount: 0 })
-    if (record.phase !== MemberPhase.Left) return
-    this.forget(record.daemonId)
-    change.left.push(record)
+    if (record.phase === MemberPhase.Left) change.left.push(record)
   }
 
   private forget (daemonId: string): void {
