Loans of spare VMs by learned deficits; announcement of accepted versions; more proofs

Change: durations of deficits are learned for each pool, and a spare VM is lent only where the deficit is expected to outlast the move by what the weights ask; lenders report demand to the holder of the spare pool's lease, loans are rows; apply tells one daemon of the accepted version directly.

--- /dev/null
+++ b/packages/bench/src/benchRollout.ts
@@ -0,0 +1,61 @@
+/**
+ * `npm run bench:rollout`: time from an accepted configuration to its being in force everywhere.
+ */
+import { Command } from 'commander'
+import { PlatformFault } from '@vanillathread/stand-ins'
+import { ControlBed, createSizedDeclarations, type ControlSize } from './lib/ControlBed.js'
+
+const BOUND_MS = 11_000
+const REPEATS = 5
+const MEASURE_MS = 10_000
+const POOLS = 5
+const VMS_PER_POOL = 7
+
+const command = new Command('bench:rollout').option('--daemons <list>', 'numbers of daemons, separated by commas', '9,100')
+command.parse()
+const sizes = command.opts<{ daemons: string }>().daemons.split(',').map(Number)
+
+const rows: Array<Record<string, number | string>> = []
+for (const daemons of sizes) {
+  const size: ControlSize = { daemons, pools: POOLS, vmsPerPool: VMS_PER_POOL }
+  const bed = await ControlBed.create(size)
+  const cost = await bed.measure(MEASURE_MS)
+  for (const fault of [PlatformFault.None, PlatformFault.Slow, PlatformFault.Down]) {
+    const times: number[] = []
+    for (let repeat = 0; repeat < REPEATS; repeat++) times.push(await measureOne(bed, size, fault, repeat))
+    rows.push({
+      daemons,
+      store: fault === PlatformFault.None ? 'healthy' : `${fault} after acceptance`,
+      'median ms': round(median(times)),
+      'worst ms': round(Math.max(...times)),
+      'bound ms': BOUND_MS,
+      'cpu %': round(cost.cpuPercent, 2),
+      'sent B/s': round(cost.sentBytesPerSecond),
+      'received B/s': round(cost.receivedBytesPerSecond),
+      'reads/s': round(cost.readsPerSecond, 1),
+      'writes/s': round(cost.writesPerSecond, 1),
+    })
+  }
+  await bed.dispose()
+}
+console.table(rows)
+process.exit(rows.every((row) => Number(row['worst ms']) <= BOUND_MS) ? 0 : 1)
+
+async function measureOne (bed: ControlBed, size: ControlSize, fault: PlatformFault, repeat: number): Promise<number> {
+  const declarations = createSizedDeclarations(size)
+  const [vm] = declarations.inventory.vms
+  if (vm !== undefined) vm.processors = 33 + repeat + 10 * Object.values(PlatformFault).indexOf(fault)
+  const acceptedMs = await bed.apply(declarations)
+  await bed.setFault(fault)
+  const inForceMs = await bed.waitInForce()
+  await bed.setFault(PlatformFault.None)
+  return inForceMs - acceptedMs
+}
+
+function median (values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0
+}
+
+function round (value: number, digits = 0): number {
+  return Number(value.toFixed(digits))
+}
--- /dev/null
+++ b/packages/bench/src/benchSlopes.ts
@@ -0,0 +1,168 @@
+/**
+ * `npm run bench:slopes`: what each role costs for each unit of its driver, for docs/CAPACITY.md.
+ */
+import { performance } from 'node:perf_hooks'
+import { decodeBundle, decodeManifest, encodeBundle } from '@vanillathread/model'
+import { MemoryPlatform, FleetVmState } from '@vanillathread/platform'
+import {
+  createBudgetRecord, createVmRecord, CreditHolder, CreditLedger, MemberPhase, MembershipView, planPool, RandomSource,
+  type DeclaredVm, type MemberRecord, type PoolView, type VmSighting,
+} from '@vanillathread/policy'
+import { ControlBed, createSizedDeclarations, type ControlCost } from './lib/ControlBed.js'
+import { fitLine } from './lib/fitLine.js'
+
+interface Slope {
+  role: string
+  driver: string
+  unit: string
+  sizes: string
+  values: string
+  intercept: number
+  'per driver': number
+  'residual %': number
+}
+
+const MEASURE_MS = 8_000
+const BYTES_PER_MEBIBYTE = 1024 * 1024
+const REPEATS = 20
+const slopes: Slope[] = []
+
+await measureControl('daemons', [3, 9, 18, 36], (daemons) => ({ daemons, pools: 5, vmsPerPool: 7 }))
+await measureControl('pools', [5, 25, 50, 105], (pools) => ({ daemons: 4, pools, vmsPerPool: 8 }))
+await measureControl('VMs a pool, 105 pools', [4, 8, 14, 22], (vmsPerPool) => ({ daemons: 4, pools: 105, vmsPerPool }))
+measureConfiguration([35, 575, 1150, 2310])
+await measureFleetList([35, 575, 1150, 2300])
+measurePlanning([8, 22, 44, 88])
+measureLedger([4, 9, 18, 36])
+measureMembership([9, 20, 40, 80])
+console.table(slopes)
+
+async function measureControl (driver: string, sizes: readonly number[], getSize: (driver: number) => Parameters<typeof ControlBed.create>[0]): Promise<void> {
+  const costs: Array<[number, ControlCost]> = []
+  for (const size of sizes) {
+    const bed = await ControlBed.create(getSize(size))
+    costs.push([size, await bed.measure(MEASURE_MS)])
+    await bed.dispose()
+  }
+  const fields: Array<[keyof ControlCost, string]> = [
+    ['cpuPercent', '% of a core'], ['sentBytesPerSecond', 'B/s sent'], ['receivedBytesPerSecond', 'B/s received'],
+    ['memoryMib', 'MiB'], ['readsPerSecond', 'table reads/s, all daemons'], ['writesPerSecond', 'table rows written/s, all daemons'],
+  ]
+  for (const [field, unit] of fields) addSlope('control of an idle daemon', driver, unit, costs.map(([size, cost]) => [size, cost[field]]))
+}
+
+function measureConfiguration (sizes: readonly number[]): void {
+  const decodeTimes: Array<[number, number]> = []
+  const bytes: Array<[number, number]> = []
+  const memory: Array<[number, number]> = []
+  for (const size of sizes) {
+    const bundle = encodeBundle(createSizedDeclarations({ pools: Math.max(1, Math.round(size / 22)), vmsPerPool: 22 }))
+    const manifest = decodeManifest(bundle.manifestDigest, bundle.objects.get(bundle.manifestDigest) ?? new Uint8Array())
+    if (!manifest.ok) throw new Error('manifest does not decode')
+    decodeTimes.push([size, time(REPEATS, () => decodeBundle(manifest.value, bundle.objects))])
+    bytes.push([size, [...bundle.objects.values()].reduce((sum, { length }) => sum + length, 0)])
+    memory.push([size, getMemoryOf(() => decodeBundle(manifest.value, bundle.objects))])
+  }
+  addSlope('configuration', 'VMs', 'ms to check and decode a version', decodeTimes)
+  addSlope('configuration', 'VMs', 'bytes of all chunks', bytes)
+  addSlope('configuration', 'VMs', 'MiB of heap', memory)
+}
+
+async function measureFleetList (sizes: readonly number[]): Promise<void> {
+  const bytes: Array<[number, number]> = []
+  for (const size of sizes) {
+    const { fleet } = MemoryPlatform.create()
+    for (let index = 0; index < size; index++) fleet.setVm(`pool-${index % 105}-vm-${index}`, FleetVmState.Live)
+    bytes.push([size, JSON.stringify(await fleet.list()).length])
+  }
+  addSlope('fleet list', 'VMs', 'bytes of one list', bytes)
+}
+
+function measurePlanning (sizes: readonly number[]): void {
+  addSlope('fleet controller', 'VMs of a pool', 'ms to plan the pool', sizes.map((size) => [size, time(200, () => planPool(createPoolView(size)))]))
+}
+
+function createPoolView (size: number): PoolView {
+  const ids = Array.from({ length: size }, (_, index) => `vm-${index}`)
+  return {
+    poolId: 'pool',
+    nowMs: 1,
+    minAvailable: size - 2,
+    declared: new Map(ids.map((id): [string, DeclaredVm] => [id, { id, wantedPool: 'pool', zone: 'zone-a' }])),
+    vms: new Map(ids.map((id) => [id, { value: createVmRecord('pool', 0), revision: 1 }])),
+    unrecorded: [],
+    budget: { value: { ...createBudgetRecord(), members: size }, revision: 1 },
+    sightings: new Map(ids.map((id): [string, VmSighting] => [id, { alive: true, drained: false }])),
+    maintenanceAllowed: true,
+    maintenancePeriodMs: 10,
+  }
+}
+
+function measureLedger (sizes: readonly number[]): void {
+  const points = sizes.map((size): [number, number] => {
+    const ledger = CreditLedger.create({ creditTtlMs: 5_000, attemptHoldMs: 20_000 })
+    ledger.setEndpoints(Array.from({ length: 8 }, (_, index) => ({ endpointId: `e-${index}`, zone: `zone-${index % 3}`, slots: 8 })))
+    const holders = Array.from({ length: size }, (_, index) => CreditHolder.create({ daemonId: `d-${index}`, zone: `zone-${index % 3}`, creditTtlMs: 5_000 }))
+    let turn = 0
+    return [size, time(200, () => {
+      const holder = holders[turn++ % size]
+      if (holder === undefined) return
+      ledger.report(holder.createReport((turn * 7) % 20, 0), 0)
+      for (const [daemonId, grant] of ledger.allocate(0)) holders[Number(daemonId.slice(2))]?.applyGrant(grant)
+      holder.renew(0)
+    })]
+  })
+  addSlope('credits lender', 'daemons', 'ms a report', points)
+}
+
+function measureMembership (sizes: readonly number[]): void {
+  const random = RandomSource.create(1)
+  const points = sizes.map((size): [number, number] => {
+    const records = Array.from({ length: size }, (_, index): MemberRecord => ({
+      daemonId: `d-${index}`, incarnation: 1, beat: 1, region: 'r', zone: 'z', peer: { host: '10.0.0.1', port: 1 }, version: 1, phase: MemberPhase.Serving,
+    }))
+    const view = MembershipView.create({ self: { ...records[0] as MemberRecord, daemonId: 'self' }, silentAfterMs: 3_000, recordsPerHeartbeat: 12 })
+    view.merge(records, 0)
+    return [size, time(500, () => {
+      view.chooseTargets(4, random)
+      view.merge(view.chooseRecords(), 0)
+      view.expire(0)
+    })]
+  })
+  addSlope('membership', 'daemons', 'ms a heartbeat', points)
+}
+
+/** Returns the median time of a call in milliseconds. */
+function time (repeats: number, call: () => unknown): number {
+  const times: number[] = []
+  for (let repeat = 0; repeat < repeats; repeat++) {
+    const startedMs = performance.now()
+    call()
+    times.push(performance.now() - startedMs)
+  }
+  return times.sort((a, b) => a - b)[Math.floor(repeats / 2)] ?? 0
+}
+
+function getMemoryOf (create: () => unknown): number {
+  const { gc } = globalThis
+  gc?.()
+  const before = process.memoryUsage().heapUsed
+  const kept = create()
+  gc?.()
+  const after = process.memoryUsage().heapUsed
+  return kept === undefined ? 0 : (after - before) / BYTES_PER_MEBIBYTE
+}
+
+function addSlope (role: string, driver: string, unit: string, points: Array<[number, number]>): void {
+  const line = fitLine(points)
+  slopes.push({
+    role,
+    driver,
+    unit,
+    sizes: points.map(([size]) => size).join(' '),
+    values: points.map(([, value]) => Number(value.toPrecision(3))).join(' '),
+    intercept: Number(line.intercept.toPrecision(3)),
+    'per driver': Number(line.slope.toPrecision(3)),
+    'residual %': Math.round(line.residual * 100),
+  })
+}
--- a/packages/bench/src/hosts/daemonHost.ts
+++ b/packages/bench/src/hosts/daemonHost.ts
@@ -2,7 +2,7 @@
  * Bench process: one or more daemons.
  */
 import { MemoryEventLog } from '@vanillathread/kernel'
-import type { Address } from '@vanillathread/model'
+import type { Address, ConfigurationHead } from '@vanillathread/model'
 import { Daemon } from '@vanillathread/daemon'
 import { createSettings, type LocalDaemon } from '@vanillathread/integration'
 import { createSlotSources, type Sharing } from '../lib/sharing.js'
@@ -62,6 +62,7 @@
 serveCommands({
   start,
   getUsage,
+  announce: ({ head, objects }: { head: ConfigurationHead, objects: ReadonlyMap<string, Uint8Array> }) => daemons[0]?.parts.configuration.announce(head, objects),
   kill: async (index: number) => { await daemons.splice(index, 1)[0]?.kill() },
   stop: async (index: number) => { await daemons.splice(index, 1)[0]?.stop() },
 })
--- /dev/null
+++ b/packages/bench/src/lib/capacityTrace.ts
@@ -0,0 +1,134 @@
+/**
+ * Demand traces and policies for the capacity bench.
+ */
+import { CapacityPolicy, type CapacityWeights, type LendableVm, type LoanDecision, type PoolDemand, type RandomSource } from '@vanillathread/policy'
+
+/** A pool of a trace. */
+export interface TracePool {
+  readonly id: string
+  readonly vms: number
+  readonly minAvailable: number
+  readonly spare: boolean
+}
+
+/** A way to decide loans. */
+export interface LoanPolicy {
+  decide (demands: readonly PoolDemand[], vms: readonly LendableVm[], nowMs: number): LoanDecision | undefined
+}
+
+/** Lends nothing. */
+export class NeverMove implements LoanPolicy {
+  decide (): undefined {
+    return undefined
+  }
+}
+
+/** Sends a spare VM to the pool with the largest deficit now, and home again when there is none. */
+export class AlwaysChase implements LoanPolicy {
+  decide (demands: readonly PoolDemand[], vms: readonly LendableVm[]): LoanDecision | undefined {
+    const deficits = demands.map((demand) => ({ demand, deficit: demand.demandVms - demand.members })).sort((a, b) => b.deficit - a.deficit)
+    const [worst] = deficits
+    if (worst !== undefined && worst.deficit > 0) {
+      const vm = vms.find((candidate) => candidate.pool !== worst.demand.poolId && this.isIdle(candidate, demands))
+      if (vm !== undefined) return { vmId: vm.vmId, pool: worst.demand.poolId }
+    }
+    const idle = vms.find((vm) => vm.pool !== vm.home && this.isIdle(vm, demands))
+    return idle === undefined ? undefined : { vmId: idle.vmId, pool: idle.home }
+  }
+
+  private isIdle (vm: LendableVm, demands: readonly PoolDemand[]): boolean {
+    const pool = demands.find((demand) => demand.poolId === vm.pool)
+    return pool !== undefined && pool.demandVms <= pool.members - 1 && pool.members - 1 >= pool.minAvailable
+  }
+}
+
+/** The policy of the daemons. */
+export class LearnedDeficits implements LoanPolicy {
+  private readonly policy: CapacityPolicy
+
+  constructor (options: { weights: CapacityWeights, moveMs: number }) {
+    this.policy = CapacityPolicy.create(options)
+  }
+
+  decide (demands: readonly PoolDemand[], vms: readonly LendableVm[], nowMs: number): LoanDecision | undefined {
+    this.policy.observe(demands, nowMs)
+    return this.policy.decide(demands, vms, nowMs)
+  }
+}
+
+/** What a run of a trace cost. */
+export interface TraceCost {
+  /** Mean number of VMs that serve nothing, moving ones included. */
+  readonly bufferCostVms: number
+  readonly moves: number
+  /** Demand that found no VM, as a share of all demand. */
+  readonly unmetShare: number
+}
+
+/** Options of {@link runTrace}. */
+export interface TraceOptions {
+  readonly pools: readonly TracePool[]
+  readonly random: RandomSource
+  readonly durationMs: number
+  /** Shortest and longest burst. */
+  readonly burstMs: readonly [number, number]
+  /** Time for which a moving VM serves nobody. */
+  readonly moveMs: number
+}
+
+const STEP_MS = 1_000
+const BURST_FACTOR = 5
+const QUIET_FACTOR = 0.05
+const MEAN_SHARE = 0.4
+const NOISE = 0.2
+
+interface SimulatedVm {
+  readonly vmId: string
+  readonly home: string
+  pool: string
+  busyUntilMs: number
+}
+
+/** Runs a policy over generated demand: each pool in turn bursts, the others are quiet. */
+export function runTrace (policy: LoanPolicy, options: TraceOptions): TraceCost {
+  const { pools, random } = options
+  const vms = pools.flatMap((pool) => Array.from({ length: pool.vms }, (_, index): SimulatedVm => ({ vmId: `${pool.id}-${index}`, home: pool.id, pool: pool.id, busyUntilMs: 0 })))
+  const lendable = vms.filter((vm) => pools.some((pool) => pool.id === vm.home && pool.spare))
+  const totals = { idle: 0, moves: 0, unmet: 0, demand: 0, steps: 0 }
+  let turn = 0
+  let burstEndMs = 0
+  for (let nowMs = 0; nowMs < options.durationMs; nowMs += STEP_MS) {
+    if (nowMs >= burstEndMs) {
+      turn += 1
+      burstEndMs = nowMs + options.burstMs[0] + random.nextFloat() * (options.burstMs[1] - options.burstMs[0])
+    }
+    const demands = pools.map((pool, index) => describePool(pool, vms, getDemand(pool, index === turn % pools.length, random), nowMs))
+    for (const { demandVms, members } of demands) {
+      totals.demand += demandVms
+      totals.unmet += Math.max(0, demandVms - members)
+      totals.idle += Math.max(0, members - demandVms)
+    }
+    totals.idle += vms.filter((vm) => vm.busyUntilMs > nowMs).length
+    totals.steps += 1
+    const movable = lendable.filter((vm) => vm.busyUntilMs <= nowMs)
+    const decision = policy.decide(demands, movable, nowMs)
+    const vm = vms.find((candidate) => candidate.vmId === decision?.vmId)
+    if (decision === undefined || vm === undefined) continue
+    vm.pool = decision.pool
+    vm.busyUntilMs = nowMs + options.moveMs
+    totals.moves += 1
+  }
+  return { bufferCostVms: totals.idle / totals.steps, moves: totals.moves, unmetShare: totals.unmet / totals.demand }
+}
+
+function describePool (pool: TracePool, vms: readonly SimulatedVm[], demandVms: number, nowMs: number): PoolDemand {
+  const members = vms.filter((vm) => vm.pool === pool.id && vm.busyUntilMs <= nowMs).length
+  const incoming = vms.filter((vm) => vm.pool === pool.id && vm.busyUntilMs > nowMs).length
+  return { poolId: pool.id, demandVms, members, incoming, minAvailable: pool.minAvailable }
+}
+
+function getDemand (pool: TracePool, bursting: boolean, random: RandomSource): number {
+  const mean = pool.vms * MEAN_SHARE
+  const factor = bursting ? BURST_FACTOR : QUIET_FACTOR
+  return mean * factor * (1 - NOISE / 2 + NOISE * random.nextFloat())
+}
--- a/packages/cli/src/lib/OperationsClient.ts
+++ b/packages/cli/src/lib/OperationsClient.ts
@@ -3,7 +3,7 @@
  */
 import { request } from 'undici'
 import { z } from 'zod'
-import { ResultCode } from '@vanillathread/model'
+import { ResultCode, type ConfigurationHead } from '@vanillathread/model'
 import { CliError } from './CliError.js'
 
 const memberSchema = z.looseObject({
@@ -58,6 +58,13 @@
     return statusSchema.parse(await this.get('/status'))
   }
 
+  /** Tells the daemon of an accepted configuration, so that it spreads even where the platform fails now. */
+  async announce (head: ConfigurationHead, objects: ReadonlyMap<string, Uint8Array>): Promise<void> {
+    const body = { head, objects: [...objects].map(([digest, bytes]) => ({ digest, base64: Buffer.from(bytes).toString('base64') })) }
+    const res = await this.request('/configuration/announce', { method: 'POST', body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
+    await res.body.dump()
+  }
+
   /** Returns the explanation of one object. Throws `NotFound` where the daemon does not know it. */
   async explain (kind: ExplainedKind, id: string): Promise<Record<string, unknown>> {
     return z.record(z.string(), z.unknown()).parse(await this.get(`/explain/${kind}/${encodeURIComponent(id)}`))
@@ -71,9 +78,9 @@
     return body
   }
 
-  private async request (path: string): ReturnType<typeof request> {
+  private async request (path: string, options: { method?: 'POST', body?: string, headers?: Record<string, string> } = {}): ReturnType<typeof request> {
     try {
-      return await request(this.url + path, { headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS })
+      return await request(this.url + path, { ...options, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS })
     } catch (err) {
       throw CliError.create(ResultCode.PlatformUnavailable, `daemon at ${this.url}: ${String(err)}`)
     }
--- a/packages/cli/src/lib/commands/apply.ts
+++ b/packages/cli/src/lib/commands/apply.ts
@@ -2,7 +2,7 @@
  * `vanillathread apply`: makes declarations the accepted configuration.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { ResultCode, type ConfigurationHead } from '@vanillathread/model'
+import { encodeBundle, ResultCode, type ConfigurationHead } from '@vanillathread/model'
 import { applyDeclarations, type ApplyError, type Platform } from '@vanillathread/platform'
 import { CliError } from '../CliError.js'
 import type { OperationsClient } from '../OperationsClient.js'
@@ -15,6 +15,8 @@
   readonly basedOn: number
   readonly applyId: string
   readonly platform: Platform
+  /** Daemon that is told of the accepted version at once. */
+  readonly operations?: OperationsClient
   /** Daemon to ask, and time to wait, until the version is in force everywhere. */
   readonly wait?: { readonly operations: OperationsClient, readonly timeoutMs: number }
 }
@@ -32,6 +34,7 @@
     return
   }
   const head = res.value
+  await options.operations?.announce(head, encodeBundle(declarations).objects)
   if (options.wait === undefined) {
     output.print({ ...head, inForceEverywhere: null }, [`accepted as version ${head.version}`])
     return
--- a/packages/cli/src/lib/runCli.ts
+++ b/packages/cli/src/lib/runCli.ts
@@ -79,13 +79,14 @@
     .requiredOption('--based-on <version>', 'version that the edit was based on; 0 for the first', parseWholeNumber)
     .option('--apply-id <id>', 'id of this edit; give the same one to repeat a command whose outcome is unknown')
     .option('--wait [seconds]', `wait until the version is in force everywhere (${DEFAULT_WAIT_SECONDS} s by default)`)
-    .option('--operations <url>', 'operations port of any daemon, needed with --wait')
+    .option('--operations <url>', 'operations port of any daemon: it is told at once, and asked with --wait')
     .action(async (folder: string, options: CommonOptions & { basedOn: number, applyId?: string, wait?: string | true }) =>
       withPlatform(options, (platform) => runApply({
         folder,
         basedOn: options.basedOn,
         applyId: options.applyId ?? randomUUID(),
         platform,
+        ...options.operations === undefined ? {} : { operations: createOperations(options) },
         ...options.wait === undefined ? {} : { wait: createWait(options, options.wait) },
       }, createOutput(options, streams))))
 }
--- a/packages/daemon/src/lib/configuration/ConfigurationStore.ts
+++ b/packages/daemon/src/lib/configuration/ConfigurationStore.ts
@@ -39,6 +39,8 @@
   private readonly listeners: ConfigurationListener[] = []
   /** Chunks and manifest in force, which peers may ask for. */
   private objects = new Map<string, Uint8Array>()
+  /** Objects of the latest announcement, which count only where their digests are referred to. */
+  private announced: ReadonlyMap<string, Uint8Array> = new Map()
   private readonly awaitedObjects = new Map<string, (bytes: Uint8Array) => void>()
   private readonly headSources: Address[] = []
   private active: ActiveConfiguration | undefined
@@ -89,6 +91,16 @@
     this.want(head)
   }
 
+  /**
+   * Takes in an accepted head with its objects from the operator who applied it, so that it spreads
+   * even where the platform fails right after it was accepted.
+   */
+  announce (head: ConfigurationHead, objects: ReadonlyMap<string, Uint8Array>): void {
+    if (!this.gate.observe(head.version)) return
+    this.announced = objects
+    this.want(head)
+  }
+
   dispose (): void {
     this.subscription?.dispose()
   }
@@ -141,8 +153,8 @@
 
   /** Looks in memory, then in the object store, then at peers that have a higher version in force. */
   private async getObject (digest: string): Promise<Uint8Array | undefined> {
-    const known = this.objects.get(digest)
-    if (known !== undefined) return known
+    const known = this.objects.get(digest) ?? this.announced.get(digest)
+    if (known !== undefined && getDigest(known) === digest) return known
     const res = await this.options.platform.objects.get(digest)
     if (res.ok && res.value !== undefined && getDigest(res.value) === digest) return res.value
     for (const peer of this.headSources) {
@@ -186,6 +198,7 @@
     if (!this.gate.enter(head.version)) return
     this.active = { head, declarations: loaded.declarations }
     this.objects = loaded.objects
+    this.announced = new Map()
     this.options.log.write(EventCode.ConfigurationInForce, { version: head.version })
     this.options.metrics.gauge('configuration.version', head.version)
     for (const listener of this.listeners) listener(this.active)
--- a/packages/daemon/src/lib/credits/CreditExchange.ts
+++ b/packages/daemon/src/lib/credits/CreditExchange.ts
@@ -115,6 +115,12 @@
     return this.services.get(serviceId)?.lenderId
   }
 
+  /** Returns the demand of the services whose slots this daemon lends. */
+  listLentDemand (): Array<{ service: string, slots: number }> {
+    const nowMs = this.options.timers.now()
+    return [...this.services].flatMap(([service, { ledger }]) => ledger === undefined ? [] : [{ service, slots: ledger.getDemand(nowMs) }])
+  }
+
   /** Returns the slots that holders may be using, where this daemon is the lender. */
   getCommitted (serviceId: string, endpointId: string): number | undefined {
     return this.services.get(serviceId)?.ledger?.getCommitted(endpointId)
--- a/packages/daemon/src/lib/fleet/FleetController.ts
+++ b/packages/daemon/src/lib/fleet/FleetController.ts
@@ -2,7 +2,7 @@
  * Controls the pools whose leases this daemon holds.
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
-import { EventCode, type Declarations } from '@vanillathread/model'
+import { EventCode, type Declarations, type Vm } from '@vanillathread/model'
 import type { Platform } from '@vanillathread/platform'
 import { isWindowOpen, judgeWave, type DeclaredVm, type PoolView, type VmRecord, type WaveJudgement } from '@vanillathread/policy'
 import type { ConfigurationStore } from '../configuration/ConfigurationStore.js'
@@ -77,7 +77,7 @@
     const declarations = configuration.current?.declarations
     if (declarations === undefined) throw new Error('a pool is planned without a configuration')
     const rows = watch.rows.listVms()
-    const declared = new Map(declarations.inventory.vms.map((vm): [string, DeclaredVm] => [vm.id, { id: vm.id, wantedPool: vm.pool, zone: vm.zone }]))
+    const declared = new Map(declarations.inventory.vms.map((vm): [string, DeclaredVm] => [vm.id, this.describeVm(vm, declarations)]))
     return {
       poolId,
       nowMs: timers.wallClock(),
@@ -91,6 +91,13 @@
     }
   }
 
+  /** A loan counts while the VM's own pool is a spare one and the other pool is declared. */
+  private describeVm (vm: Vm, { inventory }: Declarations): DeclaredVm {
+    const loan = this.options.watch.rows.getLoan(vm.id)?.value.pool
+    const lent = loan !== undefined && inventory.pools.some(({ id, spare }) => spare && id === vm.pool) && inventory.pools.some(({ id }) => id === loan)
+    return { id: vm.id, wantedPool: lent ? loan : vm.pool, zone: vm.zone }
+  }
+
   isListed (vmId: string, changedAtMs: number): boolean | undefined {
     return this.options.watch.isListed(vmId, changedAtMs)
   }
--- a/packages/daemon/src/lib/fleet/FleetRows.ts
+++ b/packages/daemon/src/lib/fleet/FleetRows.ts
@@ -3,8 +3,8 @@
  */
 import type { TableService } from '@vanillathread/platform'
 import {
-  budgetRecordSchema, EMPTY_BUDGET, FLEET_PREFIX, fleetKeys, leaseRecordSchema, vmRecordSchema,
-  type BudgetRecord, type LeaseRecord, type RowChange, type Stored, type VmRecord,
+  budgetRecordSchema, EMPTY_BUDGET, FLEET_PREFIX, fleetKeys, leaseRecordSchema, loanRecordSchema, vmRecordSchema,
+  type BudgetRecord, type LeaseRecord, type LoanRecord, type RowChange, type Stored, type VmRecord,
 } from '@vanillathread/policy'
 import { TableCache } from './TableCache.js'
 
@@ -48,6 +48,11 @@
     return row === undefined ? undefined : { value: leaseRecordSchema.parse(row.value), revision: row.revision }
   }
 
+  getLoan (vmId: string): Stored<LoanRecord> | undefined {
+    const row = this.cache.get(fleetKeys.loan(vmId))
+    return row === undefined ? undefined : { value: loanRecordSchema.parse(row.value), revision: row.revision }
+  }
+
   noteWritten (changes: readonly RowChange[], revision: number): void {
     this.cache.noteWritten(changes, revision)
   }
--- a/packages/daemon/src/lib/operations/OperationsServer.ts
+++ b/packages/daemon/src/lib/operations/OperationsServer.ts
@@ -1,9 +1,10 @@
 /**
  * The HTTP server towards operators: health, status and explanations.
  */
-import Fastify, { type FastifyInstance } from 'fastify'
+import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
+import { z } from 'zod'
 import type { Kernel, LoopLagMonitor } from '@vanillathread/kernel'
-import { exhaustiveSwitchError, RESULT_CODES, ResultCode, type Address } from '@vanillathread/model'
+import { configurationHeadSchema, exhaustiveSwitchError, RESULT_CODES, ResultCode, type Address } from '@vanillathread/model'
 import { VmState, type Member, type MemberRecord, type VmRecord, type WaveJudgement } from '@vanillathread/policy'
 import type { ConfigurationStore } from '../configuration/ConfigurationStore.js'
 import type { CreditExchange } from '../credits/CreditExchange.js'
@@ -63,7 +64,14 @@
   readonly peerTraffic: LinkCounters | undefined
 }
 
+const announcementSchema = z.strictObject({
+  head: configurationHeadSchema,
+  objects: z.array(z.strictObject({ digest: z.string(), base64: z.string() })),
+})
+
+const ANNOUNCEMENT_LIMIT_BYTES = 16 * 1024 * 1024
 const STATUS_OK = 200
+const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
 const STATUS_UNAVAILABLE = 503
 
@@ -78,6 +86,7 @@
       return reply.code(ready ? STATUS_OK : STATUS_UNAVAILABLE).send({ ready, phase: options.state.phase })
     })
     this.server.get('/status', () => this.getStatus())
+    this.server.post('/configuration/announce', { bodyLimit: ANNOUNCEMENT_LIMIT_BYTES }, (req, reply) => this.announce(req.body, reply))
     this.server.get<{ Params: { id: string } }>('/explain/request/:id', (req, reply) => this.send(reply, this.explainRequest(req.params.id)))
     this.server.get<{ Params: { id: string } }>('/explain/pool/:id', (req, reply) => this.send(reply, this.explainPool(req.params.id)))
     this.server.get<{ Params: { id: string } }>('/explain/vm/:id', (req, reply) => this.send(reply, this.explainVm(req.params.id)))
@@ -103,6 +112,14 @@
     return reply.code(STATUS_NOT_FOUND).send({ code: ResultCode.NotFound, title: RESULT_CODES[ResultCode.NotFound].title })
   }
 
+  private announce (body: unknown, reply: FastifyReply): FastifyReply {
+    const announcement = announcementSchema.safeParse(body)
+    if (!announcement.success) return reply.code(STATUS_BAD_REQUEST).send({ code: ResultCode.InvalidRequest })
+    const { head, objects } = announcement.data
+    this.options.parts.configuration?.announce(head, new Map(objects.map(({ digest, base64 }) => [digest, Buffer.from(base64, 'base64')])))
+    return reply.send({ announced: head.version })
+  }
+
   private getStatus (): StatusDocument {
     const { state, lag, parts } = this.options
     return {
--- a/packages/daemon/src/lib/options.ts
+++ b/packages/daemon/src/lib/options.ts
@@ -96,6 +96,10 @@
   rowPeriodMs: 1_000,
   /** Period in which a controller plans its pools. */
   planPeriodMs: 1_000,
+  /** Period of reporting demand and deciding loans. */
+  demandPeriodMs: 2_000,
+  /** Time for which reported demand counts. */
+  demandKeptMs: 7_000,
   /** Steps that a controller takes for one pool in one period. */
   stepsPerPlan: 16,
   /** Time within which every daemon has learned that a VM is draining. */
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -14,6 +14,7 @@
   ObjectRequest = 'object-request',
   Objects = 'objects',
   VmStates = 'vm-states',
+  Demand = 'demand',
 }
 
 const count = z.int().min(0)
@@ -95,6 +96,11 @@
     /** Declared VMs that the list lacks. */
     gone: z.array(z.string()),
   }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.Demand),
+    /** Slots wanted by all daemons, for the services whose slots the sender lends. */
+    services: z.array(z.strictObject({ service: z.string(), slots: count })),
+  }),
 ])
 
 /** A message between daemons. @public */
--- a/packages/daemon/src/lib/plugins/catalogue.ts
+++ b/packages/daemon/src/lib/plugins/catalogue.ts
@@ -15,6 +15,7 @@
   FleetWatch = 'fleet-watch',
   FleetController = 'fleet-controller',
   Credits = 'credits',
+  Loans = 'loans',
   Claims = 'claims',
   Dispatcher = 'dispatcher',
   Gateway = 'gateway',
--- a/packages/integration/src/cli.test.ts
+++ b/packages/integration/src/cli.test.ts
@@ -12,6 +12,7 @@
 import { MemoryPlatform } from '@vanillathread/platform'
 import { PlatformFault, PlatformFaults, PlatformServer } from '@vanillathread/stand-ins'
 import { createSettings } from './lib/createSettings.js'
+import { waitUntil } from './lib/waitUntil.js'
 
 const LOWICZ = new URL('../../../examples/lowicz/', import.meta.url)
 
@@ -113,6 +114,21 @@
       assert.match(err, /\[4001\]/)
     }))
 
+    it('spreads a version even where the platform fails right after it was accepted', () => withPlatform(async ({ run, server, faults }) => {
+      const daemon = Daemon.create({ settings: createSettings({ id: 'entry-1', zone: 'mazovia-a', platformUrl: server.url }), log: MemoryEventLog.create() })
+      await daemon.start()
+      try {
+        const { host, port } = daemon.getAddress('operations')
+        const accepted = run('apply', createFolder(), '--based-on', '0', '--platform', server.url, '--operations', `http://${host}:${port}`)
+        await waitUntil('the version is accepted', () => daemon.parts.configuration.getVersionInForce() === 1)
+        faults.fault = PlatformFault.Down
+        assert.is((await accepted).exit, CliExit.Done)
+        assert.is(daemon.parts.configuration.getVersionInForce(), 1)
+      } finally {
+        await daemon.kill()
+      }
+    }))
+
     it('waits until the version is in force everywhere, and status and explain show it', () => withPlatform(async ({ run, server }) => {
       const daemon = Daemon.create({ settings: createSettings({ id: 'entry-1', zone: 'mazovia-a', platformUrl: server.url }), log: MemoryEventLog.create() })
       await daemon.start()
--- /dev/null
+++ b/packages/integration/src/configuration.test.ts
@@ -0,0 +1,69 @@
+/**
+ * Configuration and membership with several daemons: in force everywhere, never back, through outages.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { PlatformFault } from '@vanillathread/stand-ins'
+import type { Declarations } from '@vanillathread/model'
+import { LocalCluster, SERVICE } from './lib/LocalCluster.js'
+import { send } from './lib/send.js'
+import { waitUntil } from './lib/waitUntil.js'
+
+function getVersions (cluster: LocalCluster): number[] {
+  return cluster.daemons.map((daemon) => daemon.parts.configuration.getVersionInForce())
+}
+
+/** Declarations that differ by their queue limit. */
+function createEdit (cluster: LocalCluster, queueLimit: number): Declarations {
+  const declarations = cluster.createDeclarations()
+  const services = declarations.inventory.services.map((service) => ({ ...service, queueLimit }))
+  return { ...declarations, inventory: { ...declarations.inventory, services } }
+}
+
+describe('configuration', ({ it }) => {
+  it('comes into force everywhere, in versions that only grow', async () => {
+    const cluster = await LocalCluster.create({ daemons: 3, endpoints: 1 })
+    try {
+      const seen: number[][] = cluster.daemons.map(() => [])
+      cluster.daemons.forEach((daemon, index) => daemon.parts.configuration.subscribe(({ head }) => seen[index]?.push(head.version)))
+      for (let edit = 0; edit < 4; edit++) {
+        const version = await cluster.apply(createEdit(cluster, 300 + edit))
+        if (edit % 2 === 1) await waitUntil('it is in force everywhere', () => getVersions(cluster).every((inForce) => inForce === version))
+      }
+      for (const versions of seen) assert.equal(versions, [...versions].sort((a, b) => a - b))
+      assert.equal(getVersions(cluster), [5, 5, 5])
+    } finally {
+      await cluster.dispose()
+    }
+  })
+
+  it('is taken from peers by a daemon that starts in an outage', async () => {
+    const cluster = await LocalCluster.create({ daemons: 2, endpoints: 1 })
+    try {
+      cluster.faults.fault = PlatformFault.Down
+      const late = await cluster.addDaemon()
+      await waitUntil('the late daemon has it', () => late.parts.configuration.getVersionInForce() === 1)
+      const { host, port } = late.getAddress('caller')
+      await waitUntil('the late daemon has slots', () => (late.parts.dispatcher.listLanes().get(SERVICE)?.slots.getTotalLimit(performance.now()) ?? 0) > 0)
+      assert.is((await send(`http://${host}:${port}/${SERVICE}`, { token: 'mare' })).token, 'mare')
+    } finally {
+      await cluster.dispose()
+    }
+  })
+})
+
+describe('membership', ({ it }) => {
+  it('keeps a lost daemon listed through an outage, and serves on with the others\' share', async () => {
+    const cluster = await LocalCluster.create({ daemons: 3, endpoints: 2 })
+    try {
+      cluster.faults.fault = PlatformFault.Down
+      await cluster.killDaemon(2)
+      await waitUntil('the loss is noticed', () => cluster.daemons.every((daemon) => daemon.parts.membership.getReach().heard === 2))
+      assert.equal(cluster.daemons.map((daemon) => daemon.parts.membership.getReach()), [{ heard: 2, listed: 3 }, { heard: 2, listed: 3 }])
+      for (let index = 0; index < 10; index++) {
+        assert.is((await send(cluster.getUrl(index % 2), { token: `token-${index}` })).token, `token-${index}`)
+      }
+    } finally {
+      await cluster.dispose()
+    }
+  })
+})
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -41,6 +41,7 @@
   WaveHalted = 602,
   WaveResumed = 603,
   FleetListDoubted = 604,
+  VmLent = 605,
 }
 
 /** What an event means and how it is logged. @public */
@@ -80,4 +81,5 @@
   [EventCode.WaveHalted]: { level: EventLevel.Error, message: 'maintenance halted, as more VMs failed to return than independent failures explain' },
   [EventCode.WaveResumed]: { level: EventLevel.Info, message: 'maintenance goes on' },
   [EventCode.FleetListDoubted]: { level: EventLevel.Error, message: 'fleet list lacks most of the declared VMs and is not believed' },
+  [EventCode.VmLent]: { level: EventLevel.Info, message: 'spare VM was lent to a pool whose deficit lasts, or called back' },
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -23,10 +23,11 @@
 export { VersionGate } from './lib/configuration/VersionGate.js'
 export { MemberPhase, MembershipView, MemberState, type Member, type MemberRecord, type MembershipChange, type MembershipOptions } from './lib/membership/MembershipView.js'
 export {
-  budgetRecordSchema, createBudgetRecord, createLeaseRecord, createVmRecord, FLEET_PREFIX, fleetKeys, leaseRecordSchema, OutReason, vmRecordSchema, VmState,
-  type BudgetRecord, type LeaseRecord, type RowChange, type Stored, type VmRecord,
+  budgetRecordSchema, createBudgetRecord, createLeaseRecord, createVmRecord, FLEET_PREFIX, fleetKeys, leaseRecordSchema, loanRecordSchema, OutReason, vmRecordSchema, VmState,
+  type BudgetRecord, type LeaseRecord, type LoanRecord, type RowChange, type Stored, type VmRecord,
 } from './lib/fleet/records.js'
 export { isWindowOpen } from './lib/fleet/isWindowOpen.js'
 export { HaltReason, judgeWave, type WaveJudgement } from './lib/fleet/judgeWave.js'
 export { EMPTY_BUDGET, FleetStepKind, getAvailable, planPool, type DeclaredVm, type FleetStep, type PoolView, type VmSighting } from './lib/fleet/planPool.js'
 export { buildStep, type StepContext } from './lib/fleet/buildStep.js'
+export { CapacityPolicy, type CapacityPolicyOptions, type CapacityWeights, type LendableVm, type LoanDecision, type PoolDemand } from './lib/fleet/CapacityPolicy.js'
--- a/packages/policy/src/lib/fleet/records.ts
+++ b/packages/policy/src/lib/fleet/records.ts
@@ -71,6 +71,15 @@
   epoch: z.int(),
 })
 
+/** Schema of `fleet/loan/VM`. A VM without this row serves its own pool. */
+export const loanRecordSchema = z.strictObject({
+  format,
+  /** Pool that the VM serves for now. */
+  pool: z.string(),
+})
+
+/** A loan as stored. @public */
+export type LoanRecord = z.infer<typeof loanRecordSchema>
 /** State of a VM as stored. @public */
 export type VmRecord = z.infer<typeof vmRecordSchema>
 /** State of a pool's budget as stored. @public */
@@ -83,6 +92,7 @@
   vm: (vmId: string): string => `${FLEET_PREFIX}vm/${vmId}`,
   budget: (poolId: string): string => `${FLEET_PREFIX}budget/${poolId}`,
   lease: (poolId: string): string => `${FLEET_PREFIX}lease/${poolId}`,
+  loan: (vmId: string): string => `${FLEET_PREFIX}loan/${vmId}`,
 }
 
 /** A stored value with the revision that a conditional write needs. @public */
--- /dev/null
+++ b/packages/policy/src/lib/health/EndpointHealth.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Ejection, its bound and probes.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { EndpointHealth, HealthChange } from './EndpointHealth.js'
+
+function createHealth (endpoints = 6): EndpointHealth {
+  const health = EndpointHealth.create({ failuresToEject: 3, maxEjectedShare: 0.34, ejectionMs: 1_000, maxEjectionMs: 4_000 })
+  health.setEndpoints(Array.from({ length: endpoints }, (_, index) => `e${index}`))
+  return health
+}
+
+function failTimes (health: EndpointHealth, endpointId: string, times: number, nowMs = 0): HealthChange {
+  let change = HealthChange.None
+  for (let index = 0; index < times; index++) change = health.fail(endpointId, `${endpointId}-${nowMs}-${index}`, nowMs)
+  return change
+}
+
+describe('EndpointHealth', ({ it }) => {
+  it('ejects after failures of distinct requests in a row', () => {
+    const health = createHealth()
+    for (let index = 0; index < 10; index++) health.fail('e0', 'one request', 0)
+    assert.is(health.mayTry('e0', 0), true)
+    assert.is(failTimes(health, 'e0', 2), HealthChange.Ejected)
+    assert.is(health.mayTry('e0', 0), false)
+  })
+
+  it('forgives where a success comes between', () => {
+    const health = createHealth()
+    failTimes(health, 'e0', 2)
+    health.succeed('e0')
+    assert.is(failTimes(health, 'e0', 2, 1), HealthChange.None)
+  })
+
+  it('ejects no more than its share', () => {
+    const health = createHealth()
+    for (let index = 0; index < 6; index++) failTimes(health, `e${index}`, 5)
+    assert.is(health.listEjected().length, 2)
+    const few = createHealth(2)
+    failTimes(few, 'e0', 5)
+    assert.is(few.listEjected().length, 0)
+  })
+
+  it('lets one probe through, restores on success and ejects for longer on failure', () => {
+    const health = createHealth()
+    failTimes(health, 'e0', 3)
+    assert.is(health.mayTry('e0', 1_000), true)
+    health.begin('e0')
+    assert.is(health.mayTry('e0', 1_000), false)
+    assert.is(health.fail('e0', 'probe', 1_000), HealthChange.Ejected)
+    assert.equal([health.mayTry('e0', 2_900), health.mayTry('e0', 3_000)], [false, true])
+    health.begin('e0')
+    assert.is(health.succeed('e0'), HealthChange.Restored)
+    assert.is(health.mayTry('e0', 3_000), true)
+  })
+})
--- a/packages/policy/src/lib/routing/CreditLedger.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.ts
@@ -124,6 +124,11 @@
     return sum
   }
 
+  /** Returns the slots that all holders heard lately want. */
+  getDemand (nowMs: number): number {
+    return [...this.holders.values()].filter((holder) => this.isActive(holder, nowMs)).reduce((sum, { demand }) => sum + demand, 0)
+  }
+
   /** Returns the latest grant of a holder that has not acknowledged it, so that a lost grant is sent again. */
   getUnacknowledged (daemonId: string): CreditGrant | undefined {
     const holder = this.holders.get(daemonId)
--- a/packages/stand-ins/src/lib/PlatformServer.ts
+++ b/packages/stand-ins/src/lib/PlatformServer.ts
@@ -2,7 +2,7 @@
  * The platform over HTTP, on top of the in-memory adapters.
  */
 import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
-import { transactionSchema, PlatformErrorKind, type Platform, type PlatformError } from '@vanillathread/platform'
+import { transactionSchema, PlatformErrorKind, type FleetSnapshot, type Platform, type PlatformError } from '@vanillathread/platform'
 import type { Result } from '@vanillathread/model'
 import { PlatformFault, type PlatformFaults } from './PlatformFaults.js'
 
@@ -22,6 +22,9 @@
 export class PlatformServer {
   private readonly server: FastifyInstance = Fastify({ bodyLimit: OBJECT_LIMIT_BYTES, forceCloseConnections: true })
 
+  /** Fleet list as last given, which a stale list repeats. */
+  private listed: Result<FleetSnapshot, PlatformError> | undefined
+
   private constructor (private readonly options: PlatformServerOptions) {
     this.server.addContentTypeParser('application/octet-stream', { parseAs: 'buffer' }, (_req, body, done) => { done(null, body) })
     this.addFaults()
@@ -85,7 +88,11 @@
 
   private addFleet (): void {
     const { fleet, vms } = this.options.platform
-    this.server.get('/fleet', async (_req, reply) => this.send(reply, await fleet.list(), (snapshot) => snapshot))
+    this.server.get('/fleet', async (_req, reply) => {
+      const current = await fleet.list()
+      if (!this.options.faults.staleList || this.listed === undefined) this.listed = current
+      return this.send(reply, this.listed, (snapshot) => snapshot)
+    })
     this.server.get<{ Params: { id: string } }>('/vms/:id', async (req, reply) =>
       this.send(reply, await vms.observe(req.params.id), (observation) => ({ observation: observation ?? null })))
     this.server.post<{ Params: { id: string }, Body: { operationId: string } }>('/vms/:id/reboot', async (req, reply) =>
