Lend on what was returned while a lost holder's slots are unknown; close quietly

After a takeover the lender lent no free slot at all until every listed daemon had reported or 25 s had passed, while it went on asking slots back: the limits melted away. And a stopping daemon closed connections on which a request had just arrived. Change: after a takeover only the slots that no holder has reported count as used; what is returned is lent on. A stopping daemon closes connections after 200 ms without a request.

--- a/packages/daemon/src/lib/credits/CreditExchange.ts
+++ b/packages/daemon/src/lib/credits/CreditExchange.ts
@@ -159,7 +159,7 @@
       creditTtlMs: creditOptions.creditTtlMs,
       attemptHoldMs: credits.credited.service.attemptTimeoutMs + endpointOptions.abandonedHoldMs,
     })
-    if (takesOver) ledger.settleUntil(this.options.timers.now() + creditOptions.takeOverSettleMs)
+    if (takesOver) ledger.takeOver(this.options.timers.now() + creditOptions.takeOverSettleMs)
     return ledger
   }
 
--- a/packages/daemon/src/lib/plugins/gateway.ts
+++ b/packages/daemon/src/lib/plugins/gateway.ts
@@ -8,6 +8,8 @@
 import { catalogue, PluginId } from './catalogue.js'
 
 const DRAIN_POLL_MS = 20
+/** Time without any request after which callers' connections may be closed. */
+const QUIET_MS = 200
 
 class GatewayPlugin implements Plugin {
   private readonly gateway: CallerGateway
@@ -26,7 +28,10 @@
     state.phase = DaemonPhase.Serving
   }
 
-  /** Serves on until the balancer has noticed, then refuses new requests and waits for those in flight. */
+  /**
+   * Serves on until the balancer has noticed, then refuses new requests, waits for those in flight, and
+   * closes connections only once none has brought a request for a while.
+   */
   async drain (): Promise<void> {
     const { timers } = this.kernel
     const state = this.kernel.get(STATE)
@@ -39,7 +44,8 @@
     state.phase = DaemonPhase.Draining
     dispatcher.stop()
     const endMs = timers.now() + drainTimeoutMs
-    while (this.gateway.open + dispatcher.countOpen() > 0 && timers.now() < endMs) await delay(timers, DRAIN_POLL_MS)
+    const isDone = (): boolean => this.gateway.isQuiet(QUIET_MS) && dispatcher.countOpen() === 0
+    while (!isDone() && timers.now() < endMs) await delay(timers, DRAIN_POLL_MS)
   }
 
   async dispose (): Promise<void> {
--- a/packages/daemon/src/lib/request/CallerGateway.ts
+++ b/packages/daemon/src/lib/request/CallerGateway.ts
@@ -28,6 +28,7 @@
   private openRequests = 0
   private heldBodyBytes = 0
   private draining = false
+  private lastArrivalMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly options: CallerGatewayOptions) {
     this.server = Fastify({
@@ -54,9 +55,9 @@
     return { host, port: typeof bound === 'object' && bound !== null ? bound.port : port }
   }
 
-  /** Requests whose answer has not been handed over yet. */
-  get open (): number {
-    return this.openRequests
+  /** Returns true where nothing is open and no request has arrived for a time, in milliseconds. */
+  isQuiet (forMs: number): boolean {
+    return this.openRequests === 0 && this.options.kernel.timers.now() - this.lastArrivalMs >= forMs
   }
 
   /** Tells callers on open connections to connect anew. */
@@ -72,6 +73,7 @@
 
   private async handle (req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     this.openRequests += 1
+    this.lastArrivalMs = this.options.kernel.timers.now()
     reply.raw.once('close', () => { this.openRequests -= 1 })
     const requestId = randomUUID()
     reply.header(AnswerHeader.RequestId, requestId)
--- a/packages/policy/src/lib/routing/CreditLedger.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.ts
@@ -30,6 +30,12 @@
   readonly committed: Map<string, number>
 }
 
+interface Takeover {
+  readonly settledFromMs: number
+  /** Slots that holders brought along, by endpoint. */
+  readonly reported: Map<string, number>
+}
+
 /** Part of its share that a holder gets while it asks for less, so that a burst need not wait for slots. */
 const IDLE_SHARE = 0.5
 /** Slots that a holder gets more on an endpoint of its own availability zone than on one elsewhere. */
@@ -39,10 +45,11 @@
 export class CreditLedger {
   private readonly holders = new Map<string, Holder>()
   private endpoints: readonly LentEndpoint[] = []
-  private lentShare = 1
+  private reach = { heard: 1, listed: 1 }
   /** Daemons that may hold slots of an earlier lender, with the time at which those have expired. */
   private readonly expected = new Map<string, number>()
-  private settledFromMs = Number.NEGATIVE_INFINITY
+  /** Present after a takeover, until nothing lent by an earlier lender can be unknown any more. */
+  private takeover: Takeover | undefined
 
   private constructor (private readonly options: CreditLedgerOptions) {}
 
@@ -60,12 +67,12 @@
    * While daemons cannot hear each other, lenders on both sides together stay within the slots.
    */
   setReach (reach: { heard: number, listed: number }): void {
-    this.lentShare = Math.min(1, reach.heard / Math.max(1, reach.listed))
+    this.reach = reach
   }
 
   /**
-   * Names a daemon that may hold slots from an earlier lender. No free slot is lent until it has
-   * reported, or until whatever it held has expired.
+   * Names a daemon that may hold slots from an earlier lender. Until it has reported, or whatever it
+   * held has expired, it does not count as heard when free slots are lent.
    */
   expectReport (daemonId: string, nowMs: number): void {
     if (this.holders.has(daemonId) || this.expected.has(daemonId)) return
@@ -73,16 +80,17 @@
   }
 
   /**
-   * Lends no free slot before a time, so that holders that an earlier lender knew and this one has
-   * not heard of yet can become known.
+   * Notes that another daemon was the lender. Slots that no holder has reported count as used until
+   * every expected daemon has reported, and not before a time by which unknown holders have become known.
    */
-  settleUntil (settledFromMs: number): void {
-    this.settledFromMs = settledFromMs
+  takeOver (settledFromMs: number): void {
+    this.takeover = { settledFromMs, reported: new Map() }
   }
 
   /** Takes in a holder's report. */
   report (report: CreditReport, nowMs: number): void {
     this.expected.delete(report.daemonId)
+    if (!this.holders.has(report.daemonId)) this.noteTakenOver(report)
     const holder = this.holders.get(report.daemonId) ?? this.addHolder(report, nowMs)
     holder.zone = report.zone
     holder.demand = report.demand
@@ -157,6 +165,11 @@
     return this.issueChanged(before)
   }
 
+  private noteTakenOver (report: CreditReport): void {
+    if (this.takeover === undefined) return
+    for (const [endpointId, held] of report.held) raiseBy(this.takeover.reported, endpointId, held)
+  }
+
   private getHoldMs (): number {
     return this.options.creditTtlMs + this.options.attemptHoldMs
   }
@@ -181,8 +194,10 @@
     return holder
   }
 
-  private getLentSlots (endpoint: LentEndpoint): number {
-    return Math.max(1, Math.floor(endpoint.slots * this.lentShare))
+  /** @param unheard - daemons of the reach that have not reported yet. */
+  private getLentSlots (endpoint: LentEndpoint, unheard = 0): number {
+    const share = Math.min(1, (this.reach.heard - unheard) / Math.max(1, this.reach.listed))
+    return Math.max(1, Math.floor(endpoint.slots * share))
   }
 
   /** Lowers limits on endpoints that are no longer lent or are lent too far. */
@@ -218,7 +233,7 @@
       const endpoint = this.chooseEndpoint(holder, free)
       if (endpoint === undefined) return
       free.set(endpoint.endpointId, (free.get(endpoint.endpointId) ?? 0) - 1)
-      raiseByOne(holder.limits, endpoint.endpointId)
+      raiseBy(holder.limits, endpoint.endpointId, 1)
     }
   }
 
@@ -237,12 +252,15 @@
     return neediest
   }
 
-  /** Slots that nobody may be using; none while an earlier lender's grants may be unreported. */
   private getFreeSlots (nowMs: number): Map<string, number> {
-    const settled = this.expected.size === 0 && nowMs >= this.settledFromMs
-    return new Map(this.endpoints.map((endpoint) => {
-      return [endpoint.endpointId, settled ? this.getFree(endpoint, nowMs) : 0]
-    }))
+    if (this.takeover !== undefined && this.expected.size === 0 && nowMs >= this.takeover.settledFromMs) this.takeover = undefined
+    return new Map(this.endpoints.map((endpoint) => [endpoint.endpointId, this.getFree(endpoint, nowMs)]))
+  }
+
+  /** Slots that an earlier lender may have lent to daemons that have not reported. */
+  private getUnknown (endpoint: LentEndpoint): number {
+    if (this.takeover === undefined) return 0
+    return Math.max(0, endpoint.slots - (this.takeover.reported.get(endpoint.endpointId) ?? 0))
   }
 
   /**
@@ -257,7 +275,9 @@
       all += use
       if (this.isActive(holder, nowMs)) heard += use
     }
-    return Math.max(0, Math.min(this.getLentSlots(endpoint) - heard, endpoint.slots - all))
+    // After a takeover the slots of unheard daemons are among the unknown ones already.
+    const lendable = this.getLentSlots(endpoint, this.takeover === undefined ? this.expected.size : 0)
+    return Math.max(0, Math.min(lendable - heard, endpoint.slots - all - this.getUnknown(endpoint)))
   }
 
   /** Spreads a holder's slots, with more on endpoints of its own availability zone. */
@@ -355,8 +375,8 @@
   else counts.delete(key)
 }
 
-function raiseByOne (counts: Map<string, number>, key: string): void {
-  counts.set(key, (counts.get(key) ?? 0) + 1)
+function raiseBy (counts: Map<string, number>, key: string, amount: number): void {
+  counts.set(key, (counts.get(key) ?? 0) + amount)
 }
 
 function isEqual (a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean {
