Report only what has changed to a lender; smaller parts for slots and attempts

Change: a report that the lender has confirmed and that has not changed is left out; a digest of the services left out renews them, once a second.

--- a/packages/daemon/src/lib/credits/CreditExchange.ts
+++ b/packages/daemon/src/lib/credits/CreditExchange.ts
@@ -1,17 +1,21 @@
 /**
- * Lends and borrows endpoints' slots between daemons.
+ * Borrows endpoints' slots from the daemons that lend them, and lends those of some services.
  *
  * Each service has one lender, the first daemon by rendezvous hashing. Every daemon reports its
- * demand to the lender and uses no more slots than the lender has granted it.
+ * demand to the lender and uses no more slots than the lender has granted it. A service whose
+ * report has not changed is left out; one digest for each lender stands for all of them.
  */
+import { isDeepStrictEqual } from 'node:util'
 import type { Subscription, TimerService } from '@vanillathread/kernel'
 import type { Service } from '@vanillathread/model'
-import { CreditHolder, CreditLedger, getRendezvousOwner, MemberState, type CreditGrant, type CreditReport, type LentEndpoint, type MemberRecord, type MembershipChange } from '@vanillathread/policy'
+import { CreditHolder, getRendezvousOwner, MemberState, type CreditReport, type LentEndpoint, type MemberRecord, type MembershipChange } from '@vanillathread/policy'
 import type { DaemonState } from '../DaemonState.js'
 import type { MembershipKeeper } from '../membership/MembershipKeeper.js'
-import { creditOptions, endpointOptions } from '../options.js'
+import { creditOptions } from '../options.js'
 import { PeerMessageKind, type PeerMessage, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerNetwork } from '../peer/PeerNetwork.js'
+import { CreditLending, type IssuedGrant } from './CreditLending.js'
+import { decodeGrant, encodeGrant, encodeReport, getInstanceId, getServicesDigest, type ReportEntry } from './creditMessages.js'
 
 /** Options of {@link CreditExchange.create}. */
 export interface CreditExchangeOptions {
@@ -31,11 +35,9 @@
   onCredits (): void
 }
 
-interface ServiceCredits {
+interface BorrowedService {
   credited: CreditedService
   readonly holder: CreditHolder
-  /** Present while this daemon is the lender. */
-  ledger: CreditLedger | undefined
   /** Daemon that lends, as this daemon sees it. */
   lenderId: string
   queued: number
@@ -43,18 +45,30 @@
   reportedMs: number
   /** True where a report is due before the next renewal. */
   reportDue: boolean
+  /** Report that the present lender has confirmed. */
+  confirmed: ReportEntry | undefined
 }
 
-type GrantEntry = PeerMessageOf<PeerMessageKind.CreditGrants>['grants'][number]
+interface SentMessage {
+  readonly sentMs: number
+  readonly reports: ReadonlyMap<string, ReportEntry>
+  /** Services that were left out as unchanged. */
+  readonly unchanged: readonly string[]
+}
+
+const MAX_SENT_MESSAGES = 1_000
 
-/** Slot credits of one daemon, as holder and as lender. */
+/** Slot credits of one daemon. */
 export class CreditExchange {
-  private readonly services = new Map<string, ServiceCredits>()
-  private readonly sentReports = new Map<number, number>()
+  private readonly services = new Map<string, BorrowedService>()
+  private readonly sent = new Map<number, SentMessage>()
   private readonly subscriptions: Subscription[] = []
+  private readonly lending: CreditLending
   private nextReportId = 1
 
-  private constructor (private readonly options: CreditExchangeOptions) {}
+  private constructor (private readonly options: CreditExchangeOptions) {
+    this.lending = CreditLending.create(options)
+  }
 
   static create (options: CreditExchangeOptions): CreditExchange {
     return new CreditExchange(options)
@@ -75,39 +89,36 @@
   add (credited: CreditedService): CreditHolder {
     const { state, zone } = this.options
     const holder = CreditHolder.create({ daemonId: state.instanceId, zone, creditTtlMs: creditOptions.creditTtlMs })
-    const credits: ServiceCredits = {
-      credited, holder, ledger: undefined, lenderId: '', queued: 0, reportedDemand: 0, reportedMs: Number.NEGATIVE_INFINITY, reportDue: true,
+    const borrowed: BorrowedService = {
+      credited, holder, lenderId: '', queued: 0, reportedDemand: 0, reportedMs: Number.NEGATIVE_INFINITY, reportDue: true, confirmed: undefined,
     }
-    this.services.set(credited.service.id, credits)
-    this.chooseLender(credits)
-    this.report([credits])
+    this.services.set(credited.service.id, borrowed)
+    this.chooseLender(borrowed)
+    this.report([borrowed])
     return holder
   }
 
   /** Takes in a changed declaration of a service. */
   update (service: Service): void {
-    const credits = this.services.get(service.id)
-    if (credits !== undefined) credits.credited = { ...credits.credited, service }
+    const borrowed = this.services.get(service.id)
+    if (borrowed !== undefined) borrowed.credited = { ...borrowed.credited, service }
   }
 
   remove (serviceId: string): void {
     this.services.delete(serviceId)
+    this.lending.stop(serviceId)
   }
 
   /** Notes how many requests wait for a slot; asks for more at once where none is free. */
   noteDemand (serviceId: string, queued: number): void {
-    const credits = this.services.get(serviceId)
-    if (credits === undefined) return
-    credits.queued = queued
+    const borrowed = this.services.get(serviceId)
+    if (borrowed === undefined) return
+    borrowed.queued = queued
     const nowMs = this.options.timers.now()
-    const { holder } = credits
-    const inUse = holder.getTotalInUse()
-    const limit = holder.getTotalLimit(nowMs)
-    const starved = queued > 0 && inUse >= limit && queued + inUse > credits.reportedDemand
-    // Slots that were asked back are reported as soon as they are free.
-    const returning = inUse >= limit && credits.reportDue
-    if (starved || returning) credits.reportDue = true
-    if (credits.reportDue && nowMs - credits.reportedMs >= creditOptions.reportSpacingMs) this.report([credits])
+    const inUse = borrowed.holder.getTotalInUse()
+    const isFull = inUse >= borrowed.holder.getTotalLimit(nowMs)
+    if (isFull && queued > 0 && queued + inUse > borrowed.reportedDemand) borrowed.reportDue = true
+    if (borrowed.reportDue && this.isSpaced(borrowed, nowMs)) this.report([borrowed])
   }
 
   /** Returns the daemon that lends a service's slots, as this daemon sees it. */
@@ -117,13 +128,12 @@
 
   /** Returns the demand of the services whose slots this daemon lends. */
   listLentDemand (): Array<{ service: string, slots: number }> {
-    const nowMs = this.options.timers.now()
-    return [...this.services].flatMap(([service, { ledger }]) => ledger === undefined ? [] : [{ service, slots: ledger.getDemand(nowMs) }])
+    return this.lending.listDemand()
   }
 
   /** Returns the slots that holders may be using, where this daemon is the lender. */
   getCommitted (serviceId: string, endpointId: string): number | undefined {
-    return this.services.get(serviceId)?.ledger?.getCommitted(endpointId)
+    return this.lending.getCommitted(serviceId, endpointId)
   }
 
   dispose (): void {
@@ -131,179 +141,175 @@
   }
 
   private onMembership ({ left }: MembershipChange): void {
-    for (const credits of this.services.values()) {
-      this.chooseLender(credits)
-      for (const record of left) credits.ledger?.release(getInstanceId(record))
-    }
+    for (const borrowed of this.services.values()) this.chooseLender(borrowed)
+    for (const record of left) this.lending.release(record)
     this.report([...this.services.values()])
   }
 
-  private chooseLender (credits: ServiceCredits): void {
+  private chooseLender (borrowed: BorrowedService): void {
     const { membership } = this.options
-    const lenderId = getRendezvousOwner(credits.credited.service.id, membership.listActiveIds()) ?? ''
-    credits.lenderId = lenderId
-    if (lenderId === membership.getSelf().daemonId) this.lend(credits)
-    else credits.ledger = undefined
+    const { service, listEndpoints } = borrowed.credited
+    const lenderId = getRendezvousOwner(service.id, membership.listActiveIds()) ?? ''
+    if (lenderId !== borrowed.lenderId) borrowed.confirmed = undefined
+    borrowed.lenderId = lenderId
+    if (this.isOwn(lenderId)) this.lending.lend({ serviceId: service.id, attemptTimeoutMs: service.attemptTimeoutMs, listEndpoints })
+    else this.lending.stop(service.id)
   }
 
-  /** Becomes the lender, or stays it and takes in who has joined or fallen silent. */
-  private lend (credits: ServiceCredits): void {
-    const { membership, timers } = this.options
-    const others = membership.listOthers()
-    const ledger = credits.ledger ??= this.createLedger(credits, others.length > 0)
-    for (const { record } of others) ledger.expectReport(getInstanceId(record), timers.now())
+  private isOwn (daemonId: string): boolean {
+    return daemonId === this.options.membership.getSelf().daemonId
   }
 
-  private createLedger (credits: ServiceCredits, takesOver: boolean): CreditLedger {
-    const ledger = CreditLedger.create({
-      creditTtlMs: creditOptions.creditTtlMs,
-      attemptHoldMs: credits.credited.service.attemptTimeoutMs + endpointOptions.abandonedHoldMs,
-    })
-    if (takesOver) ledger.takeOver(this.options.timers.now() + creditOptions.takeOverSettleMs)
-    return ledger
+  private isSpaced (borrowed: BorrowedService, nowMs: number): boolean {
+    return nowMs - borrowed.reportedMs >= creditOptions.reportSpacingMs
   }
 
   private renew (): void {
-    const nowMs = this.options.timers.now()
-    for (const credits of this.services.values()) credits.ledger?.expire(nowMs)
-    this.report([...this.services.values()])
-    for (const credits of this.services.values()) this.pushGrants(credits)
-    for (const reportId of this.sentReports.keys()) {
-      if (reportId < this.nextReportId - MAX_SENT_REPORTS) this.sentReports.delete(reportId)
+    this.report([...this.services.values()], { complete: true })
+    this.deliver(this.lending.renew())
+    for (const reportId of this.sent.keys()) {
+      if (reportId < this.nextReportId - MAX_SENT_MESSAGES) this.sent.delete(reportId)
     }
   }
 
   private sendDueReports (): void {
     const nowMs = this.options.timers.now()
-    const due = [...this.services.values()].filter((credits) =>
-      credits.reportDue && nowMs - credits.reportedMs >= creditOptions.reportSpacingMs)
+    const due = [...this.services.values()].filter((borrowed) => borrowed.reportDue && this.isSpaced(borrowed, nowMs))
     if (due.length > 0) this.report(due)
   }
 
-  /** Sends reports, one message for each lender. */
-  private report (list: readonly ServiceCredits[]): void {
-    const byLender = new Map<string, ServiceCredits[]>()
-    for (const credits of list) {
-      const group = byLender.get(credits.lenderId) ?? []
-      group.push(credits)
-      byLender.set(credits.lenderId, group)
+  /** Sends reports, one message for each lender. Complete ones renew what is left out as unchanged. */
+  private report (list: readonly BorrowedService[], options: { complete: boolean } = { complete: false }): void {
+    const lenders = new Set(list.map(({ lenderId }) => lenderId))
+    for (const lenderId of lenders) {
+      const group = list.filter((borrowed) => borrowed.lenderId === lenderId)
+      if (this.isOwn(lenderId)) this.reportToSelf(group)
+      else this.reportTo(lenderId, group, options)
     }
-    for (const [lenderId, group] of byLender) this.reportTo(lenderId, group)
   }
 
-  private reportTo (lenderId: string, group: readonly ServiceCredits[]): void {
-    const { membership, timers, state, network } = this.options
-    const nowMs = timers.now()
-    const reports = group.map((credits) => this.createReport(credits, nowMs))
-    if (lenderId === membership.getSelf().daemonId) {
-      group.forEach((credits, index) => this.lendToSelf(credits, reports[index] as CreditReport, nowMs))
-      return
+  private reportToSelf (group: readonly BorrowedService[]): void {
+    for (const borrowed of group) {
+      const report = this.createReport(borrowed)
+      borrowed.holder.renew(borrowed.reportedMs)
+      this.deliver(this.lending.report(borrowed.credited.service.id, report))
     }
+  }
+
+  private reportTo (lenderId: string, group: readonly BorrowedService[], { complete }: { complete: boolean }): void {
+    const { membership, timers, state, network } = this.options
     const lender = findMember(membership, lenderId)
     if (lender === undefined) return
+    const reports = new Map<string, ReportEntry>()
+    for (const borrowed of group) {
+      const entry = encodeReport(borrowed.credited.service.id, this.createReport(borrowed))
+      if (!isDeepStrictEqual(entry, borrowed.confirmed)) reports.set(entry.service, entry)
+    }
+    const unchanged = complete ? this.listConfirmed(lenderId).filter((serviceId) => !reports.has(serviceId)) : []
     const reportId = this.nextReportId++
-    this.sentReports.set(reportId, nowMs)
+    this.sent.set(reportId, { sentMs: timers.now(), reports, unchanged })
     network.sendAwaited(lender.peer, {
       kind: PeerMessageKind.CreditReports,
       holder: state.instanceId,
       reportId,
-      reports: group.map((credits, index) => encodeReport(credits.credited.service.id, reports[index] as CreditReport)),
+      reports: [...reports.values()],
+      ...complete ? { unchanged: getServicesDigest(unchanged) } : {},
     })
   }
 
-  private createReport (credits: ServiceCredits, nowMs: number): CreditReport {
-    const report = credits.holder.createReport(credits.queued, nowMs)
-    credits.reportedDemand = report.demand
-    credits.reportedMs = nowMs
-    credits.reportDue = isHoldingTooMuch(credits.holder, report)
-    return report
+  private listConfirmed (lenderId: string): string[] {
+    return [...this.services].filter(([, borrowed]) => borrowed.lenderId === lenderId && borrowed.confirmed !== undefined).map(([serviceId]) => serviceId)
   }
 
-  private lendToSelf (credits: ServiceCredits, report: CreditReport, nowMs: number): void {
-    credits.ledger?.report(report, nowMs)
-    credits.holder.renew(nowMs)
-    this.pushGrants(credits)
+  private createReport (borrowed: BorrowedService): CreditReport {
+    const nowMs = this.options.timers.now()
+    const report = borrowed.holder.createReport(borrowed.queued, nowMs)
+    borrowed.reportedDemand = report.demand
+    borrowed.reportedMs = nowMs
+    borrowed.reportDue = isHoldingTooMuch(borrowed.holder, report)
+    return report
   }
 
   private onReports (message: PeerMessageOf<PeerMessageKind.CreditReports>, reply: (answer: PeerMessage) => void): void {
-    const nowMs = this.options.timers.now()
-    const renewed: string[] = []
-    const grants: GrantEntry[] = []
-    for (const entry of message.reports) {
-      const credits = this.services.get(entry.service)
-      // A daemon that does not see itself as the lender answers nothing, so that there are never two lenders by mistake.
-      if (credits?.ledger === undefined) continue
-      credits.ledger.report({ ...entry, daemonId: message.holder, held: new Map(entry.held) }, nowMs)
-      renewed.push(entry.service)
-      this.pushGrants(credits, message.holder)
-      const grant = credits.ledger.getUnacknowledged(message.holder)
-      if (grant !== undefined) grants.push(encodeGrant(entry.service, grant))
-    }
-    reply({ kind: PeerMessageKind.CreditGrants, lender: this.options.state.instanceId, reportId: message.reportId, renewed, grants })
+    // A service that this daemon does not see itself as the lender of is declined, so that there are never two by mistake.
+    const { declined, unchangedKnown, grants, issued } = this.lending.answer(message)
+    reply({
+      kind: PeerMessageKind.CreditGrants,
+      lender: this.options.state.instanceId,
+      reportId: message.reportId,
+      declined,
+      unchangedKnown,
+      grants: grants.map(({ serviceId, grant }) => encodeGrant(serviceId, grant)),
+    })
+    this.deliver(issued)
   }
 
-  /** Decides new limits and sends those that changed, except to the holder that is answered anyway. */
-  private pushGrants (credits: ServiceCredits, answeredHolder?: string): void {
-    const { ledger, holder, credited } = credits
-    if (ledger === undefined) return
-    ledger.setEndpoints(credited.listEndpoints())
-    ledger.setReach(this.options.membership.getReach())
-    for (const [holderId, grant] of ledger.allocate(this.options.timers.now())) {
-      if (holderId === this.options.state.instanceId) {
-        holder.applyGrant(grant)
-        credits.reportDue = true
-        credited.onCredits()
-      } else if (holderId !== answeredHolder) {
-        this.sendGrant(holderId, encodeGrant(credited.service.id, grant))
-      }
+  /** Hands grants to their holders. */
+  private deliver (issued: readonly IssuedGrant[]): void {
+    for (const { holderId, serviceId, grant } of issued) {
+      const borrowed = this.services.get(serviceId)
+      if (holderId !== this.options.state.instanceId) this.sendGrant(holderId, serviceId, grant)
+      else if (borrowed !== undefined) this.takeInGrant(borrowed, grant)
     }
   }
 
-  private sendGrant (holderId: string, grant: GrantEntry): void {
-    const member = this.options.membership.listOthers().find(({ record }) => getInstanceId(record) === holderId)
+  private sendGrant (holderId: string, serviceId: string, grant: IssuedGrant['grant']): void {
+    const { membership, network, state } = this.options
+    const member = membership.listOthers().find(({ record }) => getInstanceId(record) === holderId)
     if (member === undefined) return
-    this.options.network.send(member.record.peer, {
-      kind: PeerMessageKind.CreditGrants, lender: this.options.state.instanceId, reportId: 0, renewed: [], grants: [grant],
+    network.send(member.record.peer, {
+      kind: PeerMessageKind.CreditGrants, lender: state.instanceId, reportId: 0, declined: [], unchangedKnown: true, grants: [encodeGrant(serviceId, grant)],
     })
   }
 
   private onGrants (message: PeerMessageOf<PeerMessageKind.CreditGrants>): void {
-    const sentMs = this.sentReports.get(message.reportId)
-    this.sentReports.delete(message.reportId)
-    if (sentMs !== undefined) this.takeInRenewals(message, sentMs)
+    const sent = this.sent.get(message.reportId)
+    this.sent.delete(message.reportId)
+    if (sent !== undefined) this.onAnswer(message, sent)
     for (const entry of message.grants) {
-      const credits = this.services.get(entry.service)
-      if (credits === undefined || !this.isLender(credits, message.lender)) continue
-      credits.holder.applyGrant({ seq: entry.seq, limits: new Map(entry.limits) })
-      credits.reportDue = true
-      credits.credited.onCredits()
+      const borrowed = this.services.get(entry.service)
+      if (borrowed !== undefined && this.isLender(borrowed, message.lender)) this.takeInGrant(borrowed, decodeGrant(entry))
     }
   }
 
-  private takeInRenewals (message: PeerMessageOf<PeerMessageKind.CreditGrants>, sentMs: number): void {
-    for (const serviceId of message.renewed) {
-      const credits = this.services.get(serviceId)
-      if (credits !== undefined && this.isLender(credits, message.lender)) credits.holder.renew(sentMs)
+  /** Renews what the lender has confirmed. Where it does not know what was left out, all of it is reported anew. */
+  private onAnswer (message: PeerMessageOf<PeerMessageKind.CreditGrants>, { sentMs, reports, unchanged }: SentMessage): void {
+    for (const [serviceId, entry] of reports) {
+      const borrowed = this.services.get(serviceId)
+      if (borrowed === undefined || !this.isLender(borrowed, message.lender) || message.declined.includes(serviceId)) continue
+      borrowed.confirmed = entry
+      borrowed.holder.renew(sentMs)
+    }
+    for (const serviceId of unchanged) {
+      const borrowed = this.services.get(serviceId)
+      if (borrowed === undefined || !this.isLender(borrowed, message.lender)) continue
+      if (message.unchangedKnown) borrowed.holder.renew(sentMs)
+      else this.forgetConfirmed(borrowed)
     }
   }
 
+  private forgetConfirmed (borrowed: BorrowedService): void {
+    borrowed.confirmed = undefined
+    borrowed.reportDue = true
+  }
+
+  private takeInGrant (borrowed: BorrowedService, grant: IssuedGrant['grant']): void {
+    borrowed.holder.applyGrant(grant)
+    borrowed.reportDue = true
+    borrowed.credited.onCredits()
+  }
+
   /** Grants of a daemon that is no longer the lender are dropped. */
-  private isLender (credits: ServiceCredits, instanceId: string): boolean {
-    const member = findMember(this.options.membership, credits.lenderId)
+  private isLender (borrowed: BorrowedService, instanceId: string): boolean {
+    const member = findMember(this.options.membership, borrowed.lenderId)
     return member !== undefined && getInstanceId(member) === instanceId
   }
 }
 
-const MAX_SENT_REPORTS = 1_000
-
 function findMember (membership: MembershipKeeper, daemonId: string): MemberRecord | undefined {
   return membership.listOthers().find(({ record, state }) => record.daemonId === daemonId && state !== MemberState.Silent)?.record
 }
 
-function getInstanceId (record: MemberRecord): string {
-  return `${record.daemonId}:${record.incarnation}`
-}
-
 /** Returns true where more attempts are in flight than the limits allow, so that a further report is due. */
 function isHoldingTooMuch (holder: CreditHolder, report: CreditReport): boolean {
   for (const [endpointId, held] of report.held) {
@@ -311,11 +317,3 @@
   }
   return false
 }
-
-function encodeReport (service: string, report: CreditReport): PeerMessageOf<PeerMessageKind.CreditReports>['reports'][number] {
-  return { service, zone: report.zone, demand: report.demand, ackSeq: report.ackSeq, held: [...report.held] }
-}
-
-function encodeGrant (service: string, grant: CreditGrant): GrantEntry {
-  return { service, seq: grant.seq, limits: [...grant.limits] }
-}
--- /dev/null
+++ b/packages/daemon/src/lib/credits/creditMessages.ts
@@ -0,0 +1,39 @@
+/**
+ * Encoding of credit reports and grants.
+ */
+import { createHash } from 'node:crypto'
+import type { CreditGrant, CreditReport, MemberRecord } from '@vanillathread/policy'
+import type { PeerMessageKind, PeerMessageOf } from '../peer/messages.js'
+
+/** A report as sent. */
+export type ReportEntry = PeerMessageOf<PeerMessageKind.CreditReports>['reports'][number]
+/** A grant as sent. */
+export type GrantEntry = PeerMessageOf<PeerMessageKind.CreditGrants>['grants'][number]
+
+const DIGEST_CHARACTERS = 8
+
+/** Names one process: a daemon and its incarnation. */
+export function getInstanceId (record: Pick<MemberRecord, 'daemonId' | 'incarnation'>): string {
+  return `${record.daemonId}:${record.incarnation}`
+}
+
+/** Returns a short digest of a set of services; an empty set has an empty digest. */
+export function getServicesDigest (serviceIds: readonly string[]): string {
+  if (serviceIds.length === 0) return ''
+  return createHash('md5').update([...serviceIds].sort().join('\n')).digest('hex').slice(0, DIGEST_CHARACTERS)
+}
+
+/** Encodes a report. */
+export function encodeReport (service: string, report: CreditReport): ReportEntry {
+  return { service, zone: report.zone, demand: report.demand, ackSeq: report.ackSeq, held: [...report.held] }
+}
+
+/** Encodes a grant. */
+export function encodeGrant (service: string, grant: CreditGrant): GrantEntry {
+  return { service, seq: grant.seq, limits: [...grant.limits] }
+}
+
+/** Decodes a grant. */
+export function decodeGrant (entry: GrantEntry): CreditGrant {
+  return { seq: entry.seq, limits: new Map(entry.limits) }
+}
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -67,7 +67,10 @@
     /** Daemon and incarnation of the holder. */
     holder: z.string(),
     reportId: count,
+    /** Reports that have changed since the lender confirmed them. */
     reports: z.array(creditReportSchema),
+    /** Digest of the services whose confirmed report still holds; absent where they are not renewed. */
+    unchanged: z.string().optional(),
   }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.CreditGrants),
@@ -75,8 +78,10 @@
     lender: z.string(),
     /** Report that the grants answer and renew, or 0 for grants sent by the lender itself. */
     reportId: count,
-    /** Services whose credits are renewed by the answer. */
-    renewed: z.array(z.string()),
+    /** Reported services that the sender does not lend. */
+    declined: z.array(z.string()),
+    /** True where the services left out of the report are known and renewed. */
+    unchangedKnown: z.boolean(),
     grants: z.array(creditGrantSchema),
   }),
   z.strictObject({
--- a/packages/daemon/src/lib/request/ServiceLane.ts
+++ b/packages/daemon/src/lib/request/ServiceLane.ts
@@ -5,14 +5,13 @@
 import type { EventLog, Metrics, TimerService, Tracing } from '@vanillathread/kernel'
 import { EventCode, ResultCode, type Service } from '@vanillathread/model'
 import {
-  ArrivalRates, AttemptOutcomeKind, decideAdmission, decideRetry, isServerError, limitRetryAfterMs, pickEndpoint, RetryAction, RetryBudget,
-  ServiceQueue, ServiceTimeEstimate, UnknownReason, type AttemptOutcome, type EndpointCandidate, type QueuedItem, type RandomSource, type SlotSource,
+  ArrivalRates, decideAdmission, decideRetry, isServerError, limitRetryAfterMs, pickEndpoint, RetryAction, RetryBudget,
+  ServiceQueue, ServiceTimeEstimate, type EndpointCandidate, type QueuedItem, type RandomSource, type SlotSource,
 } from '@vanillathread/policy'
-import { EndpointAttempt, SlotRelease, type AttemptResult } from '../endpoint/EndpointAttempt.js'
-import type { EndpointConnection } from '../endpoint/EndpointConnection.js'
-import type { ConnectionSet } from '../endpoint/ConnectionSet.js'
+import type { AttemptResult } from '../endpoint/EndpointAttempt.js'
 import type { EndpointSet } from '../endpoint/EndpointSet.js'
-import { endpointOptions, requestOptions, retryOptions } from '../options.js'
+import { requestOptions, retryOptions } from '../options.js'
+import { AttemptRunner } from './AttemptRunner.js'
 import { PendingRequest } from './PendingRequest.js'
 import { RequestStep, type RequestJournal } from './RequestJournal.js'
 import { createRefusal, RequestOutcomeKind, type Answer, type RequestOutcome, type ServiceRequest } from './ServiceRequest.js'
@@ -32,17 +31,6 @@
   onDemand (queued: number): void
 }
 
-/** An attempt with what it occupies. */
-interface Exchange {
-  readonly pending: PendingRequest
-  readonly endpointId: string
-  readonly connection: EndpointConnection
-  readonly connections: ConnectionSet
-  /** True where the connection had already carried a whole exchange. */
-  readonly reused: boolean
-  readonly startedMs: number
-}
-
 /** Smallest delay before a second attempt of a slow idempotent request, in milliseconds. */
 const MIN_HEDGE_DELAY_MS = 50
 /** Multiple of the mean service time after which an attempt counts as slow. */
@@ -54,11 +42,16 @@
   private readonly estimate = ServiceTimeEstimate.create()
   private readonly arrivals = ArrivalRates.create()
   private readonly budget = RetryBudget.create(retryOptions)
-  private nextAttempt = 0
-  private inFlight = 0
+  private readonly runner: AttemptRunner
 
   private constructor (private service: Service, private readonly options: ServiceLaneOptions) {
     this.queue = ServiceQueue.create({ limit: service.queueLimit })
+    this.runner = AttemptRunner.create({
+      ...options,
+      onResult: (pending, endpointId, result) => this.onResult(pending, endpointId, result),
+      onSlotFree: () => this.pump(),
+      onServiceTime: (serviceTimeMs) => this.estimate.observe(serviceTimeMs),
+    })
   }
 
   static create (service: Service, options: ServiceLaneOptions): ServiceLane {
@@ -71,7 +64,7 @@
 
   /** Attempts that occupy a slot. */
   get active (): number {
-    return this.inFlight
+    return this.runner.active
   }
 
   get slots (): SlotSource {
@@ -202,70 +195,18 @@
   }
 
   private startAttempt (pending: PendingRequest, candidate: EndpointCandidate): void {
-    const { endpoints, slots, timers, tracing } = this.options
-    const nowMs = timers.now()
     const { endpointId } = candidate
-    const connections = endpoints.getConnections(endpointId)
-    if (connections === undefined || !slots.acquire(endpointId, nowMs)) {
+    const step = pending.activeAttempts > 0 ? RequestStep.HedgeStarted : RequestStep.AttemptStarted
+    if (!this.runner.start(pending, endpointId, this.service.attemptTimeoutMs)) {
       this.refuse(pending, ResultCode.NoEndpoint, this.getRetryAfterMs())
       return
     }
-    const connection = connections.acquire(nowMs)
-    const exchange: Exchange = { pending, endpointId, connection, connections, reused: connection.proven, startedMs: nowMs }
-    endpoints.begin(endpointId)
-    this.noteStart(pending, endpointId)
-
-    const hop = tracing.startClientSpan(`attempt ${endpointId}`, pending.req.hop.context)
-    const traceHeaders: Record<string, string> = {}
-    tracing.inject(hop, traceHeaders)
-    const attempt = EndpointAttempt.start({
-      req: pending.req,
-      attemptId: `${pending.req.requestId}.${this.nextAttempt++}`,
-      traceHeaders,
-      connection,
-      timers,
-      timeoutMs: this.service.attemptTimeoutMs,
-      abandonedHoldMs: endpointOptions.abandonedHoldMs,
-    })
-    this.scheduleHedge(pending)
-    attempt.result.then((result) => {
-      tracing.end(hop, result.outcome.kind === AttemptOutcomeKind.Answered ? undefined : result.outcome.kind)
-      this.onResult(exchange, result)
-    })
-    attempt.slotFree.then((release) => this.onSlotFree(exchange, release))
-  }
-
-  private noteStart (pending: PendingRequest, endpointId: string): void {
-    const step = pending.activeAttempts > 0 ? RequestStep.HedgeStarted : RequestStep.AttemptStarted
-    pending.tried.add(endpointId)
-    pending.attempts += 1
-    pending.activeAttempts += 1
-    this.inFlight += 1
     this.note(pending, step, { endpointId })
+    this.scheduleHedge(pending)
   }
 
-  private onSlotFree (exchange: Exchange, release: SlotRelease): void {
-    const { connection, connections, endpointId } = exchange
-    this.inFlight -= 1
-    this.options.slots.release(endpointId)
-    if (release === SlotRelease.Late) this.options.log.write(EventCode.LateAnswerDropped, { endpointId, requestId: exchange.pending.req.requestId })
-    if (release === SlotRelease.Reusable) {
-      connection.prove(this.options.timers.now())
-      connections.release(connection)
-    } else {
-      connections.discard(connection)
-    }
-    this.pump()
-  }
-
-  private onResult (exchange: Exchange, { outcome, answer }: AttemptResult): void {
-    const { pending, endpointId } = exchange
-    pending.activeAttempts -= 1
+  private onResult (pending: PendingRequest, endpointId: string, { outcome, answer }: AttemptResult): void {
     this.note(pending, RequestStep.AttemptEnded, { endpointId, outcome: outcome.kind })
-    this.options.metrics.increment('attempt', { service: this.service.id, outcome: outcome.kind })
-    this.judge(exchange, outcome)
-    // A server error that is not passed on has run as well, whatever later attempts say.
-    if (outcome.kind === AttemptOutcomeKind.Unknown || outcome.kind === AttemptOutcomeKind.Answered) pending.mayHaveRun = true
     if (!pending.settled && answer !== undefined && !isServerError(answer.status)) {
       this.deliver(pending, { kind: RequestOutcomeKind.Answer, answer })
       return
@@ -311,35 +252,6 @@
     pending.settle(outcome)
   }
 
-  /** Draws conclusions about the endpoint, but not from a connection that may have gone silent by itself. */
-  private judge (exchange: Exchange, outcome: AttemptOutcome): void {
-    const { endpoints, timers } = this.options
-    const { endpointId, pending, reused, startedMs } = exchange
-    const nowMs = timers.now()
-    switch (outcome.kind) {
-      case AttemptOutcomeKind.Answered:
-        this.estimate.observe(nowMs - startedMs)
-        if (isServerError(outcome.status)) endpoints.fail(endpointId, pending.req.requestId, nowMs)
-        else endpoints.succeed(endpointId)
-        break
-      case AttemptOutcomeKind.RefusedNotRun:
-        endpoints.forget(endpointId)
-        if (outcome.leaving) endpoints.noteOwnWord(endpointId, nowMs)
-        break
-      case AttemptOutcomeKind.NotSent:
-        endpoints.fail(endpointId, pending.req.requestId, nowMs)
-        break
-      case AttemptOutcomeKind.Unknown:
-        if (!reused) endpoints.fail(endpointId, pending.req.requestId, nowMs)
-        else this.suspectConnection(endpointId, outcome.reason, nowMs)
-    }
-  }
-
-  private suspectConnection (endpointId: string, reason: UnknownReason, nowMs: number): void {
-    this.options.endpoints.forget(endpointId)
-    if (reason === UnknownReason.Timeout) this.options.endpoints.distrustConnections(endpointId, nowMs)
-  }
-
   /** Sends a second attempt of a slow idempotent request where a slot is free and the retry budget allows. */
   private scheduleHedge (pending: PendingRequest): void {
     if (!pending.req.idempotent || this.estimate.getMeanMs() === 0) return
--- a/packages/policy/src/lib/routing/CreditHolder.ts
+++ b/packages/policy/src/lib/routing/CreditHolder.ts
@@ -2,6 +2,7 @@
  * A daemon's view of the slots of one service that it may use.
  */
 import type { CreditGrant, CreditReport } from './credits.js'
+import { getTotal } from './slotCounts.js'
 import type { SlotSource } from './SlotSource.js'
 
 /** Options of {@link CreditHolder.create}. @public */
@@ -44,16 +45,12 @@
   /** Sum of the limits in force. */
   getTotalLimit (nowMs: number): number {
     if (!this.isValid(nowMs)) return 0
-    let sum = 0
-    for (const limit of this.limits.values()) sum += limit
-    return sum
+    return getTotal(this.limits)
   }
 
   /** Sum of the attempts in flight. */
   getTotalInUse (): number {
-    let sum = 0
-    for (const count of this.inUse.values()) sum += count
-    return sum
+    return getTotal(this.inUse)
   }
 
   /** Takes a slot for one attempt. @returns false where none is free. */
--- a/packages/policy/src/lib/routing/CreditLedger.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.ts
@@ -6,8 +6,9 @@
  * lower limit, or until the holder has been silent for so long that its credits have expired
  * and its last attempts have timed out.
  */
+import { allocateSlots, type SlotHolder } from './allocateSlots.js'
 import type { CreditGrant, CreditReport, LentEndpoint } from './credits.js'
-import { shareByDemand } from './shareByDemand.js'
+import { isSameCounts, raiseBy, setCount } from './slotCounts.js'
 
 /** Options of {@link CreditLedger.create}. @public */
 export interface CreditLedgerOptions {
@@ -17,15 +18,12 @@
   readonly attemptHoldMs: number
 }
 
-interface Holder {
-  readonly daemonId: string
+interface Holder extends SlotHolder {
   zone: string
   demand: number
   seq: number
   ackSeq: number
   lastHeardMs: number
-  /** Limits of the latest grant. */
-  readonly limits: Map<string, number>
   /** Slots that the holder may be using. */
   readonly committed: Map<string, number>
 }
@@ -36,11 +34,6 @@
   readonly reported: Map<string, number>
 }
 
-/** Part of its share that a holder gets while it asks for less, so that a burst need not wait for slots. */
-const IDLE_SHARE = 0.5
-/** Slots that a holder gets more on an endpoint of its own availability zone than on one elsewhere. */
-const OWN_ZONE_ADVANTAGE_SLOTS = 2
-
 /** Accounts for lent slots of one service. @public */
 export class CreditLedger {
   private readonly holders = new Map<string, Holder>()
@@ -109,6 +102,17 @@
     }
   }
 
+  /** Returns true where a holder has reported. */
+  hasHolder (daemonId: string): boolean {
+    return this.holders.has(daemonId)
+  }
+
+  /** Notes that a holder is alive and that its last report still holds. */
+  touch (daemonId: string, nowMs: number): void {
+    const holder = this.holders.get(daemonId)
+    if (holder !== undefined) holder.lastHeardMs = nowMs
+  }
+
   /** Forgets a holder that has returned everything and is leaving. */
   release (daemonId: string): void {
     this.holders.delete(daemonId)
@@ -144,11 +148,6 @@
     return { seq: holder.seq, limits: new Map(holder.limits) }
   }
 
-  /** Returns the ids of the holders known now. */
-  listHolders (): string[] {
-    return [...this.holders.keys()]
-  }
-
   /**
    * Decides new limits.
    *
@@ -159,9 +158,12 @@
     const active = [...this.holders.values()].filter((holder) => this.isActive(holder, nowMs))
     const before = new Map(active.map((holder) => [holder, new Map(holder.limits)]))
     for (const holder of active) this.capToLentSlots(holder, active)
-    const targets = this.getTargets(active)
-    this.raise(active, targets, nowMs)
-    this.reclaimForNeedy(active, targets)
+    allocateSlots(active, {
+      endpoints: this.endpoints,
+      total: this.endpoints.reduce((sum, endpoint) => sum + this.getLentSlots(endpoint), 0),
+      free: this.getFreeSlots(nowMs),
+      pendingReturns: this.getPendingReturns(),
+    })
     return this.issueChanged(before)
   }
 
@@ -210,48 +212,6 @@
     }
   }
 
-  private getTargets (active: readonly Holder[]): Map<string, number> {
-    const total = this.endpoints.reduce((sum, endpoint) => sum + this.getLentSlots(endpoint), 0)
-    return shareByDemand(total, active)
-  }
-
-  /** Returns the slots for which others give up theirs. */
-  private getWish (holder: Holder, target: number): number {
-    return Math.min(target, Math.max(holder.demand, Math.ceil(target * IDLE_SHARE)))
-  }
-
-  private isNeedy (holder: Holder, target: number): boolean {
-    return getTotal(holder.limits) < this.getWish(holder, target)
-  }
-
-  /** Gives free slots to holders below their share, one at a time, those with unmet demand first. */
-  private raise (active: readonly Holder[], targets: ReadonlyMap<string, number>, nowMs: number): void {
-    const free = this.getFreeSlots(nowMs)
-    for (;;) {
-      const holder = this.findNeediest(active, targets)
-      if (holder === undefined) return
-      const endpoint = this.chooseEndpoint(holder, free)
-      if (endpoint === undefined) return
-      free.set(endpoint.endpointId, (free.get(endpoint.endpointId) ?? 0) - 1)
-      raiseBy(holder.limits, endpoint.endpointId, 1)
-    }
-  }
-
-  private findNeediest (active: readonly Holder[], targets: ReadonlyMap<string, number>): Holder | undefined {
-    let neediest: Holder | undefined
-    let lowestRank: number[] = []
-    for (const holder of active) {
-      const target = targets.get(holder.daemonId) ?? 0
-      const limit = getTotal(holder.limits)
-      if (limit >= target) continue
-      const rank = [this.isNeedy(holder, target) ? 0 : 1, limit]
-      if (neediest !== undefined && compareRanks(rank, lowestRank) >= 0) continue
-      neediest = holder
-      lowestRank = rank
-    }
-    return neediest
-  }
-
   private getFreeSlots (nowMs: number): Map<string, number> {
     if (this.takeover !== undefined && this.expected.size === 0 && nowMs >= this.takeover.settledFromMs) this.takeover = undefined
     return new Map(this.endpoints.map((endpoint) => [endpoint.endpointId, this.getFree(endpoint, nowMs)]))
@@ -280,67 +240,19 @@
     return Math.max(0, Math.min(lendable - heard, endpoint.slots - all - this.getUnknown(endpoint)))
   }
 
-  /** Spreads a holder's slots, with more on endpoints of its own availability zone. */
-  private chooseEndpoint (holder: Holder, free: ReadonlyMap<string, number>): LentEndpoint | undefined {
-    const rank = (endpoint: LentEndpoint): number[] => [
-      getWeightedHolding(holder, endpoint),
-      -(free.get(endpoint.endpointId) ?? 0),
-    ]
-    return findLowest(this.endpoints.filter((endpoint) => (free.get(endpoint.endpointId) ?? 0) > 0), rank)
-  }
-
-  /** Lowers limits of holders above their share by as much as needy holders still lack. */
-  private reclaimForNeedy (active: readonly Holder[], targets: ReadonlyMap<string, number>): void {
-    let wanted = 0
-    for (const holder of active) {
-      const target = targets.get(holder.daemonId) ?? 0
-      wanted += Math.max(0, this.getWish(holder, target) - getTotal(holder.limits))
-    }
-    wanted -= this.getPendingReturns()
-    while (wanted > 0) {
-      const donor = this.findDonor(active, targets)
-      if (donor === undefined) return
-      this.lowerByOne(donor)
-      wanted -= 1
-    }
-  }
-
   /** Slots that holders were told to return and have not yet returned. */
   private getPendingReturns (): number {
     let sum = 0
-    for (const holder of this.holders.values()) {
-      for (const [endpointId, committed] of holder.committed) {
-        sum += Math.max(0, committed - (holder.limits.get(endpointId) ?? 0))
-      }
+    for (const { committed, limits } of this.holders.values()) {
+      for (const [endpointId, count] of committed) sum += Math.max(0, count - (limits.get(endpointId) ?? 0))
     }
     return sum
   }
 
-  private findDonor (active: readonly Holder[], targets: ReadonlyMap<string, number>): Holder | undefined {
-    let donor: Holder | undefined
-    let highest = 0
-    for (const holder of active) {
-      const surplus = getTotal(holder.limits) - (targets.get(holder.daemonId) ?? 0)
-      if (surplus > highest) {
-        donor = holder
-        highest = surplus
-      }
-    }
-    return donor
-  }
-
-  /** Takes a slot where the holder has most, counting less in its own availability zone. */
-  private lowerByOne (holder: Holder): void {
-    const held = this.endpoints.filter((endpoint) => (holder.limits.get(endpoint.endpointId) ?? 0) > 0)
-    const endpoint = findLowest(held, (candidate) => [-getWeightedHolding(holder, candidate)])
-    if (endpoint === undefined) return
-    setCount(holder.limits, endpoint.endpointId, (holder.limits.get(endpoint.endpointId) ?? 0) - 1)
-  }
-
   private issueChanged (before: ReadonlyMap<Holder, ReadonlyMap<string, number>>): Map<string, CreditGrant> {
     const grants = new Map<string, CreditGrant>()
     for (const [holder, earlier] of before) {
-      if (isEqual(earlier, holder.limits)) continue
+      if (isSameCounts(earlier, holder.limits)) continue
       holder.seq += 1
       for (const [endpointId, limit] of holder.limits) {
         setCount(holder.committed, endpointId, Math.max(limit, holder.committed.get(endpointId) ?? 0))
@@ -351,46 +263,6 @@
   }
 }
 
-function getWeightedHolding (holder: Holder, endpoint: LentEndpoint): number {
-  const advantage = endpoint.zone === holder.zone ? OWN_ZONE_ADVANTAGE_SLOTS : 0
-  return (holder.limits.get(endpoint.endpointId) ?? 0) - advantage
-}
-
-function findLowest<T> (items: readonly T[], rank: (item: T) => number[]): T | undefined {
-  return [...items].sort((a, b) => compareRanks(rank(a), rank(b)))[0]
-}
-
 function getLimitSum (holders: readonly Holder[], endpointId: string): number {
   return holders.reduce((sum, holder) => sum + (holder.limits.get(endpointId) ?? 0), 0)
 }
-
-function getTotal (counts: ReadonlyMap<string, number>): number {
-  let sum = 0
-  for (const count of counts.values()) sum += count
-  return sum
-}
-
-function setCount (counts: Map<string, number>, key: string, count: number): void {
-  if (count > 0) counts.set(key, count)
-  else counts.delete(key)
-}
-
-function raiseBy (counts: Map<string, number>, key: string, amount: number): void {
-  counts.set(key, (counts.get(key) ?? 0) + amount)
-}
-
-function isEqual (a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean {
-  if (a.size !== b.size) return false
-  for (const [key, count] of a) {
-    if (b.get(key) !== count) return false
-  }
-  return true
-}
-
-function compareRanks (a: readonly number[], b: readonly number[]): number {
-  for (let index = 0; index < a.length; index++) {
-    const difference = (a[index] ?? 0) - (b[index] ?? 0)
-    if (difference !== 0) return difference
-  }
-  return 0
-}
