--- a/packages/bench/src/benchSlopes.ts
+++ b/packages/bench/src/benchSlopes.ts
@@ -121,11 +121,13 @@
     const records = Array.from({ length: size }, (_, index): MemberRecord => ({
       daemonId: `d-${index}`, incarnation: 1, beat: 1, region: 'r', zone: 'z', peer: { host: '10.0.0.1', port: 1 }, version: 1, phase: MemberPhase.Serving,
     }))
-    const view = MembershipView.create({ self: { ...records[0] as MemberRecord, daemonId: 'self' }, silentAfterMs: 3_000, recordsPerHeartbeat: 12 })
+    const view = MembershipView.create({ self: { ...records[0] as MemberRecord, daemonId: 'self' }, silentAfterMs: 3_000, silentPerDoublingMs: 1_000, pulseShare: 0.4, minPulses: 8 })
     view.merge(records, 0)
     return [size, time(500, () => {
       view.chooseTargets(4, random)
-      view.merge(view.chooseRecords(), 0)
+      const { records: sent, pulses } = view.chooseContent()
+      view.merge(sent, 0)
+      view.mergePulses(pulses, 0)
       view.expire(0)
     })]
   })
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -36,7 +36,7 @@
       metrics: createMetrics(settings),
       tracing: Tracing.create({ ...getTracingOptions(settings), ...options.tracing }),
     })
-    this.state = DaemonState.create({ daemonId: settings.daemon.id, incarnation: Math.floor(timers.wallClock()) })
+    this.state = DaemonState.create({ daemonId: settings.daemon.id, incarnation: Math.floor(timers.wallClock() / MILLISECONDS_PER_SECOND) })
     const platform = options.platform ?? createPlatform(settings)
     this.disposePlatform = async () => {
       if (options.platform === undefined && platform instanceof HttpPlatform) await platform.dispose()
@@ -97,6 +97,8 @@
   }
 }
 
+const MILLISECONDS_PER_SECOND = 1000
+
 function createMetrics (settings: Settings): Metrics {
   if (settings.metrics === undefined) return NullMetrics.create()
   const { id, zone } = settings.daemon
--- a/packages/daemon/src/lib/DaemonState.ts
+++ b/packages/daemon/src/lib/DaemonState.ts
@@ -19,16 +19,22 @@
   /** Addresses as bound, by name of the listener. */
   readonly addresses = new Map<string, Address>()
 
-  private constructor (
-    readonly daemonId: string,
-    /** Grows with each start of the daemon. */
-    readonly incarnation: number
-  ) {}
+  private constructor (readonly daemonId: string, private currentIncarnation: number) {}
 
   static create (options: { daemonId: string, incarnation: number }): DaemonState {
     return new DaemonState(options.daemonId, options.incarnation)
   }
 
+  /** Grows with each start of the daemon. */
+  get incarnation (): number {
+    return this.currentIncarnation
+  }
+
+  /** Passes over the incarnation of an earlier start that the table still knows. Only before anything is sent. */
+  passOver (earlier: number): void {
+    this.currentIncarnation = Math.max(this.currentIncarnation, earlier + 1)
+  }
+
   /** Daemon and incarnation, which names one process. */
   get instanceId (): string {
     return `${this.daemonId}:${this.incarnation}`
--- a/packages/daemon/src/lib/credits/CreditExchange.ts
+++ b/packages/daemon/src/lib/credits/CreditExchange.ts
@@ -65,6 +65,7 @@
   private readonly subscriptions: Subscription[] = []
   private readonly lending: CreditLending
   private nextReportId = 1
+  private dueTimer: Subscription | undefined
 
   private constructor (private readonly options: CreditExchangeOptions) {
     this.lending = CreditLending.create(options)
@@ -80,8 +81,7 @@
     network.on(PeerMessageKind.CreditGrants, (message) => this.onGrants(message))
     membership.subscribe((change) => this.onMembership(change))
     this.subscriptions.push(
-      timers.every(creditOptions.renewPeriodMs, () => this.renew()),
-      timers.every(creditOptions.reportSpacingMs, () => this.sendDueReports())
+      timers.every(creditOptions.renewPeriodMs, () => this.renew())
     )
   }
 
@@ -118,7 +118,9 @@
     const inUse = borrowed.holder.getTotalInUse()
     const isFull = inUse >= borrowed.holder.getTotalLimit(nowMs)
     if (isFull && queued > 0 && queued + inUse > borrowed.reportedDemand) borrowed.reportDue = true
-    if (borrowed.reportDue && this.isSpaced(borrowed, nowMs)) this.report([borrowed])
+    if (!borrowed.reportDue) return
+    if (this.isSpaced(borrowed, nowMs)) this.report([borrowed])
+    else this.scheduleDueReports()
   }
 
   /** Returns the daemon that lends a service's slots, as this daemon sees it. */
@@ -138,6 +140,7 @@
 
   dispose (): void {
     for (const subscription of this.subscriptions) subscription.dispose()
+    this.dueTimer?.dispose()
   }
 
   private onMembership ({ left }: MembershipChange): void {
@@ -172,10 +175,16 @@
     }
   }
 
+  private scheduleDueReports (): void {
+    this.dueTimer ??= this.options.timers.after(creditOptions.reportSpacingMs, () => this.sendDueReports())
+  }
+
   private sendDueReports (): void {
+    this.dueTimer = undefined
     const nowMs = this.options.timers.now()
     const due = [...this.services.values()].filter((borrowed) => borrowed.reportDue && this.isSpaced(borrowed, nowMs))
     if (due.length > 0) this.report(due)
+    if ([...this.services.values()].some(({ reportDue }) => reportDue)) this.scheduleDueReports()
   }
 
   /** Sends reports, one message for each lender. Complete ones renew what is left out as unchanged. */
@@ -296,6 +305,7 @@
   private takeInGrant (borrowed: BorrowedService, grant: IssuedGrant['grant']): void {
     borrowed.holder.applyGrant(grant)
     borrowed.reportDue = true
+    this.scheduleDueReports()
     borrowed.credited.onCredits()
   }
 
--- a/packages/daemon/src/lib/fleet/FleetController.ts
+++ b/packages/daemon/src/lib/fleet/FleetController.ts
@@ -23,6 +23,14 @@
   readonly log: EventLog
 }
 
+interface DeclaredIndex {
+  readonly declarations: Declarations
+  /** Number of changes of loans that the index takes into account. */
+  readonly loans: number
+  readonly declared: ReadonlyMap<string, DeclaredVm>
+  readonly byPool: ReadonlyMap<string, readonly string[]>
+}
+
 const MILLISECONDS_PER_DAY = 24 * 60 * 60 * 1000
 
 /** The fleet controller of one daemon. */
@@ -31,6 +39,8 @@
   private readonly controllers = new Map<string, PoolController>()
   private subscription: Subscription | undefined
   private halted = false
+  private wave: WaveJudgement = { running: true }
+  private index: DeclaredIndex | undefined
   private ticking = false
 
   private constructor (private readonly options: FleetControllerOptions) {
@@ -52,7 +62,9 @@
     this.ticking = true
     try {
       this.noteWave()
-      for (const poolId of this.listPools(declarations)) await this.getController(poolId).tick()
+      const pools = this.listPools(declarations)
+      this.leases.choose(pools)
+      for (const poolId of pools) await this.getController(poolId).tick()
     } finally {
       this.ticking = false
     }
@@ -77,20 +89,33 @@
     const declarations = configuration.current?.declarations
     if (declarations === undefined) throw new Error('a pool is planned without a configuration')
     const rows = watch.rows.listVms()
-    const declared = new Map(declarations.inventory.vms.map((vm): [string, DeclaredVm] => [vm.id, this.describeVm(vm, declarations)]))
+    const { declared, byPool } = this.getIndex(declarations)
     return {
       poolId,
       nowMs: timers.wallClock(),
       minAvailable: declarations.rules.budgets.find((budget) => budget.pool === poolId)?.minAvailable ?? 0,
       declared,
-      vms: new Map([...rows].filter(([, { value }]) => value.pool === poolId)),
-      unrecorded: declarations.inventory.vms.filter((vm) => vm.pool === poolId && !rows.has(vm.id)).map((vm) => vm.id),
+      vms: watch.rows.listVmsOf(poolId),
+      unrecorded: (byPool.get(poolId) ?? []).filter((vmId) => !rows.has(vmId)),
       budget: watch.rows.getBudget(poolId),
       maintenanceAllowed: this.isMaintenanceAllowed(declarations, poolId),
       maintenancePeriodMs: declarations.rules.maintenance.periodDays * MILLISECONDS_PER_DAY,
     }
   }
 
+  /** Declared VMs by id and by pool. Only loans change them between configurations. */
+  private getIndex (declarations: Declarations): DeclaredIndex {
+    if (this.index?.declarations === declarations && this.index.loans === this.options.watch.rows.loanChanges) return this.index
+    const declared = new Map<string, DeclaredVm>()
+    const byPool = new Map<string, string[]>()
+    for (const vm of declarations.inventory.vms) {
+      declared.set(vm.id, this.describeVm(vm, declarations))
+      byPool.set(vm.pool, [...byPool.get(vm.pool) ?? [], vm.id])
+    }
+    this.index = { declarations, loans: this.options.watch.rows.loanChanges, declared, byPool }
+    return this.index
+  }
+
   /** A loan counts while the VM's own pool is a spare one and the other pool is declared. */
   private describeVm (vm: Vm, { inventory }: Declarations): DeclaredVm {
     const loan = this.options.watch.rows.getLoan(vm.id)?.value.pool
@@ -121,8 +146,7 @@
 
   /** Pools that are declared, and those that still have VMs. */
   private listPools (declarations: Declarations): string[] {
-    const stored = [...this.options.watch.rows.listVms().values()].map(({ value }) => value.pool)
-    return [...new Set([...declarations.inventory.pools.map((pool) => pool.id), ...stored])].sort()
+    return [...new Set([...declarations.inventory.pools.map((pool) => pool.id), ...this.options.watch.rows.listPools()])].sort()
   }
 
   private getController (poolId: string): PoolController {
@@ -136,12 +160,13 @@
 
   private isMaintenanceAllowed ({ rules }: Declarations, poolId: string): boolean {
     const { halted, hurried } = rules.maintenance
-    if (halted.includes(poolId) || !this.getWave().running) return false
+    if (halted.includes(poolId) || !this.wave.running) return false
     return hurried.includes(poolId) || isWindowOpen(rules.windows, poolId, this.options.timers.wallClock())
   }
 
   private noteWave (): void {
     const wave = this.getWave()
+    this.wave = wave
     if (!wave.running && !this.halted) this.options.log.write(EventCode.WaveHalted, { reason: wave.reason, vms: wave.failedVms.join(',') })
     if (wave.running && this.halted) this.options.log.write(EventCode.WaveResumed, {})
     this.halted = !wave.running
--- a/packages/daemon/src/lib/fleet/LeaseKeeper.ts
+++ b/packages/daemon/src/lib/fleet/LeaseKeeper.ts
@@ -31,12 +31,24 @@
   /** Monotonic time since which another daemon is the first choice for a pool that this one holds. */
   private readonly misplacedSinceMs = new Map<string, number>()
 
+  private choices: ReadonlyMap<string, string | undefined> = new Map()
+  private choicesOf = ''
+
   private constructor (private readonly options: LeaseKeeperOptions) {}
 
   static create (options: LeaseKeeperOptions): LeaseKeeper {
     return new LeaseKeeper(options)
   }
 
+  /** Finds out which daemon is the first choice for each pool, where the daemons or the pools have changed. */
+  choose (poolIds: readonly string[]): void {
+    const activeIds = this.options.membership.listActiveIds()
+    const basis = [...activeIds, ...poolIds].join()
+    if (basis === this.choicesOf) return
+    this.choicesOf = basis
+    this.choices = new Map(poolIds.map((poolId) => [poolId, getRendezvousOwner(fleetKeys.lease(poolId), activeIds)]))
+  }
+
   /** Returns the lease row where this daemon holds it. */
   getHeld (poolId: string): Stored<LeaseRecord> | undefined {
     const lease = this.options.rows.getLease(poolId)
@@ -51,7 +63,7 @@
   async settle (poolId: string): Promise<Stored<LeaseRecord> | undefined> {
     const { membership, rows } = this.options
     if (!membership.isSynced) return undefined
-    const firstChoice = getRendezvousOwner(fleetKeys.lease(poolId), membership.listActiveIds())
+    const firstChoice = this.choices.get(poolId)
     const lease = rows.getLease(poolId)
     if (lease !== undefined && this.isOwn(lease.value)) return this.keepOrHandOver(poolId, lease, firstChoice)
     if (firstChoice !== this.options.state.daemonId || (lease !== undefined && !this.isFree(lease.value))) return undefined
--- a/packages/daemon/src/lib/membership/MembershipKeeper.ts
+++ b/packages/daemon/src/lib/membership/MembershipKeeper.ts
@@ -34,6 +34,8 @@
   readonly random: RandomSource
 }
 
+type HeartbeatMessage = PeerMessageOf<PeerMessageKind.Heartbeat>
+
 interface RowWatch {
   readonly revision: number
   /** Monotonic time at which the row was first seen with this revision. */
@@ -54,6 +56,9 @@
   private tableRevision = 0
   private tableBusy = false
   private synced = false
+  private toldVersion = 0
+  /** Messages that have carried the head since it changed. */
+  private tellings = 0
 
   private constructor (private readonly options: MembershipKeeperOptions) {
     const { settings, state, peerAddress } = options
@@ -61,7 +66,9 @@
     this.view = MembershipView.create({
       self: { daemonId: id, incarnation: state.incarnation, beat: 0, region, zone, peer: peerAddress, version: 0, phase: MemberPhase.Serving },
       silentAfterMs: membershipOptions.silentAfterMs,
-      recordsPerHeartbeat: membershipOptions.recordsPerHeartbeat,
+      silentPerDoublingMs: membershipOptions.silentPerDoublingMs,
+      pulseShare: membershipOptions.pulseShare,
+      minPulses: membershipOptions.minPulses,
     })
   }
 
@@ -78,6 +85,7 @@
       timers.every(membershipOptions.heartbeatPeriodMs, () => this.beat()),
       timers.every(membershipOptions.tablePeriodMs, () => { this.syncTable() })
     )
+    await this.passOverEarlierStart()
     await this.syncTable()
     this.beat()
   }
@@ -146,26 +154,52 @@
     for (const subscription of this.subscriptions.splice(0)) subscription.dispose()
   }
 
+  /** A quick restart may fall into the same second as the start before it. */
+  private async passOverEarlierStart (): Promise<void> {
+    const { table, state } = this.options
+    const row = await table.read(this.getRowKey())
+    const earlier = memberRecordSchema.safeParse(row.ok ? row.value?.value : undefined)
+    if (!earlier.success) return
+    state.passOver(earlier.data.incarnation)
+    this.view.setIncarnation(state.incarnation)
+  }
+
   private createHeartbeat (): PeerMessageOf<PeerMessageKind.Heartbeat> {
-    return { kind: PeerMessageKind.Heartbeat, seq: this.nextSeq++, records: this.view.chooseRecords(), ...this.getHeadField() }
+    return { kind: PeerMessageKind.Heartbeat, seq: this.nextSeq++, ...this.getContent(), ...this.getHeadField(Number.POSITIVE_INFINITY) }
   }
 
-  private getHeadField (): { head?: ConfigurationHead } {
+  private getContent (): Pick<HeartbeatMessage, 'records' | 'pulses'> {
+    const { records, pulses } = this.view.chooseContent()
+    return { records, pulses: pulses.map(({ daemonId, incarnation, beat, version }) => [daemonId, incarnation, beat, version]) }
+  }
+
+  /** The head goes to those that lack its version, and to everybody for a few heartbeats after it has changed. */
+  private getHeadField (receiverVersion: number): { head?: ConfigurationHead } {
     const head = this.heads?.getHead()
-    return head === undefined ? {} : { head }
+    if (head === undefined) return {}
+    if (head.version !== this.toldVersion) {
+      this.toldVersion = head.version
+      this.tellings = 0
+    }
+    this.tellings += 1
+    const isNew = this.tellings <= membershipOptions.headRepeats * membershipOptions.fanout
+    return isNew || receiverVersion < head.version ? { head } : {}
   }
 
   private onHeartbeat (message: PeerMessageOf<PeerMessageKind.Heartbeat>, reply: (answer: PeerMessageOf<PeerMessageKind.HeartbeatAck>) => void): void {
     this.takeIn(message)
-    reply({ kind: PeerMessageKind.HeartbeatAck, seq: message.seq, records: this.view.chooseRecords(), ...this.getHeadField() })
+    reply({ kind: PeerMessageKind.HeartbeatAck, seq: message.seq, ...this.getContent(), ...this.getHeadField(message.records[0]?.version ?? 0) })
   }
 
   private onAck (message: PeerMessageOf<PeerMessageKind.HeartbeatAck>): void {
     this.takeIn(message)
   }
 
-  private takeIn (message: { records: MemberRecord[], head?: ConfigurationHead | undefined }): void {
-    this.handleChange(this.view.merge(message.records, this.options.timers.now()))
+  private takeIn (message: Pick<HeartbeatMessage, 'records' | 'pulses' | 'head'>): void {
+    const nowMs = this.options.timers.now()
+    const pulses = message.pulses.map(([daemonId, incarnation, beat, version]) => ({ daemonId, incarnation, beat, version }))
+    this.handleChange(this.view.merge(message.records, nowMs))
+    this.handleChange(this.view.mergePulses(pulses, nowMs))
     const sender = message.records[0]
     if (message.head !== undefined && sender !== undefined) this.heads?.noteHead(message.head, sender.peer)
   }
--- a/packages/daemon/src/lib/options.ts
+++ b/packages/daemon/src/lib/options.ts
@@ -14,6 +14,8 @@
   answerBufferBytes: 256 * 1024,
   /** Period of the sweep that refuses queued requests whose deadline has become unreachable. */
   sweepPeriodMs: 50,
+  /** Period of closing connections that have been idle for too long. */
+  tendPeriodMs: 500,
   /** Requests remembered for `explain`. */
   explainedRequests: 1_000,
 } as const
@@ -43,7 +45,7 @@
 /** Options of slot credits. @public */
 export const creditOptions = {
   /** Time after which a grant that was not renewed is no longer used. */
-  creditTtlMs: 5_000,
+  creditTtlMs: 8_000,
   /** Period of renewals. */
   renewPeriodMs: 1_000,
   /** Time for which a new lender waits for holders that it has not heard of yet. */
@@ -54,12 +56,19 @@
 
 /** Options of membership. @public */
 export const membershipOptions = {
-  heartbeatPeriodMs: 500,
+  heartbeatPeriodMs: 1_000,
   /** Peers that get each heartbeat. */
-  fanout: 4,
-  recordsPerHeartbeat: 12,
-  /** Time for which a heartbeat counter may stand still. */
-  silentAfterMs: 3_000,
+  fanout: 3,
+  /** Share of the members that each heartbeat tells of. */
+  pulseShare: 0.4,
+  /** Fewest members that each heartbeat tells of. */
+  minPulses: 8,
+  /** Heartbeats that carry the head of a new configuration, whatever version the receiver has. */
+  headRepeats: 6,
+  /** Time for which a heartbeat counter may stand still among a few daemons. */
+  silentAfterMs: 4_000,
+  /** Time added with each doubling beyond a few daemons. */
+  silentPerDoublingMs: 1_000,
   /** Period of the write and the read of the daemon rows in the table. */
   tablePeriodMs: 5_000,
   /** Time for which a daemon's row may stand still while the table answers. */
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -31,6 +31,9 @@
   phase: z.enum(MemberPhase),
 })
 
+/** Daemon, incarnation, heartbeat counter and configuration version. */
+const pulseSchema = z.tuple([z.string(), count, count, count])
+
 /** Pairs of endpoint id and number of slots. */
 const slotCountsSchema = z.array(z.tuple([z.string(), count]))
 
@@ -54,12 +57,14 @@
     kind: z.literal(PeerMessageKind.Heartbeat),
     seq: count,
     records: z.array(memberRecordSchema),
+    pulses: z.array(pulseSchema),
     head: configurationHeadSchema.optional(),
   }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.HeartbeatAck),
     seq: count,
     records: z.array(memberRecordSchema),
+    pulses: z.array(pulseSchema),
     head: configurationHeadSchema.optional(),
   }),
   z.strictObject({
--- a/packages/daemon/src/lib/request/RequestDispatcher.ts
+++ b/packages/daemon/src/lib/request/RequestDispatcher.ts
@@ -42,7 +42,7 @@
   private readonly lanes = new Map<string, ServiceLane>()
   private readonly random: RandomSource
   private stopping = false
-  private sweeper: Subscription | undefined
+  private readonly subscriptions: Subscription[] = []
 
   private constructor (private readonly options: RequestDispatcherOptions) {
     this.random = RandomSource.create(options.seed)
@@ -57,7 +57,10 @@
     configuration.subscribe(({ declarations }) => this.configure(declarations))
     membership.subscribe(() => this.shareConnections())
     fleet.subscribe(() => this.pumpAll())
-    this.sweeper = kernel.timers.every(requestOptions.sweepPeriodMs, () => this.sweep())
+    this.subscriptions.push(
+      kernel.timers.every(requestOptions.sweepPeriodMs, () => this.sweep()),
+      kernel.timers.every(requestOptions.tendPeriodMs, () => this.tendConnections())
+    )
   }
 
   /** Serves one request. The promise always settles. */
@@ -87,7 +90,7 @@
   }
 
   dispose (): void {
-    this.sweeper?.dispose()
+    for (const subscription of this.subscriptions) subscription.dispose()
     for (const lane of this.lanes.values()) lane.dispose()
   }
 
@@ -196,6 +199,10 @@
     for (const lane of this.lanes.values()) lane.sweep()
   }
 
+  private tendConnections (): void {
+    for (const lane of this.lanes.values()) lane.tendConnections()
+  }
+
   private pumpAll (): void {
     for (const lane of this.lanes.values()) lane.pump()
   }
--- a/packages/daemon/src/lib/request/ServiceLane.ts
+++ b/packages/daemon/src/lib/request/ServiceLane.ts
@@ -129,10 +129,15 @@
     this.options.onDemand(this.queue.size)
   }
 
-  /** Refuses waiting requests whose deadline has become unreachable, and tends connections. */
+  /** Closes connections that have been idle for too long. */
+  tendConnections (): void {
+    this.options.endpoints.closeStaleConnections(this.options.timers.now())
+  }
+
+  /** Refuses waiting requests whose deadline has become unreachable. */
   sweep (): void {
+    if (this.queue.size === 0) return
     const nowMs = this.options.timers.now()
-    this.options.endpoints.closeStaleConnections(nowMs)
     const refused: Array<{ pending: PendingRequest, code: ResultCode, retryAfterMs: number }> = []
     this.queue.removeWhere((item, ahead) => {
       const decision = this.decide(item.deadlineMs, ahead, this.arrivals.getRateAbove(item.workClass, nowMs), nowMs)
--- a/packages/integration/src/configuration.test.ts
+++ b/packages/integration/src/configuration.test.ts
@@ -4,6 +4,8 @@
 import { assert, describe } from '@vanillathread/testing'
 import { PlatformFault } from '@vanillathread/stand-ins'
 import type { Declarations } from '@vanillathread/model'
+import { Daemon } from '@vanillathread/daemon'
+import { createSettings } from './lib/createSettings.js'
 import { LocalCluster, SERVICE } from './lib/LocalCluster.js'
 import { send } from './lib/send.js'
 import { waitUntil } from './lib/waitUntil.js'
@@ -52,6 +54,21 @@
 })
 
 describe('membership', ({ it }) => {
+  it('takes a quick restart for a new incarnation', async () => {
+    const cluster = await LocalCluster.create({ daemons: 1, endpoints: 1 })
+    try {
+      const first = cluster.getDaemon(0)
+      await cluster.killDaemon(0)
+      const second = Daemon.create({ settings: createSettings({ id: first.state.daemonId, zone: 'zone-a' }), platform: cluster.platform, log: cluster.log })
+      await second.start()
+      cluster.daemons.push(second)
+      assert.is(second.state.incarnation > first.state.incarnation, true)
+      assert.is(second.parts.membership.getSelf().incarnation, second.state.incarnation)
+    } finally {
+      await cluster.dispose()
+    }
+  })
+
   it('keeps a lost daemon listed through an outage, and serves on with the others\' share', async () => {
     const cluster = await LocalCluster.create({ daemons: 3, endpoints: 2 })
     try {
--- a/packages/integration/src/fleet.test.ts
+++ b/packages/integration/src/fleet.test.ts
@@ -60,7 +60,7 @@
     const rules = new Set<string>()
     for (const seed of SEEDS) {
       const run = await FleetRun.create({ seed, controllers: 3, chances: FAULTS, unconditional: true })
-      await run.advance(HALF_HOUR_MS, { vmFailure: 0.002, pause: 0.01 })
+      await run.advance(HALF_HOUR_MS, { vmFailure: 0.01, pause: 0.05 })
       for (const { rule } of run.history.violations) rules.add(rule)
     }
     assert.is(rules.has('budget entry'), true)
--- a/packages/platform/src/lib/http/HttpPlatform.ts
+++ b/packages/platform/src/lib/http/HttpPlatform.ts
@@ -9,9 +9,10 @@
 import { PlatformErrorKind, type PlatformError } from '../PlatformError.js'
 import type { TableChanges, TableRow, TableService, TableTransaction } from '../TableService.js'
 import type { VmActions, VmObservation } from '../VmActions.js'
-import { HttpPlatformClient } from './HttpPlatformClient.js'
+import { HttpPlatformClient, parseJson } from './HttpPlatformClient.js'
 import { changesAnswerSchema, fleetAnswerSchema, observationAnswerSchema, readAnswerSchema, transactAnswerSchema } from './wire.js'
 
+const STATUS_NOT_MODIFIED = 304
 const STATUS_NOT_FOUND = 404
 
 class HttpTable implements TableService {
@@ -51,10 +52,23 @@
 }
 
 class HttpFleet implements FleetList, VmActions {
+  /** Latest list with its validator. */
+  private known: { readonly etag: string, readonly snapshot: FleetSnapshot } | undefined
+
   constructor (private readonly client: HttpPlatformClient) {}
 
+  /** Asks only for a list that differs from the one known. Source of the mechanism: RFC 9110, section 13.1.2. */
   async list (): Promise<Result<FleetSnapshot, PlatformError>> {
-    return this.client.exchangeJson({ method: 'GET', path: '/fleet' }, fleetAnswerSchema)
+    const res = await this.client.exchangeBytes({ method: 'GET', path: '/fleet', ...this.known === undefined ? {} : { ifNoneMatch: this.known.etag } })
+    if (!res.ok) return res
+    const { status, etag, dateMs, bytes } = res.value
+    if (status === STATUS_NOT_MODIFIED && this.known !== undefined && dateMs !== undefined) {
+      return Result.ok({ ...this.known.snapshot, asOfMs: Math.max(this.known.snapshot.asOfMs, dateMs) })
+    }
+    const parsed = fleetAnswerSchema.safeParse(parseJson(bytes))
+    if (!parsed.success) return Result.err({ kind: PlatformErrorKind.OutcomeUnknown, reason: 'fleet list does not match its schema' })
+    this.known = etag === undefined ? undefined : { etag, snapshot: parsed.data }
+    return Result.ok(parsed.data)
   }
 
   async observe (vmId: string): Promise<Result<VmObservation | undefined, PlatformError>> {
--- a/packages/platform/src/lib/http/HttpPlatformClient.ts
+++ b/packages/platform/src/lib/http/HttpPlatformClient.ts
@@ -12,16 +12,23 @@
   readonly path: string
   /** JSON content or bytes. */
   readonly body?: unknown
+  /** Validator of the answer that the caller has already. */
+  readonly ifNoneMatch?: string
 }
 
 /** A platform answer before it is checked. */
-interface RawAnswer {
+export interface RawAnswer {
   readonly status: number
   readonly bytes: Uint8Array
+  /** Validator of the answer, where the platform gives one. */
+  readonly etag?: string
+  /** Time at which the platform answered, by its own clock, in milliseconds since 1970. */
+  readonly dateMs?: number
 }
 
 const STATUS_OK = 200
 const STATUS_UNAVAILABLE = 503
+const FIRST_SERVER_ERROR = 500
 
 /** Errors by which undici says that a request was never sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
@@ -63,12 +70,16 @@
       const res = await this.pool.request({
         method: req.method,
         path: req.path,
-        ...encodeBody(req.body),
+        ...encodeBody(req),
         // A silent connection must not hold the caller longer than the timeout.
         signal: AbortSignal.timeout(this.timeoutMs),
       })
       const bytes = new Uint8Array(await res.body.arrayBuffer())
-      return classifyStatus(res.statusCode, bytes)
+      const etag = getText(res.headers['etag'])
+      const date = getText(res.headers['date'])
+      return classifyStatus({
+        status: res.statusCode, bytes, ...etag === undefined ? {} : { etag }, ...date === undefined ? {} : { dateMs: Date.parse(date) },
+      })
     } catch (err) {
       return Result.err(classifyFailure(err))
     }
@@ -77,16 +88,22 @@
 
 const MAX_CONNECTIONS = 8
 
-function encodeBody (body: unknown): { body?: string | Uint8Array, headers?: Record<string, string> } {
-  if (body === undefined) return {}
-  if (body instanceof Uint8Array) return { body, headers: { 'content-type': 'application/octet-stream' } }
-  return { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }
+function encodeBody ({ body, ifNoneMatch }: PlatformRequest): { body?: string | Uint8Array, headers?: Record<string, string> } {
+  const condition: Record<string, string> = ifNoneMatch === undefined ? {} : { 'if-none-match': ifNoneMatch }
+  if (body === undefined) return { headers: condition }
+  if (body instanceof Uint8Array) return { body, headers: { ...condition, 'content-type': 'application/octet-stream' } }
+  return { body: JSON.stringify(body), headers: { ...condition, 'content-type': 'application/json' } }
+}
+
+function getText (value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value
 }
 
-function classifyStatus (status: number, bytes: Uint8Array): Result<RawAnswer, PlatformError> {
+function classifyStatus (answer: RawAnswer): Result<RawAnswer, PlatformError> {
+  const { status } = answer
   if (status === STATUS_UNAVAILABLE) return Result.err({ kind: PlatformErrorKind.Unavailable, reason: 'service unavailable' })
-  if (status < STATUS_OK || status >= 500) return Result.err({ kind: PlatformErrorKind.OutcomeUnknown, reason: `status ${status}` })
-  return Result.ok({ status, bytes })
+  if (status < STATUS_OK || status >= FIRST_SERVER_ERROR) return Result.err({ kind: PlatformErrorKind.OutcomeUnknown, reason: `status ${status}` })
+  return Result.ok(answer)
 }
 
 function classifyFailure (err: unknown): PlatformError {
@@ -95,7 +112,8 @@
   return { kind: notSent ? PlatformErrorKind.Unavailable : PlatformErrorKind.OutcomeUnknown, reason: code || String(err) }
 }
 
-function parseJson (bytes: Uint8Array): unknown {
+/** Parses an answer's JSON; an answer that is none gives undefined. */
+export function parseJson (bytes: Uint8Array): unknown {
   try {
     return JSON.parse(new TextDecoder().decode(bytes))
   } catch {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,7 +21,7 @@
 export { decideRetry, isServerError, RetryAction, type RetryDecision, type RetryState } from './lib/retry/decideRetry.js'
 export { EndpointHealth, HealthChange, HealthState, type EndpointHealthOptions } from './lib/health/EndpointHealth.js'
 export { VersionGate } from './lib/configuration/VersionGate.js'
-export { MemberPhase, MembershipView, MemberState, type Member, type MemberRecord, type MembershipChange, type MembershipOptions } from './lib/membership/MembershipView.js'
+export { MemberPhase, MembershipView, MemberState, type HeartbeatContent, type Member, type MemberPulse, type MemberRecord, type MembershipChange, type MembershipOptions } from './lib/membership/MembershipView.js'
 export {
   budgetRecordSchema, createBudgetRecord, createLeaseRecord, createVmRecord, FLEET_PREFIX, fleetKeys, leaseRecordSchema, loanRecordSchema, OutReason, vmRecordSchema, VmState,
   type BudgetRecord, type LeaseRecord, type LoanRecord, type RowChange, type Stored, type VmRecord,
--- a/packages/policy/src/lib/membership/MembershipView.test.ts
+++ b/packages/policy/src/lib/membership/MembershipView.test.ts
@@ -13,8 +13,8 @@
   }
 }
 
-function createView (daemonId = 'self'): MembershipView {
-  return MembershipView.create({ self: createRecord(daemonId), silentAfterMs: SILENT_AFTER_MS, recordsPerHeartbeat: 12 })
+function createView (daemonId = 'self', change: { silentAfterMs?: number } = {}): MembershipView {
+  return MembershipView.create({ self: createRecord(daemonId), silentAfterMs: SILENT_AFTER_MS, silentPerDoublingMs: 1_000, pulseShare: 0.4, minPulses: 8, ...change })
 }
 
 describe('MembershipView', ({ it, describe }) => {
@@ -58,6 +58,44 @@
     })
   })
 
+  describe('heartbeats', ({ it }) => {
+    it('carry a record whole while it is new, and then only its counter', () => {
+      const view = createView()
+      view.merge([createRecord('a')], 0)
+      for (let round = 0; round < 6; round++) assert.equal(view.chooseContent().records.map(({ daemonId }) => daemonId), ['self', 'a'])
+      const { records, pulses } = view.chooseContent()
+      assert.equal([records.length, pulses.map(({ daemonId }) => daemonId)], [1, ['a']])
+    })
+
+    it('advance a known member by its counter, and leave an unknown one to its record', () => {
+      const view = createView()
+      view.merge([createRecord('a')], 0)
+      view.mergePulses([{ daemonId: 'a', incarnation: 1, beat: 9, version: 4 }, { daemonId: 'b', incarnation: 1, beat: 9, version: 4 }], 1)
+      assert.equal(view.listOthers().map(({ record }) => [record.daemonId, record.beat, record.version]), [['a', 9, 4]])
+    })
+
+    it('keep a hundred daemons live for each other with three messages a round', () => {
+      const random = RandomSource.create(5)
+      const ids = Array.from({ length: 100 }, (_, index) => `daemon-${index}`)
+      const views = new Map(ids.map((id) => [id, createView(id, { silentAfterMs: 4_000 })]))
+      for (const view of views.values()) view.merge(ids.map((id) => createRecord(id)), 0)
+      for (let nowMs = 1_000; nowMs <= 30_000; nowMs += 1_000) {
+        for (const view of views.values()) {
+          view.advanceSelf({ version: 0, phase: MemberPhase.Serving })
+          for (const target of view.chooseTargets(3, random)) {
+            const peer = views.get(target.daemonId)
+            const [sent, answered] = [view.chooseContent(), peer?.chooseContent()]
+            peer?.merge(sent.records, nowMs)
+            peer?.mergePulses(sent.pulses, nowMs)
+            view.merge(answered?.records ?? [], nowMs)
+            view.mergePulses(answered?.pulses ?? [], nowMs)
+          }
+        }
+        for (const view of views.values()) assert.equal(view.expire(nowMs).lost, [])
+      }
+    })
+  })
+
   describe('leaving', ({ it }) => {
     it('ends the share of work at once, and the listing at the end', () => {
       const view = createView()
@@ -72,7 +110,7 @@
       const [first, second] = [createView('first'), createView('second')]
       second.merge([createRecord('a', { phase: MemberPhase.Leaving })], 0)
       first.merge([createRecord('a', { beat: 2, phase: MemberPhase.Left })], 0)
-      const { left } = second.merge(first.chooseRecords(), 1)
+      const { left } = second.merge(first.chooseContent().records, 1)
       assert.equal(left.map(({ daemonId }) => daemonId), ['a'])
       assert.is(second.listOthers().some(({ record }) => record.daemonId === 'a'), false)
     })
@@ -86,7 +124,7 @@
     views.get('daemon-0')?.merge([createRecord('new')], 0)
     for (let round = 0; round < 8; round++) {
       for (const view of views.values()) {
-        for (const target of view.chooseTargets(4, random)) views.get(target.daemonId)?.merge(view.chooseRecords(), round)
+        for (const target of view.chooseTargets(4, random)) views.get(target.daemonId)?.merge(view.chooseContent().records, round)
       }
     }
     const unaware = [...views.values()].filter((view) => !view.listActiveIds().includes('new'))
--- a/packages/policy/src/lib/membership/MembershipView.ts
+++ b/packages/policy/src/lib/membership/MembershipView.ts
@@ -22,6 +22,22 @@
   readonly phase: MemberPhase
 }
 
+/** The heartbeat counter of a member whose record the receiver knows already. @public */
+export interface MemberPulse {
+  readonly daemonId: string
+  readonly incarnation: number
+  readonly beat: number
+  /** Configuration version in force at the daemon. */
+  readonly version: number
+}
+
+/** What one heartbeat carries. @public */
+export interface HeartbeatContent {
+  /** Own record, and records that are new or changed. */
+  readonly records: MemberRecord[]
+  readonly pulses: MemberPulse[]
+}
+
 /** How far a daemon is in its life, by its own word. @public */
 export enum MemberPhase {
   Serving = 'serving',
@@ -59,10 +75,14 @@
 /** Options of {@link MembershipView.create}. @public */
 export interface MembershipOptions {
   readonly self: MemberRecord
-  /** Time for which a counter may stand still. */
+  /** Time for which a counter may stand still among a few daemons; it grows with the rounds that gossip needs. */
   readonly silentAfterMs: number
-  /** Records sent with each heartbeat. */
-  readonly recordsPerHeartbeat: number
+  /** Time added with each doubling beyond a few daemons. */
+  readonly silentPerDoublingMs: number
+  /** Share of the members that each heartbeat tells of. */
+  readonly pulseShare: number
+  /** Fewest members that each heartbeat tells of. */
+  readonly minPulses: number
 }
 
 /** Multiple of the silence time for which the word that a member has left is passed on. */
@@ -72,16 +92,27 @@
   record: MemberRecord
   advancedMs: number
   silent: boolean
-  /** Heartbeats that have carried the record since it last changed. */
-  sentCount: number
+  /** True where no heartbeat has carried the counter since it last advanced. */
+  unsent: boolean
+  /** Place in the order in which counters were sent last. */
+  sentOrder: number
+  /** Heartbeats that have carried the whole record since it last changed in more than its counter. */
+  recordSentCount: number
 }
 
+/** Number of daemons up to which gossip needs no further rounds. */
+const FEW_DAEMONS = 20
+/** Heartbeats that carry a changed record whole. */
+const RECORD_REPEATS = 6
+
 /** A daemon's view of all daemons. @public */
 export class MembershipView {
   private readonly entries = new Map<string, Entry>()
   /** Last records of members that were forgotten, so that late gossip does not bring them back. */
   private readonly forgotten = new Map<string, MemberRecord>()
   private self: MemberRecord
+  /** Counters sent so far. */
+  private sentCount = 0
 
   private constructor (private readonly options: MembershipOptions) {
     this.self = options.self
@@ -96,6 +127,11 @@
     return this.self
   }
 
+  /** Sets the own incarnation, before anything is sent. */
+  setIncarnation (incarnation: number): void {
+    this.self = { ...this.self, incarnation }
+  }
+
   /** Advances the own heartbeat counter and says what else is new. */
   advanceSelf (change: { version: number, phase: MemberPhase }): void {
     this.self = { ...this.self, ...change, beat: this.self.beat + 1 }
@@ -111,10 +147,11 @@
   /** Judges silence. */
   expire (nowMs: number): MembershipChange {
     const change = createChange()
+    const silentAfterMs = this.getSilentAfterMs()
     for (const [daemonId, entry] of this.entries) {
-      if (nowMs - entry.advancedMs < this.options.silentAfterMs) continue
+      if (nowMs - entry.advancedMs < silentAfterMs) continue
       if (entry.record.phase === MemberPhase.Left) {
-        if (nowMs - entry.advancedMs >= TOMBSTONE_FACTOR * this.options.silentAfterMs) this.forget(daemonId)
+        if (nowMs - entry.advancedMs >= TOMBSTONE_FACTOR * silentAfterMs) this.forget(daemonId)
         continue
       }
       if (!entry.silent) change.lost.push(entry.record)
@@ -157,12 +194,33 @@
     return random.sample(this.listOthers().map((member) => member.record), fanout)
   }
 
-  /** Returns the records to send: the own one, and the others that have been passed on least. */
-  chooseRecords (): MemberRecord[] {
-    const entries = [...this.entries.values()].filter((entry) => !entry.silent)
-    const fresh = entries.sort((a, b) => a.sentCount - b.sentCount).slice(0, this.options.recordsPerHeartbeat - 1)
-    for (const entry of fresh) entry.sentCount += 1
-    return [this.self, ...fresh.map((entry) => entry.record)]
+  /** Returns what to send: the own record, changed records, and news of the members that were sent longest ago. */
+  chooseContent (): HeartbeatContent {
+    const heard = [...this.entries.values()].filter((entry) => !entry.silent)
+    const entries = heard.sort((a, b) => Number(b.unsent) - Number(a.unsent) || a.sentOrder - b.sentOrder)
+    const limit = Math.max(this.options.minPulses, Math.ceil(this.entries.size * this.options.pulseShare))
+    const chosen = entries.slice(0, limit)
+    const changed = entries.filter((entry) => entry.recordSentCount < RECORD_REPEATS).slice(0, limit)
+    for (const entry of changed) entry.recordSentCount += 1
+    for (const entry of chosen) Object.assign(entry, { unsent: false, sentOrder: ++this.sentCount })
+    const pulses = chosen.filter((entry) => !changed.includes(entry)).map(({ record }) => getPulse(record))
+    return { records: [this.self, ...changed.map(({ record }) => record)], pulses }
+  }
+
+  /** Takes in counters. Those of unknown members are dropped; their records come by another heartbeat or the table. */
+  mergePulses (pulses: readonly MemberPulse[], nowMs: number): MembershipChange {
+    const change = createChange()
+    for (const pulse of pulses) {
+      const known = this.entries.get(pulse.daemonId)?.record
+      if (known === undefined || known.incarnation !== pulse.incarnation) continue
+      this.mergeOne({ ...known, beat: pulse.beat, version: pulse.version }, nowMs, change)
+    }
+    return change
+  }
+
+  private getSilentAfterMs (): number {
+    const doublings = Math.max(0, Math.log2((this.entries.size + 1) / FEW_DAEMONS))
+    return this.options.silentAfterMs + doublings * this.options.silentPerDoublingMs
   }
 
   private mergeOne (record: MemberRecord, nowMs: number, change: MembershipChange): void {
@@ -171,7 +229,7 @@
     if (last !== undefined && !isNewer(record, last)) return
     const entry = this.entries.get(record.daemonId)
     if (entry === undefined) {
-      this.entries.set(record.daemonId, { record, advancedMs: nowMs, silent: false, sentCount: 0 })
+      this.entries.set(record.daemonId, { record, advancedMs: nowMs, silent: false, unsent: true, sentOrder: 0, recordSentCount: 0 })
       if (record.phase === MemberPhase.Left) change.left.push(record)
       else change.joined.push(record)
       return
@@ -180,7 +238,8 @@
     const returned = entry.silent || record.incarnation > entry.record.incarnation
     if (returned && record.phase !== MemberPhase.Left) change.joined.push(record)
     if (record.phase === MemberPhase.Leaving && entry.record.phase === MemberPhase.Serving) change.leaving.push(record)
-    Object.assign(entry, { record, advancedMs: nowMs, silent: false, sentCount: 0 })
+    const changed = returned || record.phase !== entry.record.phase
+    Object.assign(entry, { record, advancedMs: nowMs, silent: false, unsent: true, ...changed ? { recordSentCount: 0 } : {} })
     if (record.phase === MemberPhase.Left) change.left.push(record)
   }
 
@@ -196,6 +255,10 @@
   return { joined: [], lost: [], leaving: [], left: [] }
 }
 
+function getPulse ({ daemonId, incarnation, beat, version }: MemberRecord): MemberPulse {
+  return { daemonId, incarnation, beat, version }
+}
+
 function isNewer (a: MemberRecord, b: MemberRecord): boolean {
   return a.incarnation > b.incarnation || (a.incarnation === b.incarnation && a.beat > b.beat)
 }
--- a/packages/stand-ins/src/lib/PlatformServer.ts
+++ b/packages/stand-ins/src/lib/PlatformServer.ts
@@ -3,7 +3,7 @@
  */
 import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
 import { transactionSchema, PlatformErrorKind, type FleetSnapshot, type Platform, type PlatformError } from '@vanillathread/platform'
-import type { Result } from '@vanillathread/model'
+import { getDigest, type Result } from '@vanillathread/model'
 import { PlatformFault, type PlatformFaults } from './PlatformFaults.js'
 
 /** Options of {@link PlatformServer.create}. */
@@ -13,6 +13,7 @@
   readonly port?: number
 }
 
+const STATUS_NOT_MODIFIED = 304
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
 const STATUS_UNAVAILABLE = 503
@@ -88,9 +89,14 @@
 
   private addFleet (): void {
     const { fleet, vms } = this.options.platform
-    this.server.get('/fleet', async (_req, reply) => {
+    this.server.get('/fleet', async (req, reply) => {
       const current = await fleet.list()
       if (!this.options.faults.staleList || this.listed === undefined) this.listed = current
+      if (this.listed.ok && !this.options.faults.staleList) {
+        const etag = `"${getDigest(Buffer.from(JSON.stringify(this.listed.value.vms)))}"`
+        reply.header('etag', etag)
+        if (req.headers['if-none-match'] === etag) return reply.code(STATUS_NOT_MODIFIED).send()
+      }
       return this.send(reply, this.listed, (snapshot) => snapshot)
     })
     this.server.get<{ Params: { id: string } }>('/vms/:id', async (req, reply) =>
