Ready only with a configuration in force

Cause: a daemon that had started without a configuration said that it was ready, and the balancer would have sent it requests that it refuses. Change: /ready also asks for a version in force; a test with an empty platform.

--- a/packages/daemon/src/lib/operations/OperationsServer.ts
+++ b/packages/daemon/src/lib/operations/OperationsServer.ts
@@ -82,7 +82,8 @@
   private constructor (private readonly options: OperationsServerOptions) {
     this.server.get('/live', () => ({ live: true }))
     this.server.get('/ready', (_req, reply) => {
-      const ready = options.state.isReady
+      // A daemon without a configuration would refuse every request.
+      const ready = options.state.isReady && (options.parts.configuration?.getVersionInForce() ?? 0) > 0
       return reply.code(ready ? STATUS_OK : STATUS_UNAVAILABLE).send({ ready, phase: options.state.phase })
     })
     this.server.get('/status', () => this.getStatus())
--- a/packages/integration/src/configuration.test.ts
+++ b/packages/integration/src/configuration.test.ts
@@ -2,6 +2,8 @@
  * Configuration and membership with several daemons: in force everywhere, never back, through outages.
  */
 import { assert, describe } from '@vanillathread/testing'
+import { MemoryEventLog } from '@vanillathread/kernel'
+import { applyDeclarations, MemoryPlatform } from '@vanillathread/platform'
 import { PlatformFault } from '@vanillathread/stand-ins'
 import type { Declarations } from '@vanillathread/model'
 import { Daemon } from '@vanillathread/daemon'
@@ -38,6 +40,24 @@
     }
   })
 
+  it('is in force before a daemon says that it is ready', async () => {
+    const platform = MemoryPlatform.create()
+    const daemon = Daemon.create({ settings: createSettings({ id: 'entry-1', zone: 'zone-a' }), platform, log: MemoryEventLog.create() })
+    await daemon.start()
+    const cluster = await LocalCluster.create({ daemons: 0, endpoints: 1 })
+    try {
+      const { host, port } = daemon.getAddress('operations')
+      const getReady = async (): Promise<number> => (await fetch(`http://${host}:${port}/ready`)).status
+      assert.is(await getReady(), 503)
+      await applyDeclarations(platform, { declarations: cluster.createDeclarations(), basedOn: 0, applyId: 'first' })
+      await waitUntil('it is in force', () => daemon.parts.configuration.getVersionInForce() === 1)
+      assert.is(await getReady(), 200)
+    } finally {
+      await daemon.kill()
+      await cluster.dispose()
+    }
+  })
+
   it('is taken from peers by a daemon that starts in an outage', async () => {
     const cluster = await LocalCluster.create({ daemons: 2, endpoints: 1 })
     try {
