Messages that wait for an answer are a part of their own

Change: SentReports numbers and remembers messages; CreditHolder says itself whether it is over its limits. Behaviour unchanged.

--- a/packages/daemon/src/lib/credits/CreditExchange.ts
+++ b/packages/daemon/src/lib/credits/CreditExchange.ts
@@ -16,6 +16,7 @@
 import type { PeerNetwork } from '../peer/PeerNetwork.js'
 import { CreditLending, type IssuedGrant } from './CreditLending.js'
 import { decodeGrant, encodeGrant, encodeReport, getInstanceId, getServicesDigest, type ReportEntry } from './creditMessages.js'
+import { SentReports, type SentMessage } from './SentReports.js'
 
 /** Options of {@link CreditExchange.create}. */
 export interface CreditExchangeOptions {
@@ -49,22 +50,12 @@
   confirmed: ReportEntry | undefined
 }
 
-interface SentMessage {
-  readonly sentMs: number
-  readonly reports: ReadonlyMap<string, ReportEntry>
-  /** Services that were left out as unchanged. */
-  readonly unchanged: readonly string[]
-}
-
-const MAX_SENT_MESSAGES = 1_000
-
 /** Slot credits of one daemon. */
 export class CreditExchange {
   private readonly services = new Map<string, BorrowedService>()
-  private readonly sent = new Map<number, SentMessage>()
+  private readonly sent = SentReports.create()
   private readonly subscriptions: Subscription[] = []
   private readonly lending: CreditLending
-  private nextReportId = 1
   private dueTimer: Subscription | undefined
 
   private constructor (private readonly options: CreditExchangeOptions) {
@@ -170,9 +161,6 @@
   private renew (): void {
     this.report([...this.services.values()], { complete: true })
     this.deliver(this.lending.renew())
-    for (const reportId of this.sent.keys()) {
-      if (reportId < this.nextReportId - MAX_SENT_MESSAGES) this.sent.delete(reportId)
-    }
   }
 
   private scheduleDueReports (): void {
@@ -215,8 +203,7 @@
       if (!isDeepStrictEqual(entry, borrowed.confirmed)) reports.set(entry.service, entry)
     }
     const unchanged = complete ? this.listConfirmed(lenderId).filter((serviceId) => !reports.has(serviceId)) : []
-    const reportId = this.nextReportId++
-    this.sent.set(reportId, { sentMs: timers.now(), reports, unchanged })
+    const reportId = this.sent.add({ sentMs: timers.now(), reports, unchanged })
     network.sendAwaited(lender.peer, {
       kind: PeerMessageKind.CreditReports,
       holder: state.instanceId,
@@ -235,7 +222,7 @@
     const report = borrowed.holder.createReport(borrowed.queued, nowMs)
     borrowed.reportedDemand = report.demand
     borrowed.reportedMs = nowMs
-    borrowed.reportDue = isHoldingTooMuch(borrowed.holder, report)
+    borrowed.reportDue = borrowed.holder.isOverLimit()
     return report
   }
 
@@ -272,8 +259,7 @@
   }
 
   private onGrants (message: PeerMessageOf<PeerMessageKind.CreditGrants>): void {
-    const sent = this.sent.get(message.reportId)
-    this.sent.delete(message.reportId)
+    const sent = this.sent.take(message.reportId)
     if (sent !== undefined) this.onAnswer(message, sent)
     for (const entry of message.grants) {
       const borrowed = this.services.get(entry.service)
@@ -319,11 +305,3 @@
 function findMember (membership: MembershipKeeper, daemonId: string): MemberRecord | undefined {
   return membership.listOthers().find(({ record, state }) => record.daemonId === daemonId && state !== MemberState.Silent)?.record
 }
-
-/** Returns true where more attempts are in flight than the limits allow, so that a further report is due. */
-function isHoldingTooMuch (holder: CreditHolder, report: CreditReport): boolean {
-  for (const [endpointId, held] of report.held) {
-    if (held > holder.getLimit(endpointId)) return true
-  }
-  return false
-}
--- a/packages/policy/src/lib/routing/CreditHolder.ts
+++ b/packages/policy/src/lib/routing/CreditHolder.ts
@@ -53,6 +53,14 @@
     return getTotal(this.inUse)
   }
 
+  /** Returns true where more attempts are in flight than the limits allow, so that slots are still to be returned. */
+  isOverLimit (): boolean {
+    for (const [endpointId, count] of this.inUse) {
+      if (count > this.getLimit(endpointId)) return true
+    }
+    return false
+  }
+
   /** Takes a slot for one attempt. @returns false where none is free. */
   acquire (endpointId: string, nowMs: number): boolean {
     if (this.getFree(endpointId, nowMs) === 0) return false
