History check also reads the daemons' journals

Change: each request's attempts as its daemon noted them, those of lost daemons included; a refusal as not run contradicts an attempt that was answered or ended as unknown. The checker's own test objects to it.

--- a/packages/integration/src/history.test.ts
+++ b/packages/integration/src/history.test.ts
@@ -26,6 +26,7 @@
       it(`breaks no promise under endpoint, connection and platform faults, seed ${seed}`, async () => {
         const history = await runSeed(seed, [RunFault.Endpoint, RunFault.Endpoint, RunFault.Connections, RunFault.Platform])
         assert.equal(checkRequests(history), [])
+        assert.is(history.requests.some(({ journal }) => journal !== undefined && journal.length > 0), true)
         const answered = history.requests.filter(({ view }) => view === CallerView.Answered).length
         assert.is(answered > 0, true, `${answered} answered`)
       })
@@ -65,6 +66,7 @@
     const cases: Array<[RequestRule, RequestHistory]> = [
       [RequestRule.OwnAnswer, { ...good, requests: [{ ...request, answerToken: 'u' }] }],
       [RequestRule.NotRunMeansNotRun, { ...good, requests: [{ ...request, view: CallerView.NotRun }] }],
+      [RequestRule.JournalAgrees, { ...good, runs: [], requests: [{ ...request, view: CallerView.NotRun, journal: ['unknown'] }] }],
       [RequestRule.AtMostOnce, { ...good, runs: [run, run] }],
       [RequestRule.Slots, { ...good, endpoints: [{ ...endpoint, maxRunning: 3 }] }],
       [RequestRule.Connections, { ...good, endpoints: [{ ...endpoint, maxConnections: 3 }] }],
--- a/packages/integration/src/lib/LocalCluster.ts
+++ b/packages/integration/src/lib/LocalCluster.ts
@@ -40,6 +40,8 @@
   readonly log = MemoryEventLog.create()
   readonly platform: Platform
   readonly daemons: Daemon[] = []
+  /** Daemons that were stopped or lost; their journals can still be read. */
+  readonly retired: Daemon[] = []
   readonly endpoints: EndpointStandIn[] = []
   private nextDaemon = 1
 
@@ -79,14 +81,12 @@
 
   /** Stops a daemon at once. */
   async killDaemon (index: number): Promise<void> {
-    const [daemon] = this.daemons.splice(index, 1)
-    await daemon?.kill()
+    await this.retire(index)?.kill()
   }
 
   /** Stops a daemon by plan. Callers are no longer sent to it, as the balancer would do. */
   async stopDaemon (index: number): Promise<void> {
-    const [daemon] = this.daemons.splice(index, 1)
-    await daemon?.stop()
+    await this.retire(index)?.stop()
   }
 
   /** Accepts declarations on top of the current version. */
@@ -144,6 +144,12 @@
     await Promise.all(this.endpoints.map((endpoint) => endpoint.dispose()))
   }
 
+  private retire (index: number): Daemon | undefined {
+    const [daemon] = this.daemons.splice(index, 1)
+    if (daemon !== undefined) this.retired.push(daemon)
+    return daemon
+  }
+
   private async startEndpoints (): Promise<void> {
     for (let index = 0; index < this.options.endpoints; index++) {
       this.endpoints.push(await EndpointStandIn.create({
--- a/packages/integration/src/lib/RequestRun.ts
+++ b/packages/integration/src/lib/RequestRun.ts
@@ -40,7 +40,7 @@
 /** Runs the callers and returns the history. */
 export async function runRequests (cluster: LocalCluster, options: RequestRunOptions): Promise<RequestHistory> {
   const random = RandomSource.create(options.seed)
-  const pending: Array<Promise<RequestRecord[]>> = []
+  const pending: Array<Promise<SentRequest[]>> = []
   const stops: Array<Promise<void>> = []
   for (let index = 0; index < options.requests; index++) {
     if (index % FAULT_EVERY === 0) await injectFault(cluster, options, random, stops)
@@ -50,12 +50,23 @@
   const requests = (await Promise.all(pending)).flat()
   await Promise.all(stops)
   return {
-    requests,
+    requests: requests.map(({ requestId, ...record }) => ({ ...record, ...requestId === undefined ? {} : { journal: readJournal(cluster, requestId) } })),
     runs: cluster.endpoints.flatMap((endpoint) => endpoint.runs.map(({ token, startedMs }) => ({ token, startedMs, endpointId: endpoint.id }))),
     endpoints: cluster.endpoints.map((endpoint) => describeEndpoint(endpoint)),
   }
 }
 
+/** A request as sent, with the id that the daemon gave it. */
+interface SentRequest extends RequestRecord {
+  readonly requestId?: string
+}
+
+/** Returns the outcomes of attempts that the daemon which served the request has noted. */
+function readJournal (cluster: LocalCluster, requestId: string): string[] {
+  const journals = [...cluster.daemons, ...cluster.retired].map((daemon) => daemon.parts.dispatcher.journal)
+  return journals.flatMap((journal) => journal.find(requestId) ?? []).flatMap(({ outcome }) => outcome === undefined ? [] : [outcome])
+}
+
 function describeEndpoint ({ id, slots, maxRunning, maxConnections }: EndpointStandIn): RequestHistory['endpoints'][number] {
   return { id, slots, connections: CONNECTION_LIMIT, maxRunning, maxConnections }
 }
@@ -86,7 +97,7 @@
 }
 
 /** Sends one request; a keyed one is sent twice, through two daemons. */
-async function sendOne (cluster: LocalCluster, options: RequestRunOptions, random: RandomSource, index: number): Promise<RequestRecord[]> {
+async function sendOne (cluster: LocalCluster, options: RequestRunOptions, random: RandomSource, index: number): Promise<SentRequest[]> {
   // The balancer knows which daemons take requests at the moment of sending.
   const pick = (): string => {
     const urls = options.urls ?? cluster.daemons.map((_daemon, place) => cluster.getUrl(place))
@@ -102,10 +113,12 @@
   return [await sendAndRecord(pick(), token, false, headers, options), await first]
 }
 
-async function sendAndRecord (url: string, token: string, idempotent: boolean, headers: Record<string, string>, options: RequestRunOptions): Promise<RequestRecord> {
+async function sendAndRecord (url: string, token: string, idempotent: boolean, headers: Record<string, string>, options: RequestRunOptions): Promise<SentRequest> {
   const plannedStopOnly = options.faults.every((fault) => fault === RunFault.PlannedStop)
   const outcome = await send(url, { token, headers, ...idempotent ? {} : { method: 'POST' as const, body: 'x' } }).catch(() => undefined)
-  return { token, idempotent, plannedStopOnly, view: getView(outcome), ...outcome?.problem === undefined ? {} : { code: outcome.problem.code }, ...outcome?.status === 200 ? { answerToken: outcome.token } : {} }
+  const requestId = outcome?.headers['vanillathread-request-id']
+  const id = typeof requestId === 'string' ? { requestId } : {}
+  return { ...id, token, idempotent, plannedStopOnly, view: getView(outcome), ...outcome?.problem === undefined ? {} : { code: outcome.problem.code }, ...outcome?.status === 200 ? { answerToken: outcome.token } : {} }
 }
 
 function getView (outcome: CallerOutcome | undefined): CallerView {
--- a/packages/integration/src/lib/checkRequests.ts
+++ b/packages/integration/src/lib/checkRequests.ts
@@ -1,6 +1,7 @@
 /**
  * Checks the recorded history of a run of requests against the promises to callers.
  */
+import { AttemptOutcomeKind } from '@vanillathread/policy'
 
 /** Outcomes as the caller saw them. */
 export enum CallerView {
@@ -26,6 +27,8 @@
   readonly answerToken?: string
   /** Result code of a refusal. */
   readonly code?: number
+  /** Outcomes of the attempts that the daemon's journal holds for the request. */
+  readonly journal?: readonly string[]
   /** True where the daemon that served it was stopped by plan meanwhile, and nothing else went wrong. */
   readonly plannedStopOnly?: boolean
 }
@@ -60,6 +63,7 @@
   OwnAnswer = 'own answer',
   NotRunMeansNotRun = 'not run means not run',
   AtMostOnce = 'non-idempotent at most once',
+  JournalAgrees = 'journal agrees',
   Slots = 'slots',
   Connections = 'connections',
   NothingAfterLeaving = 'nothing after leaving',
@@ -72,6 +76,9 @@
   readonly subject: string
 }
 
+/** Outcomes of an attempt that may have run. */
+const POSSIBLY_RUN: ReadonlySet<string> = new Set([AttemptOutcomeKind.Answered, AttemptOutcomeKind.Unknown])
+
 /** Returns every broken promise. */
 export function checkRequests (history: RequestHistory): RequestViolation[] {
   return [...checkCallers(history), ...checkEndpoints(history)]
@@ -86,7 +93,8 @@
   for (const req of requests) byToken.set(req.token, [...byToken.get(req.token) ?? [], req])
   for (const [token, sent] of byToken) {
     const ran = counts.get(token) ?? 0
-    for (const { view, answerToken, plannedStopOnly } of sent) {
+    for (const { view, answerToken, plannedStopOnly, journal } of sent) {
+      if (view === CallerView.NotRun && journal?.some((outcome) => POSSIBLY_RUN.has(outcome)) === true) violate(RequestRule.JournalAgrees, token)
       if (view === CallerView.Answered && answerToken !== token) violate(RequestRule.OwnAnswer, token)
       if (plannedStopOnly === true && (view === CallerView.Unknown || view === CallerView.Disconnected)) violate(RequestRule.PlannedStopCutsNothing, token)
     }
