One admission decision, one count of loans, one way to accept in benches

Change: decideNew and decide serve all three; counts come from the index and one pass; the flag and the handler are gone; acceptDeclarations serves both benches, and sleep comes from node:timers/promises. Behaviour unchanged.

--- a/packages/bench/src/benchLeaving.ts
+++ b/packages/bench/src/benchLeaving.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run bench:leaving`: how long an endpoint that is leaving still gets new work, by the source of that.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { FleetVmState } from '@vanillathread/platform'
 import { createVmRecord, fleetKeys, VmState } from '@vanillathread/policy'
 import { EndpointFault } from '@vanillathread/stand-ins'
@@ -58,7 +59,3 @@
   else if (source === Source.Announced) cluster.getEndpoint(0).fault = EndpointFault.Leaving
   else await cluster.memory.table.transact({ conditions: [], writes: [{ key: fleetKeys.vm('vm-1'), value: { ...createVmRecord('listings', 0), state: VmState.Draining } }] })
 }
-
-function sleep (forMs: number): Promise<void> {
-  return new Promise((resolve) => { setTimeout(resolve, forMs) })
-}
--- a/packages/bench/src/benchPath.ts
+++ b/packages/bench/src/benchPath.ts
@@ -1,11 +1,10 @@
 /**
  * `npm run bench:path`: what a daemon adds to a request, and how many requests one core carries.
  */
-import { randomUUID } from 'node:crypto'
-import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
 import { inventorySchema, rulesSchema, WorkClass, type Declarations } from '@vanillathread/model'
 import type { CallerPlan, CallerResult } from './hosts/callerHost.js'
 import type { DaemonAddresses, DaemonHostUsage } from './hosts/daemonHost.js'
+import { acceptDeclarations } from './lib/acceptDeclarations.js'
 import { Host } from './lib/Host.js'
 import { HostRole } from './lib/hostProtocol.js'
 import { Sharing } from './lib/sharing.js'
@@ -27,7 +26,7 @@
 const platformUrl = await platform.call<string>('getUrl')
 const ids = Array.from({ length: ENDPOINTS }, (_, index) => `listings-${index + 1}`)
 const ports = await endpoints.call<Record<string, number>>('start', { ids, slots: 64, meanServiceMs: MEAN_SERVICE_MS, seed: PORTS_SEED })
-await accept(createDeclarations(ports))
+await acceptDeclarations(platform, createDeclarations(ports))
 const [daemon] = await daemons.call<DaemonAddresses[]>('start', { daemons: [{ id: 'entry-1', zone: 'zone-a', platformUrl }], sharing: Sharing.Credits })
 if (daemon === undefined) throw new Error('no daemon was started')
 
@@ -69,11 +68,3 @@
     rules: rulesSchema.parse({ budgets: [{ pool: 'listings', minAvailable: 0 }], weights: { bufferCost: 0.5, moves: 0.5 } }),
   }
 }
-
-async function accept (declarations: Declarations): Promise<void> {
-  await platform.call('setVms', declarations.inventory.vms.map(({ id }) => id))
-  const client = HttpPlatform.create({ url: platformUrl, timeoutMs: 5_000 })
-  const res = await applyDeclarations(client, { declarations, basedOn: 0, applyId: randomUUID() })
-  await client.dispose()
-  if (!res.ok) throw new Error(`apply failed with code ${res.error.code}`)
-}
--- a/packages/bench/src/lib/ControlBed.ts
+++ b/packages/bench/src/lib/ControlBed.ts
@@ -1,6 +1,7 @@
 /**
  * Daemons without callers, to measure what control costs.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { randomUUID } from 'node:crypto'
 import { encodeBundle, inventorySchema, rulesSchema, Weekday, type ConfigurationHead, type Declarations } from '@vanillathread/model'
 import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
@@ -162,10 +163,6 @@
 const POLL_MS = 20
 const SETTLE_MS = 8_000
 
-function sleep (forMs: number): Promise<void> {
-  return new Promise((resolve) => { setTimeout(resolve, forMs) })
-}
-
 function sum (usages: readonly DaemonHostUsage[], pick: (usage: DaemonHostUsage) => number): number {
   return usages.reduce((total, usage) => total + pick(usage), 0)
 }
--- a/packages/bench/src/lib/LoadBed.ts
+++ b/packages/bench/src/lib/LoadBed.ts
@@ -1,13 +1,12 @@
 /**
  * The load bench's processes: a platform, endpoints of five services, nine daemons and callers.
  */
-import { randomUUID } from 'node:crypto'
 import { inventorySchema, rulesSchema, type Declarations } from '@vanillathread/model'
-import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
 import type { EndpointFault } from '@vanillathread/stand-ins'
 import type { CallerPlan, CallerResult } from '../hosts/callerHost.js'
 import type { DaemonAddresses, DaemonHostUsage } from '../hosts/daemonHost.js'
 import type { EndpointCounts } from '../hosts/endpointHost.js'
+import { acceptDeclarations } from './acceptDeclarations.js'
 import { Host } from './Host.js'
 import { HostRole } from './hostProtocol.js'
 import { FRONT_PREFIX, Sharing } from './sharing.js'
@@ -84,7 +83,7 @@
     const ids = bed.services.flatMap((service) => Array.from({ length: bed.endpointsPerService }, (_, index) => `${service}-${index + 1}`))
     this.ports = await this.endpoints.call('start', { ids, slots: bed.slots, meanServiceMs: bed.meanServiceMs, seed: ENDPOINT_SEED })
     await this.startDaemons(platformUrl)
-    await this.accept(platformUrl)
+    await acceptDeclarations(this.platform, this.createDeclarations())
     await new Promise((resolve) => { setTimeout(resolve, SETTLE_MS) })
   }
 
@@ -99,15 +98,6 @@
     }
   }
 
-  private async accept (platformUrl: string): Promise<void> {
-    const declarations = this.createDeclarations()
-    await this.platform.call('setVms', declarations.inventory.vms.map(({ id }) => id))
-    const client = HttpPlatform.create({ url: platformUrl, timeoutMs: 5_000 })
-    const res = await applyDeclarations(client, { declarations, basedOn: 0, applyId: randomUUID() })
-    await client.dispose()
-    if (!res.ok) throw new Error(`apply failed with code ${res.error.code}`)
-  }
-
   private createDeclarations (): Declarations {
     const vms = bed.services.flatMap((service) => Array.from({ length: bed.endpointsPerService }, (_, index) => ({
       id: `vm-${service}-${index + 1}`, zone: ZONES[index % ZONES.length], rack: `rack-${index % ZONES.length}`, pool: service,
--- a/packages/daemon/src/lib/fleet/FleetController.ts
+++ b/packages/daemon/src/lib/fleet/FleetController.ts
@@ -38,7 +38,6 @@
   private readonly leases: LeaseKeeper
   private readonly controllers = new Map<string, PoolController>()
   private subscription: Subscription | undefined
-  private halted = false
   private wave: WaveJudgement = { running: true }
   private index: DeclaredIndex | undefined
   private ticking = false
@@ -165,10 +164,9 @@
   }
 
   private noteWave (): void {
-    const wave = this.getWave()
-    this.wave = wave
-    if (!wave.running && !this.halted) this.options.log.write(EventCode.WaveHalted, { reason: wave.reason, vms: wave.failedVms.join(',') })
-    if (wave.running && this.halted) this.options.log.write(EventCode.WaveResumed, {})
-    this.halted = !wave.running
+    const before = this.wave
+    this.wave = this.getWave()
+    if (!this.wave.running && before.running) this.options.log.write(EventCode.WaveHalted, { reason: this.wave.reason, vms: this.wave.failedVms.join(',') })
+    if (this.wave.running && !before.running) this.options.log.write(EventCode.WaveResumed, {})
   }
 }
--- a/packages/daemon/src/lib/fleet/LoanPlanner.ts
+++ b/packages/daemon/src/lib/fleet/LoanPlanner.ts
@@ -123,22 +123,27 @@
       const slotsPerVm = Math.max(...service.endpoints.map(({ slots }) => slots))
       slotsByPool.set(service.pool, (slotsByPool.get(service.pool) ?? 0) + reported.slots / slotsPerVm)
     }
+    const incoming = this.countIncoming(inventory)
     return inventory.pools.map(({ id }) => ({
       poolId: id,
       demandVms: slotsByPool.get(id) ?? 0,
-      members: this.countVms((pool, state) => pool === id && state === VmState.Active),
-      incoming: this.countIncoming(id),
+      members: [...this.options.rows.listVmsOf(id).values()].filter(({ value }) => value.state === VmState.Active).length,
+      incoming: incoming.get(id) ?? 0,
       minAvailable: rules.budgets.find((budget) => budget.pool === id)?.minAvailable ?? 0,
     }))
   }
 
-  private countVms (isCounted: (pool: string, state: VmState) => boolean): number {
-    return [...this.options.rows.listVms().values()].filter(({ value }) => isCounted(value.pool, value.state)).length
-  }
-
-  private countIncoming (poolId: string): number {
+  /** Counts the VMs that are lent to each pool and not there yet. */
+  private countIncoming ({ vms }: Declarations['inventory']): Map<string, number> {
     const { rows } = this.options
-    return [...rows.listVms()].filter(([vmId, { value }]) => value.pool !== poolId && rows.getLoan(vmId)?.value.pool === poolId).length
+    const counts = new Map<string, number>()
+    for (const { id } of vms) {
+      const target = rows.getLoan(id)?.value.pool
+      const row = rows.listVms().get(id)
+      if (target === undefined || row === undefined || row.value.pool === target) continue
+      counts.set(target, (counts.get(target) ?? 0) + 1)
+    }
+    return counts
   }
 
   /** Returns the VMs of a spare pool that serve where their loan says, and so may be lent anew. */
--- a/packages/daemon/src/lib/membership/MembershipKeeper.ts
+++ b/packages/daemon/src/lib/membership/MembershipKeeper.ts
@@ -80,7 +80,7 @@
   async start (): Promise<void> {
     const { network, timers } = this.options
     network.on(PeerMessageKind.Heartbeat, (message, reply) => this.onHeartbeat(message, reply))
-    network.on(PeerMessageKind.HeartbeatAck, (message) => this.onAck(message))
+    network.on(PeerMessageKind.HeartbeatAck, (message) => this.takeIn(message))
     this.subscriptions.push(
       timers.every(membershipOptions.heartbeatPeriodMs, () => this.beat()),
       timers.every(membershipOptions.tablePeriodMs, () => { this.syncTable() })
@@ -191,10 +191,6 @@
     reply({ kind: PeerMessageKind.HeartbeatAck, seq: message.seq, ...this.getContent(), ...this.getHeadField(message.records[0]?.version ?? 0) })
   }
 
-  private onAck (message: PeerMessageOf<PeerMessageKind.HeartbeatAck>): void {
-    this.takeIn(message)
-  }
-
   private takeIn (message: Pick<HeartbeatMessage, 'records' | 'pulses' | 'head'>): void {
     const nowMs = this.options.timers.now()
     const pulses = message.pulses.map(([daemonId, incarnation, beat, version]) => ({ daemonId, incarnation, beat, version }))
--- a/packages/daemon/src/lib/request/ServiceLane.ts
+++ b/packages/daemon/src/lib/request/ServiceLane.ts
@@ -6,7 +6,7 @@
 import { EventCode, ResultCode, type Service } from '@vanillathread/model'
 import {
   ArrivalRates, decideAdmission, decideRetry, isServerError, limitRetryAfterMs, pickEndpoint, RetryAction, RetryBudget,
-  ServiceQueue, ServiceTimeEstimate, type EndpointCandidate, type QueuedItem, type RandomSource, type SlotSource,
+  ServiceQueue, ServiceTimeEstimate, type AdmissionDecision, type EndpointCandidate, type QueuedItem, type RandomSource, type SlotSource,
 } from '@vanillathread/policy'
 import type { AttemptResult } from '../endpoint/EndpointAttempt.js'
 import type { EndpointSet } from '../endpoint/EndpointSet.js'
@@ -31,6 +31,9 @@
   onDemand (queued: number): void
 }
 
+/** By what an item finds its place in the queue. */
+type Urgency = Pick<QueuedItem<PendingRequest>, 'workClass' | 'deadlineMs'>
+
 /** Smallest delay before a second attempt of a slow idempotent request, in milliseconds. */
 const MIN_HEDGE_DELAY_MS = 50
 /** Multiple of the mean service time after which an attempt counts as slow. */
@@ -104,8 +107,7 @@
     const nowMs = this.options.timers.now()
     if (this.options.endpoints.listStaying(nowMs).length === 0) return createRefusal(ResultCode.NoEndpoint, this.getRetryAfterMs())
     const deadlineMs = req.deadlineMs ?? nowMs + this.service.deadlineMs
-    const ahead = this.queue.countAhead(req.workClass, deadlineMs)
-    const decision = this.decide(deadlineMs, ahead, this.arrivals.getRateAbove(req.workClass, nowMs), nowMs)
+    const decision = this.decideNew({ workClass: req.workClass, deadlineMs }, nowMs)
     return decision.admitted ? undefined : createRefusal(decision.code, decision.retryAfterMs)
   }
 
@@ -140,7 +142,7 @@
     const nowMs = this.options.timers.now()
     const refused: Array<{ pending: PendingRequest, code: ResultCode, retryAfterMs: number }> = []
     this.queue.removeWhere((item, ahead) => {
-      const decision = this.decide(item.deadlineMs, ahead, this.arrivals.getRateAbove(item.workClass, nowMs), nowMs)
+      const decision = this.decide(item, ahead, nowMs)
       if (!decision.admitted) refused.push({ pending: item.payload, ...decision })
       return !decision.admitted
     })
@@ -159,22 +161,28 @@
   }
 
   private enqueue (pending: PendingRequest, nowMs: number): void {
-    const { workClass } = pending.req
-    const ahead = this.queue.countAhead(workClass, pending.deadlineMs)
-    const decision = this.decide(pending.deadlineMs, ahead, this.arrivals.getRateAbove(workClass, nowMs), nowMs)
+    const item: QueuedItem<PendingRequest> = { workClass: pending.req.workClass, deadlineMs: pending.deadlineMs, enqueuedMs: nowMs, payload: pending }
+    const decision = this.decideNew(item, nowMs)
     if (!decision.admitted) {
       this.refuse(pending, decision.code, decision.retryAfterMs)
       return
     }
-    const item: QueuedItem<PendingRequest> = { workClass, deadlineMs: pending.deadlineMs, enqueuedMs: nowMs, payload: pending }
     const offer = this.queue.offer(item)
-    if (offer.accepted) this.arrivals.note(workClass, nowMs)
-    if (!offer.accepted) this.refuse(pending, ResultCode.QueueFull, this.getRetryAfterMs())
-    else if (offer.displaced !== undefined) this.refuse(offer.displaced.payload, ResultCode.QueueFull, this.getRetryAfterMs())
+    if (!offer.accepted) {
+      this.refuse(pending, ResultCode.QueueFull, this.getRetryAfterMs())
+      return
+    }
+    this.arrivals.note(item.workClass, nowMs)
+    if (offer.displaced !== undefined) this.refuse(offer.displaced.payload, ResultCode.QueueFull, this.getRetryAfterMs())
+  }
+
+  private decideNew (item: Urgency, nowMs: number): AdmissionDecision {
+    return this.decide(item, this.queue.countAhead(item.workClass, item.deadlineMs), nowMs)
   }
 
-  private decide (deadlineMs: number, ahead: number, rateAbove: number, nowMs: number): ReturnType<typeof decideAdmission> {
+  private decide ({ workClass, deadlineMs }: Urgency, ahead: number, nowMs: number): AdmissionDecision {
     const { slots } = this.options
+    const rateAbove = this.arrivals.getRateAbove(workClass, nowMs)
     const limit = slots.getTotalLimit(nowMs)
     const freeNow = slots.getTotalInUse() < limit && ahead === 0
     const waitMs = freeNow ? 0 : this.estimate.getWaitMs({ ahead, slots: limit, rateAbove })
