--- a/packages/bench/src/benchLeaving.ts
+++ b/packages/bench/src/benchLeaving.ts
@@ -2,7 +2,7 @@
  * `npm run bench:leaving`: how long an endpoint that is leaving still gets new work, by the source of that.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { FleetVmState } from '@vanillathread/platform'
+import { FleetVmState } from '@vanillathread/ports'
 import { createVmRecord, fleetKeys, VmState } from '@vanillathread/policy'
 import { EndpointFault } from '@vanillathread/stand-ins'
 import { LocalCluster, send } from '@vanillathread/integration'
--- a/packages/bench/src/benchSlopes.ts
+++ b/packages/bench/src/benchSlopes.ts
@@ -4,7 +4,7 @@
 import { performance } from 'node:perf_hooks'
 import { Command } from 'commander'
 import { decodeBundle, decodeManifest, encodeBundle } from '@vanillathread/model'
-import { MemoryPlatform, FleetVmState } from '@vanillathread/platform'
+import { MemoryPlatform, FleetVmState } from '@vanillathread/ports'
 import {
   createBudgetRecord, createVmRecord, CreditHolder, CreditLedger, MemberPhase, MembershipView, planPool, RandomSource,
   type DeclaredVm, type MemberRecord, type PoolView, type VmSighting,
--- a/packages/bench/src/hosts/platformHost.ts
+++ b/packages/bench/src/hosts/platformHost.ts
@@ -1,7 +1,7 @@
 /**
  * Bench process: the platform over HTTP.
  */
-import { FleetVmState, MemoryPlatform } from '@vanillathread/platform'
+import { FleetVmState, MemoryPlatform } from '@vanillathread/ports'
 import { PlatformFaults, PlatformServer, type PlatformFault } from '@vanillathread/stand-ins'
 import { serveCommands } from '../lib/hostProtocol.js'
 
--- a/packages/bench/src/lib/ControlBed.ts
+++ b/packages/bench/src/lib/ControlBed.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { randomUUID } from 'node:crypto'
 import { encodeBundle, inventorySchema, rulesSchema, Weekday, type ConfigurationHead, type Declarations } from '@vanillathread/model'
-import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
+import { applyDeclarations, HttpPlatform } from '@vanillathread/ports'
 import type { PlatformFault } from '@vanillathread/stand-ins'
 import type { DaemonAddresses, DaemonHostUsage } from '../hosts/daemonHost.js'
 import { Host } from './Host.js'
--- a/packages/bench/src/lib/acceptDeclarations.ts
+++ b/packages/bench/src/lib/acceptDeclarations.ts
@@ -3,7 +3,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import type { Declarations } from '@vanillathread/model'
-import { applyDeclarations, HttpPlatform } from '@vanillathread/platform'
+import { applyDeclarations, HttpPlatform } from '@vanillathread/ports'
 import type { Host } from './Host.js'
 
 const TIMEOUT_MS = 5_000
--- a/packages/cli/src/lib/commands/apply.ts
+++ b/packages/cli/src/lib/commands/apply.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { encodeBundle, ResultCode, type ConfigurationHead } from '@vanillathread/model'
-import { applyDeclarations, type ApplyError, type Platform } from '@vanillathread/platform'
+import { applyDeclarations, type ApplyError, type Platform } from '@vanillathread/ports'
 import { CliError } from '../CliError.js'
 import type { OperationsClient } from '../OperationsClient.js'
 import type { Output } from '../Output.js'
--- a/packages/cli/src/lib/commands/inspect.ts
+++ b/packages/cli/src/lib/commands/inspect.ts
@@ -3,7 +3,7 @@
  */
 import { stringify } from 'yaml'
 import { ResultCode } from '@vanillathread/model'
-import { loadDeclarations, type AcceptedConfiguration, type Platform } from '@vanillathread/platform'
+import { loadDeclarations, type AcceptedConfiguration, type Platform } from '@vanillathread/ports'
 import { CliError } from '../CliError.js'
 import { diffDeclarations, formatChange } from '../diffDeclarations.js'
 import type { ExplainedKind, OperationsClient } from '../OperationsClient.js'
--- a/packages/cli/src/lib/runCli.ts
+++ b/packages/cli/src/lib/runCli.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 import { Command, CommanderError, Option, InvalidArgumentError } from 'commander'
 import { RESULT_CODES } from '@vanillathread/model'
-import { HttpPlatform } from '@vanillathread/platform'
+import { HttpPlatform } from '@vanillathread/ports'
 import { CliError } from './CliError.js'
 import { runApply } from './commands/apply.js'
 import { runCheck, runDiff, runExplain, runGet, runStatus } from './commands/inspect.js'
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -3,7 +3,7 @@
  */
 import { Kernel, NullMetrics, SystemTimerService, StatsdMetrics, Tracing, type EventLog, type Metrics, type TimerService, type TracingOptions } from '@vanillathread/kernel'
 import { EventCode, type Address, type Settings } from '@vanillathread/model'
-import { HttpPlatform, MemoryPlatform, type Platform } from '@vanillathread/platform'
+import { HttpPlatform, MemoryPlatform, type Platform } from '@vanillathread/ports'
 import { DaemonState } from './DaemonState.js'
 import { catalogue } from './plugins/index.js'
 import { CREDITS, CONFIGURATION, DISPATCHER, MEMBERSHIP, PEERS, PLATFORM, SETTINGS, SLOT_SOURCES, STATE, type SlotSourceFactory } from './services.js'
--- a/packages/daemon/src/lib/claims/ClaimKeeper.ts
+++ b/packages/daemon/src/lib/claims/ClaimKeeper.ts
@@ -6,7 +6,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode, Execution, getDigest, RESULT_CODES, ResultCode } from '@vanillathread/model'
-import { PlatformErrorKind, type Platform, type TableRow } from '@vanillathread/platform'
+import { PlatformErrorKind, type Platform, type TableRow } from '@vanillathread/ports'
 import { claimOptions } from '../options.js'
 import { RequestOutcomeKind, type Answer, type RequestOutcome, type ServiceRequest } from '../request/ServiceRequest.js'
 import { claimRowSchema, ClaimState, getClaimKey, getRequestDigest, type ClaimRow } from './ClaimRow.js'
--- a/packages/daemon/src/lib/claims/TableBatcher.ts
+++ b/packages/daemon/src/lib/claims/TableBatcher.ts
@@ -2,7 +2,7 @@
  * Joins conditional writes of many rows into few transactions (group commit).
  */
 import { Result } from '@vanillathread/model'
-import { PlatformErrorKind, type PlatformError, type TableService } from '@vanillathread/platform'
+import { PlatformErrorKind, type PlatformError, type TableService } from '@vanillathread/ports'
 
 /** One conditional write. */
 export interface RowWrite {
--- a/packages/daemon/src/lib/configuration/ConfigurationStore.ts
+++ b/packages/daemon/src/lib/configuration/ConfigurationStore.ts
@@ -6,7 +6,7 @@
   assembleBundle, EventCode, getDigest, Result, ResultCode,
   type Address, type AssembledBundle, type ConfigurationHead, type Declarations,
 } from '@vanillathread/model'
-import { readConfigurationHead, type Platform } from '@vanillathread/platform'
+import { readConfigurationHead, type Platform } from '@vanillathread/ports'
 import { VersionGate } from '@vanillathread/policy'
 import { configurationOptions } from '../options.js'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
--- a/packages/daemon/src/lib/fleet/FleetController.ts
+++ b/packages/daemon/src/lib/fleet/FleetController.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type Declarations, type Vm } from '@vanillathread/model'
-import type { Platform } from '@vanillathread/platform'
+import type { Platform } from '@vanillathread/ports'
 import { isWindowOpen, judgeWave, type DeclaredVm, type PoolView, type VmRecord, type WaveJudgement } from '@vanillathread/policy'
 import type { ConfigurationStore } from '../configuration/ConfigurationStore.js'
 import type { DaemonState } from '../DaemonState.js'
--- a/packages/daemon/src/lib/fleet/FleetRows.ts
+++ b/packages/daemon/src/lib/fleet/FleetRows.ts
@@ -1,7 +1,7 @@
 /**
  * The fleet's rows, checked and typed.
  */
-import type { TableService } from '@vanillathread/platform'
+import type { TableService } from '@vanillathread/ports'
 import {
   budgetRecordSchema, EMPTY_BUDGET, FLEET_PREFIX, fleetKeys, leaseRecordSchema, loanRecordSchema, vmRecordSchema,
   type BudgetRecord, type LeaseRecord, type LoanRecord, type RowChange, type Stored, type VmRecord,
--- a/packages/daemon/src/lib/fleet/FleetWatch.ts
+++ b/packages/daemon/src/lib/fleet/FleetWatch.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import { FleetVmState, type FleetSnapshot, type Platform } from '@vanillathread/platform'
+import { FleetVmState, type FleetSnapshot, type Platform } from '@vanillathread/ports'
 import { rankByRendezvous, VmState } from '@vanillathread/policy'
 import type { LeavingVms } from '../endpoint/EndpointSet.js'
 import { fleetOptions } from '../options.js'
--- a/packages/daemon/src/lib/fleet/LeaseKeeper.ts
+++ b/packages/daemon/src/lib/fleet/LeaseKeeper.ts
@@ -7,7 +7,7 @@
  * another daemon took over can change nothing.
  */
 import type { TimerService } from '@vanillathread/kernel'
-import type { TableService } from '@vanillathread/platform'
+import type { TableService } from '@vanillathread/ports'
 import { createLeaseRecord, fleetKeys, getRendezvousOwner, type LeaseRecord, type Stored } from '@vanillathread/policy'
 import type { DaemonState } from '../DaemonState.js'
 import type { MembershipKeeper } from '../membership/MembershipKeeper.js'
--- a/packages/daemon/src/lib/fleet/LoanPlanner.ts
+++ b/packages/daemon/src/lib/fleet/LoanPlanner.ts
@@ -7,7 +7,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type Declarations } from '@vanillathread/model'
-import type { TableService } from '@vanillathread/platform'
+import type { TableService } from '@vanillathread/ports'
 import { CapacityPolicy, fleetKeys, VmState, type CapacityPolicyOptions, type LendableVm, type LoanDecision, type PoolDemand } from '@vanillathread/policy'
 import type { ConfigurationStore } from '../configuration/ConfigurationStore.js'
 import type { CreditExchange } from '../credits/CreditExchange.js'
--- a/packages/daemon/src/lib/fleet/PoolController.ts
+++ b/packages/daemon/src/lib/fleet/PoolController.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog, TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import { PlatformErrorKind, VmPowerState, type Platform } from '@vanillathread/platform'
+import { PlatformErrorKind, VmPowerState, type Platform } from '@vanillathread/ports'
 import {
   buildStep, FleetStepKind, planPool, VmState,
   type FleetStep, type LeaseRecord, type PoolView, type RowChange, type Stored, type VmRecord, type VmSighting, fleetKeys,
--- a/packages/daemon/src/lib/fleet/TableCache.ts
+++ b/packages/daemon/src/lib/fleet/TableCache.ts
@@ -1,7 +1,7 @@
 /**
  * Follows the rows below a prefix through the table's change feed.
  */
-import type { TableChange, TableService } from '@vanillathread/platform'
+import type { TableChange, TableService } from '@vanillathread/ports'
 import type { RowChange, Stored } from '@vanillathread/policy'
 
 /** Called with the keys that have changed. */
--- a/packages/daemon/src/lib/membership/MembershipKeeper.ts
+++ b/packages/daemon/src/lib/membership/MembershipKeeper.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type Address, type ConfigurationHead, type Settings } from '@vanillathread/model'
-import type { TableChange, TableService } from '@vanillathread/platform'
+import type { TableChange, TableService } from '@vanillathread/ports'
 import { MemberPhase, MembershipView, MemberState, type Member, type MemberRecord, type MembershipChange, type RandomSource } from '@vanillathread/policy'
 import { DaemonPhase, type DaemonState } from '../DaemonState.js'
 import { membershipOptions } from '../options.js'
--- a/packages/daemon/src/lib/services.ts
+++ b/packages/daemon/src/lib/services.ts
@@ -3,7 +3,7 @@
  */
 import { ServiceKey } from '@vanillathread/kernel'
 import type { Settings } from '@vanillathread/model'
-import type { Platform } from '@vanillathread/platform'
+import type { Platform } from '@vanillathread/ports'
 import type { SlotSource } from '@vanillathread/policy'
 import type { ClaimKeeper } from './claims/ClaimKeeper.js'
 import type { ConfigurationStore } from './configuration/ConfigurationStore.js'
--- a/packages/integration/src/configuration.test.ts
+++ b/packages/integration/src/configuration.test.ts
@@ -3,7 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { MemoryEventLog } from '@vanillathread/kernel'
-import { applyDeclarations, MemoryPlatform } from '@vanillathread/platform'
+import { applyDeclarations, MemoryPlatform } from '@vanillathread/ports'
 import { PlatformFault } from '@vanillathread/stand-ins'
 import type { Declarations } from '@vanillathread/model'
 import { Daemon } from '@vanillathread/daemon'
--- a/packages/integration/src/lib/FleetHistory.ts
+++ b/packages/integration/src/lib/FleetHistory.ts
@@ -2,7 +2,7 @@
  * Records every executed transaction and reboot, and checks the fleet's promises at each of them.
  */
 import type { Result } from '@vanillathread/model'
-import { type MemoryTable, type PlatformError, type TableTransaction } from '@vanillathread/platform'
+import { type MemoryTable, type PlatformError, type TableTransaction } from '@vanillathread/ports'
 import {
   budgetRecordSchema, FLEET_PREFIX, fleetKeys, getAvailable, OutReason, vmRecordSchema, VmState,
   type BudgetRecord, type VmRecord,
--- a/packages/integration/src/lib/FleetRun.ts
+++ b/packages/integration/src/lib/FleetRun.ts
@@ -3,7 +3,7 @@
  */
 import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { inventorySchema, rulesSchema, Weekday, type Declarations } from '@vanillathread/model'
-import { FleetVmState, MemoryPlatform, VmPowerState, type Platform, type TableTransaction } from '@vanillathread/platform'
+import { FleetVmState, MemoryPlatform, VmPowerState, type Platform, type TableTransaction } from '@vanillathread/ports'
 import { MemberPhase, MemberState, RandomSource, type MemberRecord } from '@vanillathread/policy'
 import { FleetController, FleetWatch } from '@vanillathread/daemon'
 import { RandomFaultPlatform, type FaultChances } from '@vanillathread/stand-ins'
--- a/packages/integration/src/lib/LocalCluster.ts
+++ b/packages/integration/src/lib/LocalCluster.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 import { MemoryEventLog } from '@vanillathread/kernel'
 import { inventorySchema, rulesSchema, type Declarations } from '@vanillathread/model'
-import { applyDeclarations, FleetVmState, MemoryPlatform, readConfigurationHead, type Platform } from '@vanillathread/platform'
+import { applyDeclarations, FleetVmState, MemoryPlatform, readConfigurationHead, type Platform } from '@vanillathread/ports'
 import { Daemon, type SlotSourceFactory } from '@vanillathread/daemon'
 import { EndpointStandIn, FaultyPlatform, PlatformFaults } from '@vanillathread/stand-ins'
 import { createSettings } from './createSettings.js'
--- a/packages/integration/src/platform.test.ts
+++ b/packages/integration/src/platform.test.ts
@@ -3,7 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { getDigest } from '@vanillathread/model'
-import { FleetVmState, HttpPlatform, MemoryPlatform, PlatformErrorKind, VmPowerState, type Platform } from '@vanillathread/platform'
+import { FleetVmState, HttpPlatform, MemoryPlatform, PlatformErrorKind, VmPowerState, type Platform } from '@vanillathread/ports'
 import { PlatformFault, PlatformFaults, PlatformServer } from '@vanillathread/stand-ins'
 
 interface Adapter {
--- a/packages/integration/src/requests.test.ts
+++ b/packages/integration/src/requests.test.ts
@@ -4,7 +4,7 @@
 import { setMaxListeners } from 'node:events'
 import { assert, describe } from '@vanillathread/testing'
 import { Execution, ResultCode } from '@vanillathread/model'
-import { FleetVmState } from '@vanillathread/platform'
+import { FleetVmState } from '@vanillathread/ports'
 import { createVmRecord, fleetKeys, VmState } from '@vanillathread/policy'
 import { EndpointFault, PlatformFault } from '@vanillathread/stand-ins'
 import { LocalCluster, SERVICE, type LocalClusterOptions } from './lib/LocalCluster.js'
--- a/packages/stand-ins/src/lib/FaultyPlatform.ts
+++ b/packages/stand-ins/src/lib/FaultyPlatform.ts
@@ -2,7 +2,7 @@
  * Any platform with faults in front of it, within one process.
  */
 import { Result } from '@vanillathread/model'
-import { PlatformErrorKind, type FleetList, type FleetSnapshot, type ObjectStore, type Platform, type PlatformError, type TableService, type VmActions } from '@vanillathread/platform'
+import { PlatformErrorKind, type FleetList, type FleetSnapshot, type ObjectStore, type Platform, type PlatformError, type TableService, type VmActions } from '@vanillathread/ports'
 import { PlatformFault, type PlatformFaults } from './PlatformFaults.js'
 import { wrapPlatform } from './wrapPlatform.js'
 
--- a/packages/stand-ins/src/lib/PlatformServer.ts
+++ b/packages/stand-ins/src/lib/PlatformServer.ts
@@ -2,7 +2,7 @@
  * The platform over HTTP, on top of the in-memory adapters.
  */
 import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
-import { transactionSchema, PlatformErrorKind, type FleetSnapshot, type Platform, type PlatformError } from '@vanillathread/platform'
+import { transactionSchema, PlatformErrorKind, type FleetSnapshot, type Platform, type PlatformError } from '@vanillathread/ports'
 import { getDigest, type Result } from '@vanillathread/model'
 import { PlatformFault, type PlatformFaults } from './PlatformFaults.js'
 
--- a/packages/stand-ins/src/lib/RandomFaultPlatform.ts
+++ b/packages/stand-ins/src/lib/RandomFaultPlatform.ts
@@ -2,7 +2,7 @@
  * A platform whose calls fail at random, from a seed, for one of its users.
  */
 import { Result } from '@vanillathread/model'
-import { PlatformErrorKind, type FleetList, type ObjectStore, type Platform, type PlatformError, type TableService, type VmActions } from '@vanillathread/platform'
+import { PlatformErrorKind, type FleetList, type ObjectStore, type Platform, type PlatformError, type TableService, type VmActions } from '@vanillathread/ports'
 import type { Delay } from './FaultyPlatform.js'
 import { wrapPlatform } from './wrapPlatform.js'
 
--- a/packages/stand-ins/src/lib/wrapPlatform.ts
+++ b/packages/stand-ins/src/lib/wrapPlatform.ts
@@ -2,7 +2,7 @@
  * Puts one function in front of every call of a platform.
  */
 import type { Result } from '@vanillathread/model'
-import type { Platform, PlatformError } from '@vanillathread/platform'
+import type { Platform, PlatformError } from '@vanillathread/ports'
 
 /** Decides what becomes of a call. */
 export type CallWrapper = <T>(execute: () => Promise<Result<T, PlatformError>>) => Promise<Result<T, PlatformError>>
