--- /dev/null
+++ b/packages/daemon/src/lib/jobs/ConfigurationWatch.ts
@@ -0,0 +1,88 @@
+/**
+ * Follows the operator's configuration and waves. A version in force never goes back within a process.
+ */
+import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
+import { EventCode, type OperatorConfiguration, type QueueRules } from '@vanillathread/model'
+import { StoreFailureKind, type FleetFeeds, type OperatorChange, type Wave } from '@vanillathread/ports'
+import { watchOptions } from './jobOptions.js'
+
+/** Options of {@link ConfigurationWatch.create}. */
+export interface ConfigurationWatchOptions {
+  readonly feeds: FleetFeeds
+  readonly timers: TimerService
+  readonly log: EventLog
+}
+
+/** The newest configuration that this daemon has read. */
+export class ConfigurationWatch {
+  readonly waves = new Map<number, Wave>()
+  private configuration: OperatorConfiguration | undefined
+  private readonly queuesByHost = new Map<string, QueueRules[]>()
+  private disposed = false
+
+  private constructor (private readonly options: ConfigurationWatchOptions) {}
+
+  static create (options: ConfigurationWatchOptions): ConfigurationWatch {
+    return new ConfigurationWatch(options)
+  }
+
+  get current (): OperatorConfiguration | undefined {
+    return this.configuration
+  }
+
+  /** Finds the queue with the longest prefix of a path. */
+  findQueue (host: string, path: string): QueueRules | undefined {
+    return this.queuesByHost.get(host)?.find((queue) => path.startsWith(queue.pathPrefix))
+  }
+
+  /** Follows the feed until it is disposed. */
+  async run (): Promise<void> {
+    let version: number | undefined
+    while (!this.disposed) {
+      const res = version === undefined
+        ? await this.options.feeds.readOperator()
+        : await this.options.feeds.watchOperator(version, watchOptions.operatorFeedWaitMs)
+      if (res.ok) {
+        for (const change of res.value.values) this.apply(change)
+        version = res.value.version
+        continue
+      }
+      if (res.error.kind === StoreFailureKind.HistoryGone) {
+        this.options.log.write(EventCode.HistoryGone, { table: 'operator', afterVersion: version })
+        version = undefined
+        continue
+      }
+      await delay(this.options.timers, watchOptions.retryMs)
+    }
+  }
+
+  dispose (): void {
+    this.disposed = true
+  }
+
+  private apply (change: OperatorChange): void {
+    const { log } = this.options
+    if (change.kind === 'invalid') log.write(EventCode.ConfigurationRejected, { key: change.key, reason: change.reason })
+    else if (change.kind === 'wave') this.applyWave(change.wave)
+    else this.applyConfiguration(change.configuration)
+  }
+
+  private applyWave (wave: Wave): void {
+    if (this.waves.has(wave.number)) return
+    this.waves.set(wave.number, wave)
+    this.options.log.write(EventCode.WaveSeen, { wave: wave.number, machines: wave.machines.length, cap: wave.cap, durationMs: wave.durationMs })
+  }
+
+  private applyConfiguration (configuration: OperatorConfiguration): void {
+    if (this.configuration !== undefined && configuration.version <= this.configuration.version) return
+    this.configuration = configuration
+    this.queuesByHost.clear()
+    const longestFirst = [...configuration.queues].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    for (const queue of longestFirst) {
+      const queues = this.queuesByHost.get(queue.host) ?? []
+      queues.push(queue)
+      this.queuesByHost.set(queue.host, queues)
+    }
+    this.options.log.write(EventCode.ConfigurationInForce, { version: configuration.version, queues: configuration.queues.length })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -0,0 +1,217 @@
+/**
+ * Serves clients: stores jobs and cancels, and tells what has become of jobs.
+ */
+import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
+import { EventCode, isFinalState, JobState, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
+import { IngressAnswerKind, StoreFailureKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore, type StoreFailure } from '@vanillathread/ports'
+import { PeerMessageKind, type PeerMessage } from '../peer/messages.js'
+import type { PeerNetwork } from '../peer/PeerNetwork.js'
+import type { ConfigurationWatch } from './ConfigurationWatch.js'
+import { clientOptions } from './jobOptions.js'
+import { OwnerQueries } from './OwnerQueries.js'
+import { CANCEL_PREFIX, decodeProgressRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
+import type { ShardWatch } from './ShardWatch.js'
+
+/** Options of {@link JobGateway.create}. */
+export interface JobGatewayOptions {
+  readonly timers: TimerService
+  readonly log: EventLog
+  readonly rows: RowStore
+  readonly configuration: ConfigurationWatch
+  readonly shard: ShardWatch
+  readonly shardName: string
+  readonly network: PeerNetwork
+}
+
+const JOB_ID = /^[0-9a-f]{16}$/
+
+/** Final states that this daemon remembers, so that repeated questions need no other process. */
+const REMEMBERED_STATES = 5_000
+
+/** Serves clients. */
+export class JobGateway implements ClientApi {
+  private stopping = false
+  private readonly finalStates = new Map<string, JobState>()
+  private readonly queries: OwnerQueries
+
+  private constructor (private readonly options: JobGatewayOptions) {
+    this.queries = OwnerQueries.create(options)
+  }
+
+  static create (options: JobGatewayOptions): JobGateway {
+    return new JobGateway(options)
+  }
+
+  isReady (): boolean {
+    return !this.stopping && this.options.configuration.current !== undefined && this.options.rows.silentForMs() < clientOptions.storeSilentMs
+  }
+
+  isStopping (): boolean {
+    return this.stopping
+  }
+
+  maxBodyBytes (): number {
+    return this.options.configuration.current?.maxBodyBytes ?? Infinity
+  }
+
+  /** Asks the balancer for no new connections; requests are served on. */
+  beginStop (): void {
+    this.stopping = true
+  }
+
+  async submit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer> {
+    const target = this.findTarget(req)
+    if (target.answer !== undefined) return target.answer
+    const { queue, rest: id } = target
+    if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownQueue }
+    return this.store(this.toJob(id, queue, spec), req)
+  }
+
+  async look (req: ClientRequest): Promise<IngressAnswer> {
+    const target = this.findTarget(req)
+    if (target.answer !== undefined) return target.answer
+    const { queue, rest } = target
+    if (rest === '') return this.countPending(queue)
+    if (!JOB_ID.test(rest)) return { kind: IngressAnswerKind.UnknownJob }
+    const state = await this.findState(rest)
+    if (state === 'unavailable') return this.refuse(rest, 'store does not answer')
+    return state === undefined ? { kind: IngressAnswerKind.UnknownJob } : { kind: IngressAnswerKind.State, state }
+  }
+
+  async cancel (req: ClientRequest): Promise<IngressAnswer> {
+    const target = this.findTarget(req)
+    if (target.answer !== undefined) return target.answer
+    const { rest: id } = target
+    if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownJob }
+    const { rows, shardName, timers } = this.options
+    const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
+    for (;;) {
+      const job = await rows.readRange({ table: Table.Jobs, part: shardName, from: `${JOB_PREFIX}${id}`, to: `${JOB_PREFIX}${id}\0` })
+      if (job.ok && job.value.rows.length === 0) return { kind: IngressAnswerKind.UnknownJob }
+      if (job.ok && await this.storeCancel(id)) return { kind: IngressAnswerKind.Cancelled }
+      if (timers.now() + clientOptions.submitRetryMs >= untilMs) return this.refuse(id, 'cancel could not be stored')
+      await delay(timers, clientOptions.submitRetryMs)
+    }
+  }
+
+  private findTarget (req: ClientRequest): { answer: IngressAnswer } | { answer?: undefined, queue: QueueRules, rest: string } {
+    const { configuration } = this.options
+    if (configuration.current === undefined) return { answer: this.refuse(undefined, 'no configuration yet') }
+    const queue = configuration.findQueue(req.host, req.path)
+    if (queue === undefined) return { answer: { kind: IngressAnswerKind.UnknownQueue } }
+    return { queue, rest: req.path.slice(queue.pathPrefix.length) }
+  }
+
+  private toJob (id: string, queue: QueueRules, spec: JobSpec): AcceptedJob {
+    return {
+      id,
+      queue: queue.name,
+      pool: queue.pool,
+      spec,
+      priority: queue.priority,
+      maxAttempts: queue.maxAttempts,
+      deadlineFactor: queue.deadlineFactor,
+      targetLatencyMs: queue.targetLatencyMs,
+      advice: queue.advice,
+      acceptedAtMs: Math.round(this.options.rows.nowMs()),
+      configurationVersion: this.options.configuration.current?.version ?? 0,
+    }
+  }
+
+  /** Stores a job. A row that is there already is the same job, sent again. */
+  private async store (job: AcceptedJob, req: ClientRequest): Promise<IngressAnswer> {
+    const { rows, timers, shardName, log } = this.options
+    const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
+    const key = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${job.id}` }
+    const value = encodeRow(job)
+    let mayBeStored = false
+    for (;;) {
+      const sentAtMs = timers.now()
+      const res = await rows.transact({ conditions: [{ ...key, version: 0 }], puts: [{ ...key, value }], removes: [] })
+      if (res.ok) {
+        log.write(EventCode.JobAccepted, { job: job.id, queue: job.queue, version: res.value.version, configuration: job.configurationVersion, storeMs: Math.round(timers.now() - sentAtMs) })
+        this.hint(job, value, res.value.version)
+        return { kind: IngressAnswerKind.Accepted }
+      }
+      if (res.error.kind === StoreFailureKind.Conflict) {
+        log.write(EventCode.JobAccepted, { job: job.id, queue: job.queue, again: true })
+        return { kind: IngressAnswerKind.Accepted }
+      }
+      mayBeStored ||= res.error.kind === StoreFailureKind.Unknown
+      // A definite refusal ends the request at once, so that the client can ask another daemon.
+      if (!mayBeStored) return this.refuse(job.id, describe(res.error))
+      if (timers.now() + clientOptions.submitRetryMs >= untilMs) {
+        log.write(EventCode.JobOutcomeUnknown, { job: job.id, reason: describe(res.error) })
+        return { kind: IngressAnswerKind.OutcomeUnknown }
+      }
+      await delay(timers, clientOptions.submitRetryMs)
+    }
+  }
+
+  private async storeCancel (id: string): Promise<boolean> {
+    const { rows, shardName } = this.options
+    const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
+    const res = await rows.transact({ conditions: [], puts: [{ ...key, value: encodeRow({ atMs: Math.round(rows.nowMs()) }) }], removes: [] })
+    if (!res.ok) return false
+    this.options.shard.owner?.cancelJob(id)
+    this.sendToOwner({ kind: PeerMessageKind.CancelHint, shard: shardName, job: id })
+    return true
+  }
+
+  private hint (job: AcceptedJob, row: Uint8Array<ArrayBuffer>, version: number): void {
+    const { shard, shardName } = this.options
+    if (shard.owner !== undefined) shard.owner.addJob(job, version)
+    else this.sendToOwner({ kind: PeerMessageKind.JobHint, shard: shardName, row, version })
+  }
+
+  private sendToOwner (message: PeerMessage): void {
+    const remote = this.options.shard.remoteOwner
+    if (remote !== undefined) this.options.network.send(remote.address, message)
+  }
+
+  private async countPending (queue: QueueRules): Promise<IngressAnswer> {
+    const count = await this.queries.countPending(queue.name)
+    if (count === undefined) return this.refuse(undefined, 'owner does not answer')
+    return { kind: IngressAnswerKind.Pending, count }
+  }
+
+  private async findState (id: string): Promise<JobState | 'unavailable' | undefined> {
+    const known = this.finalStates.get(id)
+    if (known !== undefined) return known
+    const state = await this.queries.findState(id) ?? await this.readState(id)
+    if (state !== undefined && state !== 'unavailable' && isFinalState(state)) this.remember(id, state)
+    return state
+  }
+
+  private remember (id: string, state: JobState): void {
+    if (this.finalStates.size >= REMEMBERED_STATES) {
+      for (const oldest of this.finalStates.keys()) {
+        this.finalStates.delete(oldest)
+        break
+      }
+    }
+    this.finalStates.set(id, state)
+  }
+
+  private async readState (id: string): Promise<JobState | 'unavailable' | undefined> {
+    const { rows, shardName } = this.options
+    const progress = await rows.readRange({ table: Table.Progress, part: shardName, from: id, to: `${id}\0` })
+    if (!progress.ok) return 'unavailable'
+    const row = progress.value.rows[0]
+    const state = row === undefined ? undefined : decodeProgressRow(row.value)?.state
+    if (state !== undefined) return state
+    const key = `${JOB_PREFIX}${id}`
+    const job = await rows.readRange({ table: Table.Jobs, part: shardName, from: key, to: `${key}\0` })
+    if (!job.ok) return 'unavailable'
+    return job.value.rows.length > 0 ? JobState.Queued : undefined
+  }
+
+  private refuse (job: string | undefined, reason: string): IngressAnswer {
+    this.options.log.write(EventCode.JobRefused, { job, reason, configuration: this.options.configuration.current?.version, storeSilentMs: Math.round(this.options.rows.silentForMs()) })
+    return { kind: IngressAnswerKind.Refused, retryAfterMs: clientOptions.retryAfterMs }
+  }
+}
+
+function describe (failure: StoreFailure): string {
+  return failure.kind === StoreFailureKind.Conflict ? failure.kind : `${failure.kind}: ${failure.reason}`
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -0,0 +1,30 @@
+/**
+ * What a daemon that serves jobs is told at its start.
+ */
+import type { Address } from '@vanillathread/model'
+
+/** Settings of a jobs daemon. Times are bounds that the platform states. @public */
+export interface JobsSettings {
+  readonly name: string
+  readonly zone: string
+  /** Where other daemons reach this one. */
+  readonly peer: Address
+  readonly metrics: Address
+  /** Longest lease that a VM takes. */
+  readonly maxLeaseMs: number
+  /** Time for which orders for one machine must come from one holder. */
+  readonly orderLeaseMs: number
+  /** Time after which a draining VM must get no new task. */
+  readonly drainMs: number
+  /** Time between the signal to stop and the kill. */
+  readonly graceMs: number
+  /** Time after which a task that does not work counts as unavailable. */
+  readonly noticeMs: number
+  /** Time that a VM's maintenance takes. */
+  readonly maintenanceMs: number
+  /** Time that a VM's move to another pool takes. */
+  readonly moveMs: number
+  /** Time for which an ended job's state can be asked for. */
+  readonly stateKeptMs: number
+  readonly maxRowBytes: number
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/Members.ts
@@ -0,0 +1,82 @@
+/**
+ * The daemons, as they have written themselves to the store and greeted each other.
+ */
+import type { Subscription, TimerService } from '@vanillathread/kernel'
+import type { Address } from '@vanillathread/model'
+import type { RowStore } from '@vanillathread/ports'
+import type { PeerNetwork } from '../peer/PeerNetwork.js'
+import { PeerMessageKind } from '../peer/messages.js'
+import { watchOptions } from './jobOptions.js'
+import type { JobsSettings } from './JobsSettings.js'
+import { decodeMemberRow, encodeRow, Table } from './rows.js'
+
+/** Options of {@link Members.create}. */
+export interface MembersOptions {
+  readonly settings: JobsSettings
+  readonly timers: TimerService
+  readonly rows: RowStore
+  readonly network: PeerNetwork
+}
+
+/** Addresses of the other daemons. */
+export class Members {
+  private readonly addresses = new Map<string, Address>()
+  private readonly timer: Subscription
+  private written = false
+  private disposed = false
+
+  private constructor (private readonly options: MembersOptions) {
+    options.network.on(PeerMessageKind.Hello, ({ name, address }) => { this.addresses.set(name, address) })
+    this.timer = options.timers.every(watchOptions.memberPeriodMs, () => { this.refresh() })
+  }
+
+  static create (options: MembersOptions): Members {
+    return new Members(options)
+  }
+
+  /** Names of all daemons, this one included. */
+  get names (): string[] {
+    return [...new Set([this.options.settings.name, ...this.addresses.keys()])]
+  }
+
+  /** Addresses of the other daemons. */
+  get others (): Address[] {
+    return [...this.addresses].filter(([name]) => name !== this.options.settings.name).map(([, address]) => address)
+  }
+
+  getAddress (name: string): Address | undefined {
+    return this.addresses.get(name)
+  }
+
+  /** Writes this daemon's row and reads the others'; repeats until both succeed. */
+  async join (): Promise<void> {
+    while (!this.disposed && !await this.refresh()) await new Promise<void>((resolve) => { this.options.timers.after(watchOptions.retryMs, resolve) })
+    this.greet()
+  }
+
+  dispose (): void {
+    this.disposed = true
+    this.timer.dispose()
+  }
+
+  private async refresh (): Promise<boolean> {
+    const { rows, settings } = this.options
+    if (!this.written) {
+      const res = await rows.transact({ conditions: [], puts: [{ table: Table.Members, part: '', key: settings.name, value: encodeRow(settings.peer) }], removes: [] })
+      if (!res.ok) return false
+      this.written = true
+    }
+    const page = await rows.readRange({ table: Table.Members, part: '' })
+    if (!page.ok) return false
+    for (const row of page.value.rows) {
+      const address = decodeMemberRow(row.value)
+      if (address !== undefined) this.addresses.set(row.key, address)
+    }
+    return true
+  }
+
+  private greet (): void {
+    const { settings, network } = this.options
+    for (const address of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer } })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/OwnerQueries.ts
@@ -0,0 +1,85 @@
+/**
+ * Questions to the owner of a shard, here or on another daemon.
+ */
+import type { TimerService } from '@vanillathread/kernel'
+import type { JobState } from '@vanillathread/model'
+import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
+import type { PeerNetwork } from '../peer/PeerNetwork.js'
+import { clientOptions } from './jobOptions.js'
+import { decodeJobRow } from './rows.js'
+import type { ShardWatch } from './ShardWatch.js'
+
+/** Options of {@link OwnerQueries.create}. */
+export interface OwnerQueriesOptions {
+  readonly timers: TimerService
+  readonly shard: ShardWatch
+  readonly shardName: string
+  readonly network: PeerNetwork
+}
+
+type Answer = Pick<PeerMessageOf<PeerMessageKind.JobAnswer>, 'state' | 'pending'>
+
+/** Asks owners and answers where this daemon is one. */
+export class OwnerQueries {
+  private nextSeq = 1
+  private readonly waiting = new Map<number, (answer: Answer | undefined) => void>()
+  private readonly pendingCounts = new Map<string, { count: number, atMs: number }>()
+
+  private constructor (private readonly options: OwnerQueriesOptions) {
+    const { network, shardName } = options
+    network.on(PeerMessageKind.JobQuery, (message, reply) => {
+      if (message.shard === shardName) reply({ kind: PeerMessageKind.JobAnswer, seq: message.seq, ...this.answer(message) })
+    })
+    network.on(PeerMessageKind.JobAnswer, ({ seq, state, pending }) => { this.waiting.get(seq)?.({ state, pending }) })
+    network.on(PeerMessageKind.JobHint, ({ shard, row, version }) => {
+      const job = decodeJobRow(row)
+      if (shard === shardName && job !== undefined) options.shard.owner?.addJob(job, version)
+    })
+    network.on(PeerMessageKind.CancelHint, ({ shard, job }) => {
+      if (shard === shardName) options.shard.owner?.cancelJob(job)
+    })
+  }
+
+  static create (options: OwnerQueriesOptions): OwnerQueries {
+    return new OwnerQueries(options)
+  }
+
+  /** Returns a job's state as its owner shows it, or undefined where the owner does not say. */
+  async findState (job: string): Promise<JobState | undefined> {
+    return (await this.ask({ job }))?.state
+  }
+
+  /** Returns the number of a queue's pending jobs, at most a moment old, or undefined. */
+  async countPending (queue: string): Promise<number | undefined> {
+    const nowMs = this.options.timers.now()
+    const known = this.pendingCounts.get(queue)
+    if (known !== undefined && nowMs - known.atMs < clientOptions.pendingKeptMs) return known.count
+    const count = (await this.ask({ queue }))?.pending
+    if (count !== undefined) this.pendingCounts.set(queue, { count, atMs: nowMs })
+    return count
+  }
+
+  private answer (question: { readonly job?: string, readonly queue?: string }): Answer {
+    const { owner } = this.options.shard
+    if (owner === undefined || !owner.isLoaded) return {}
+    return {
+      state: question.job === undefined ? undefined : owner.scheduler.getState(question.job),
+      pending: question.queue === undefined ? undefined : owner.scheduler.countPending(question.queue),
+    }
+  }
+
+  private async ask (question: { readonly job?: string, readonly queue?: string }): Promise<Answer | undefined> {
+    const { shard, network, timers, shardName } = this.options
+    if (shard.owner !== undefined) return this.answer(question)
+    const remote = shard.remoteOwner
+    if (remote === undefined) return undefined
+    const seq = this.nextSeq++
+    const answered = new Promise<Answer | undefined>((resolve) => { this.waiting.set(seq, resolve) })
+    const limit = timers.after(clientOptions.ownerAnswerMs, () => this.waiting.get(seq)?.(undefined))
+    network.send(remote.address, { kind: PeerMessageKind.JobQuery, shard: shardName, seq, ...question })
+    const answer = await answered
+    limit.dispose()
+    this.waiting.delete(seq)
+    return answer
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/ShardLoader.ts
@@ -0,0 +1,84 @@
+/**
+ * Reads what the store keeps of a shard.
+ */
+import type { EventLog } from '@vanillathread/kernel'
+import { EventCode, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import type { JobProgress } from '@vanillathread/policy'
+import type { RowStore, StoredRow, StoreFailure } from '@vanillathread/ports'
+import { nameRow } from './CommitLoop.js'
+import { CANCEL_PREFIX, decodeJobRow, decodeProgressRow, decodeRosterRow, JOB_PREFIX, Table } from './rows.js'
+
+/** What the store keeps of a shard. */
+export interface ShardContent {
+  readonly jobs: ReadonlyArray<{ readonly job: AcceptedJob, readonly version: number }>
+  readonly cancels: readonly string[]
+  readonly progress: ReadonlyMap<string, JobProgress>
+  readonly roster: readonly VmEntry[]
+  /** Versions of progress and roster rows, by table and key. */
+  readonly versions: Map<string, number>
+  /** Version from which the feed of jobs goes on. */
+  readonly jobsVersion: number
+}
+
+/** Reads all rows of a shard. */
+export async function loadShard (rows: RowStore, log: EventLog, shard: string): Promise<Result<ShardContent, StoreFailure>> {
+  const [jobs, progress, roster] = await Promise.all([
+    readTable(rows, Table.Jobs, shard), readTable(rows, Table.Progress, shard), readTable(rows, Table.Rosters, shard),
+  ])
+  if (!jobs.ok) return jobs
+  if (!progress.ok) return progress
+  if (!roster.ok) return roster
+  const versions = new Map([...progress.value.rows, ...roster.value.rows].map((row) => [nameRow(row), row.version]))
+  const accepted = []
+  const cancels = []
+  for (const row of jobs.value.rows) {
+    const change = decodeJobChange(row, log)
+    if (change?.job !== undefined) accepted.push({ job: change.job, version: row.version })
+    else if (change !== undefined) cancels.push(change.id)
+  }
+  return Result.ok({
+    jobs: accepted,
+    cancels,
+    progress: decodeAll(progress.value.rows, decodeProgressRow, log),
+    roster: [...decodeAll(roster.value.rows, decodeRosterRow, log).values()],
+    versions,
+    jobsVersion: jobs.value.version,
+  })
+}
+
+/** Decodes a row of the table of jobs: a job, or the id of one that was cancelled. */
+export function decodeJobChange (row: StoredRow, log: EventLog): { readonly id: string, readonly job?: AcceptedJob } | undefined {
+  if (row.removed) return undefined
+  if (row.key.startsWith(CANCEL_PREFIX)) return { id: row.key.slice(CANCEL_PREFIX.length) }
+  const job = decodeJobRow(row.value)
+  if (job === undefined) {
+    log.write(EventCode.JobRowInvalid, { table: row.table, key: row.key, version: row.version })
+    return undefined
+  }
+  return { id: row.key.slice(JOB_PREFIX.length), job }
+}
+
+function decodeAll<T> (rows: readonly StoredRow[], decode: (bytes: Uint8Array) => T | undefined, log: EventLog): Map<string, T> {
+  const values = new Map<string, T>()
+  for (const row of rows) {
+    const value = decode(row.value)
+    if (value === undefined) log.write(EventCode.JobRowInvalid, { table: row.table, key: row.key, version: row.version })
+    else values.set(row.key, value)
+  }
+  return values
+}
+
+async function readTable (rows: RowStore, table: Table, part: string): Promise<Result<{ rows: StoredRow[], version: number }, StoreFailure>> {
+  const all: StoredRow[] = []
+  let version: number | undefined
+  for (let from = ''; ;) {
+    const res = await rows.readRange({ table, part, from })
+    if (!res.ok) return res
+    // The feed goes on from the first page's version and repeats what changed between the pages.
+    version ??= res.value.version
+    all.push(...res.value.rows)
+    const last = res.value.rows.at(-1)
+    if (!res.value.hasMore || last === undefined) return Result.ok({ rows: all, version })
+    from = `${last.key}\0`
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -0,0 +1,326 @@
+/**
+ * The owner of a shard: schedules its jobs on its VMs until it is superseded or hands over.
+ */
+import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { EventCode, type AcceptedJob } from '@vanillathread/model'
+import { JobScheduler, type Order, type TrackedVm } from '@vanillathread/policy'
+import { StoreFailureKind, type Advisor, type FleetFeeds, type RowCondition, type RowStore, type StoredRow, type VmChange, type VmClients } from '@vanillathread/ports'
+import { AdviceBook } from './AdviceBook.js'
+import { CommitLoop } from './CommitLoop.js'
+import { shardOptions, taskOptions } from './jobOptions.js'
+import type { JobsSettings } from './JobsSettings.js'
+import { decodeJobChange, loadShard, type ShardContent } from './ShardLoader.js'
+import { JOB_PREFIX, Table } from './rows.js'
+import { VmSession } from './VmSession.js'
+
+/** What an owner works with. */
+export interface ShardOwnerContext {
+  readonly settings: JobsSettings
+  readonly timers: TimerService
+  readonly log: EventLog
+  readonly rows: RowStore
+  readonly feeds: FleetFeeds
+  readonly vms: VmClients
+  readonly advisor?: Advisor
+}
+
+/** Options of {@link ShardOwner.create}. */
+export interface ShardOwnerOptions extends ShardOwnerContext {
+  readonly shard: string
+  /** Number of owners before. */
+  readonly generation: number
+  /** Row of the owner; its version is the fencing token. */
+  readonly ownerRow: RowCondition
+  /** Called where another daemon owns the shard. */
+  onSuperseded (reason: string): void
+}
+
+/** Owner of one shard. */
+export class ShardOwner {
+  readonly scheduler: JobScheduler
+  private readonly sessions = new Map<string, VmSession>()
+  private readonly advice: AdviceBook
+  private commits: CommitLoop | undefined
+  private readonly timers: Subscription[] = []
+  private planWanted = false
+  private readingWanted = false
+  private jobsVersion = 0
+  private loaded = false
+  private disposed = false
+  private readonly startedAtMs: number
+
+  private constructor (private readonly options: ShardOwnerOptions) {
+    const { timers, log } = options
+    this.startedAtMs = timers.now()
+    this.scheduler = JobScheduler.create({
+      generation: options.generation,
+      fencingToken: options.ownerRow.version,
+      leaseMs: this.leaseMs,
+      formerOwnerMs: options.generation > 0 ? shardOptions.isolatedAfterMs : 0,
+      startedAtMs: this.startedAtMs,
+      observe: (code, fields) => log.write(code, fields),
+    })
+    this.advice = AdviceBook.create({ timers, log, advisor: options.advisor, onChange: () => this.requestPlan() })
+  }
+
+  static create (options: ShardOwnerOptions): ShardOwner {
+    return new ShardOwner(options)
+  }
+
+  get fencingToken (): number {
+    return this.options.ownerRow.version
+  }
+
+  get shard (): string {
+    return this.options.shard
+  }
+
+  get isLoaded (): boolean {
+    return this.loaded
+  }
+
+  private get leaseMs (): number {
+    return Math.min(taskOptions.leaseMs, this.options.settings.maxLeaseMs)
+  }
+
+  /** Reads the shard and begins to work on it. */
+  async start (): Promise<void> {
+    while (!this.disposed) {
+      const [content, vms] = await Promise.all([
+        loadShard(this.options.rows, this.options.log, this.shard),
+        this.options.feeds.readVms(),
+      ])
+      if (this.disposed) return
+      if (content.ok && vms.ok) {
+        this.begin(content.value, vms.value.values, vms.value.version)
+        return
+      }
+      await delay(this.options.timers, taskOptions.storeRetryMs)
+    }
+  }
+
+  /** Takes in a job that this or another daemon has just stored. */
+  addJob (job: AcceptedJob, version: number): void {
+    if (!this.loaded) return
+    if (this.scheduler.addJob(job, version, this.options.timers.now())) this.requestPlan()
+  }
+
+  cancelJob (id: string): void {
+    if (!this.loaded) return
+    this.scheduler.cancelJob(id, this.options.timers.now())
+    this.onChange()
+  }
+
+  /** Stops starting tasks, writes what is left and lets a successor begin. */
+  async finish (limitMs: number): Promise<void> {
+    for (const timer of this.timers) timer.dispose()
+    this.loaded = false
+    await this.commits?.flush(limitMs)
+    this.dispose()
+  }
+
+  dispose (): void {
+    this.disposed = true
+    this.loaded = false
+    for (const timer of this.timers) timer.dispose()
+    for (const session of this.sessions.values()) session.dispose()
+    this.sessions.clear()
+    this.commits?.dispose()
+    this.advice.dispose()
+  }
+
+  requestPlan (): void {
+    if (this.planWanted || !this.loaded) return
+    this.planWanted = true
+    setImmediate(() => {
+      this.planWanted = false
+      if (!this.disposed && this.loaded) this.plan()
+    })
+  }
+
+  private begin (content: ShardContent, vms: readonly VmChange[], vmsVersion: number): void {
+    const { scheduler, options } = this
+    const nowMs = options.timers.now()
+    this.commits = CommitLoop.create({
+      ...options,
+      scheduler,
+      versions: content.versions,
+      onCommitted: () => this.onCommitted(),
+      onSuperseded: () => options.onSuperseded('commit found another owner'),
+    })
+    for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
+    for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
+    this.jobsVersion = content.jobsVersion
+    for (const entry of content.roster) {
+      scheduler.setVm(entry)
+      const vm = scheduler.state.vms.get(entry.id)
+      if (vm !== undefined) vm.recorded = true
+    }
+    const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
+    for (const entry of content.roster) {
+      if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
+    }
+    this.loaded = true
+    this.applyVms(vms)
+    options.log.write(EventCode.ShardReady, {
+      shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
+    })
+    this.timers.push(
+      options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan()),
+      options.timers.every(taskOptions.jobFeedPeriodMs, () => { this.readJobs() })
+    )
+    this.followVms(vmsVersion)
+    this.onChange()
+  }
+
+  private plan (): void {
+    const { timers, rows } = this.options
+    const moment = { nowMs: timers.now(), storeNowMs: rows.nowMs(), wallClockMs: timers.wallClock() }
+    const orders = this.scheduler.plan(moment, (step) => this.advice.getTickets(step, this.listVms(step.occurrence.job.accepted.pool)))
+    for (const order of orders) this.carryOut(order)
+    this.closeForgotten()
+    if (this.scheduler.state.wantedJobs.size > 0) this.readWantedJobs()
+    if (this.scheduler.listChanged().length > 0) this.commits?.request()
+  }
+
+  private carryOut (order: Order): void {
+    const session = this.sessions.get(order.run.vmId)
+    // A VM that was forgotten runs nothing any more, so an order for it has no object.
+    session?.carryOut(order)
+  }
+
+  private listVms (pool: string): TrackedVm[] {
+    const nowMs = this.options.timers.now()
+    return [...this.scheduler.state.vms.values()].filter((vm) => vm.entry.pool === pool && vm.isUsable(nowMs))
+  }
+
+  private onChange (): void {
+    this.requestPlan()
+    this.commits?.request()
+  }
+
+  private onCommitted (): void {
+    for (const session of this.sessions.values()) session.noteCommit()
+    this.requestPlan()
+  }
+
+  private openSession (vm: TrackedVm): void {
+    const { vms, log } = this.options
+    const session = VmSession.create({
+      vm,
+      client: vms.open(vm.entry),
+      scheduler: this.scheduler,
+      timers: this.options.timers,
+      fencingToken: this.fencingToken,
+      leaseMs: this.leaseMs,
+      onChange: () => this.onChange(),
+      onFenced: (vmId) => this.options.onSuperseded(`VM ${vmId} has seen a higher fencing token`),
+      onReplaced: (vmId) => {
+        this.scheduler.forgetVm(vmId, 'another VM answers at its address')
+        this.closeForgotten()
+      },
+      onAnswers: (vmId, silentMs) => log.write(EventCode.VmAnswers, { vm: vmId, silentMs: Math.round(silentMs) }),
+    })
+    this.sessions.set(vm.id, session)
+    session.run()
+  }
+
+  private closeForgotten (): void {
+    for (const [id, session] of this.sessions) {
+      if (this.scheduler.state.vms.has(id)) continue
+      session.dispose()
+      this.sessions.delete(id)
+    }
+  }
+
+  private applyVms (changes: readonly VmChange[]): void {
+    const { log, timers } = this.options
+    for (const change of changes) {
+      if (change.entry !== undefined) this.scheduler.setVm(change.entry)
+      else this.scheduler.unregisterVm(change.id, timers.now())
+      if (change.fault !== undefined) log.write(EventCode.VmEntryInvalid, { vm: change.id, reason: change.fault })
+    }
+    for (const vm of this.scheduler.state.vms.values()) {
+      if (!this.sessions.has(vm.id)) this.openSession(vm)
+    }
+    this.onChange()
+  }
+
+  private async followVms (firstVersion: number): Promise<void> {
+    const { feeds, timers, log } = this.options
+    let version = firstVersion
+    while (!this.disposed) {
+      const res = await feeds.watchVms(version, taskOptions.vmFeedWaitMs)
+      if (this.disposed) return
+      if (res.ok) {
+        version = res.value.version
+        if (res.value.values.length > 0) this.applyVms(res.value.values)
+        continue
+      }
+      await delay(timers, taskOptions.storeRetryMs)
+      if (res.error.kind !== StoreFailureKind.HistoryGone) continue
+      log.write(EventCode.HistoryGone, { table: 'vms', afterVersion: version })
+      const all = await feeds.readVms()
+      if (this.disposed || !all.ok) continue
+      version = all.value.version
+      this.applyAllVms(all.value.values)
+    }
+  }
+
+  /** Applies a list that is whole, so that VMs missing from it are registered no more. */
+  private applyAllVms (changes: readonly VmChange[]): void {
+    const listed = new Set(changes.map((change) => change.id))
+    for (const id of this.scheduler.state.vms.keys()) {
+      if (!listed.has(id)) this.scheduler.unregisterVm(id, this.options.timers.now())
+    }
+    this.applyVms(changes)
+  }
+
+  private async readJobs (): Promise<void> {
+    if (this.readingWanted || this.disposed) return
+    this.readingWanted = true
+    const res = await this.options.rows.readFeed(Table.Jobs, this.jobsVersion, 0)
+    this.readingWanted = false
+    if (this.disposed) return
+    if (res.ok) {
+      this.jobsVersion = Math.max(this.jobsVersion, res.value.version)
+      this.applyJobRows(res.value.rows)
+    } else if (res.error.kind === StoreFailureKind.HistoryGone) {
+      await this.readAllJobs()
+    }
+  }
+
+  private async readAllJobs (): Promise<void> {
+    const { rows, log } = this.options
+    log.write(EventCode.HistoryGone, { table: Table.Jobs, afterVersion: this.jobsVersion })
+    const content = await loadShard(rows, log, this.shard)
+    if (this.disposed || !content.ok) return
+    this.jobsVersion = Math.max(this.jobsVersion, content.value.jobsVersion)
+    for (const { job, version } of content.value.jobs) this.addJob(job, version)
+    for (const id of content.value.cancels) this.cancelJob(id)
+  }
+
+  private applyJobRows (rows: readonly StoredRow[]): void {
+    for (const row of rows) {
+      if (row.part !== this.shard) continue
+      const change = decodeJobChange(row, this.options.log)
+      if (change?.job !== undefined) this.addJob(change.job, row.version)
+      else if (change !== undefined) this.cancelJob(change.id)
+    }
+  }
+
+  /** Reads the jobs that VMs name and we do not know. */
+  private async readWantedJobs (): Promise<void> {
+    const { wantedJobs, absentJobs } = this.scheduler.state
+    const ids = [...wantedJobs]
+    wantedJobs.clear()
+    for (const id of ids) {
+      const key = `${JOB_PREFIX}${id}`
+      const res = await this.options.rows.readRange({ table: Table.Jobs, part: this.shard, from: key, to: `${key}\0` })
+      if (this.disposed) return
+      if (!res.ok) continue
+      if (res.value.rows.length === 0) absentJobs.add(id)
+      this.applyJobRows(res.value.rows)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -0,0 +1,82 @@
+/**
+ * Constants of serving jobs. Times are in milliseconds.
+ */
+
+/** Constants of owning a shard. */
+export const shardOptions = {
+  /** Period of the owner's message to every peer: several fit into the time after which it is doubted. */
+  beatPeriodMs: 250,
+  /** Period of the owner's write that proves it still reaches the store. */
+  storeBeatPeriodMs: 700,
+  /** Silence of the owner after which it is doubted: two beats lost and one round of slow processing. */
+  doubtAfterMs: 700,
+  /** Added for each daemon that is asked to take over before this one, so that they do not race. */
+  rankDelayMs: 150,
+  /** Time for which the owner's row must stand still before it is taken over: two store beats and a slow answer. */
+  standStillMs: 1_600,
+  /** Time without the store after which an owner is doubted though its peers hear it. */
+  ownerStoreSilentMs: 1_700,
+  /** Period of looking after ownership. */
+  watchPeriodMs: 100,
+  /** Shortest time between two looks at a doubted owner's row. */
+  lookPeriodMs: 350,
+  /** Bound on opening a connection to a doubted owner. */
+  probeTimeoutMs: 400,
+  /** Time for which a superseded owner that nobody reaches may still extend leases. */
+  isolatedAfterMs: 2_000,
+} as const
+
+/** Constants of running tasks. */
+export const taskOptions = {
+  /** Lease given to VMs: covers a take-over, and bounds the wait for a VM that is lost. */
+  leaseMs: 5_000,
+  /** Longest wait of a renewal for an end, so that a lease is renewed well before it ends. */
+  renewWaitMs: 1_500,
+  /** Same on VMs whose tasks need their pace watched: half of the usage figure's window is lost at most. */
+  watchedRenewWaitMs: 400,
+  /** Pause after a VM did not answer. */
+  silentRetryMs: 200,
+  /** Period of planning beside the planning that events cause. */
+  planPeriodMs: 100,
+  /** Shortest time between two commits: several ends share a transaction, and a client waits this little. */
+  commitSpacingMs: 15,
+  /** Pause after a failed commit. */
+  commitRetryMs: 150,
+  /** Jobs in one transaction: the platform takes 100 entries, and each job needs two beside the owner's row. */
+  jobsPerCommit: 40,
+  /** Period of reading the feed of jobs: hints bring most jobs at once, the feed the rest. */
+  jobFeedPeriodMs: 500,
+  /** Longest wait of the feed of VMs. */
+  vmFeedWaitMs: 800,
+  /** Pause after a failed call to the store. */
+  storeRetryMs: 200,
+} as const
+
+/** Constants of serving clients. */
+export const clientOptions = {
+  /** Time left of a request's deadline below which it is not tried again. */
+  deadlineReserveMs: 150,
+  /** Pause before a submission whose outcome is not known is tried again. */
+  submitRetryMs: 100,
+  /** What a client that is refused is told to wait: the store's outages last seconds. */
+  retryAfterMs: 1_000,
+  /** Longest wait for the owner's answer before the store is read instead. */
+  ownerAnswerMs: 250,
+  /** Time without the store after which the daemon wants no new clients. */
+  storeSilentMs: 2_000,
+  /** Time for which a count of pending jobs may be given again. */
+  pendingKeptMs: 800,
+} as const
+
+/** Constants of following the operator and the peers. */
+export const watchOptions = {
+  /** Longest wait of the operator's feed: a silent connection is noticed before a change is due. */
+  operatorFeedWaitMs: 1_200,
+  /** Pause after a failed read. */
+  retryMs: 150,
+  /** Period of reading the daemons' rows. */
+  memberPeriodMs: 10_000,
+} as const
+
+/** Time for which clients find a stopping daemon: the balancer notices within two of its checks. */
+export const stopAfterMs = 2_600
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -0,0 +1,134 @@
+/**
+ * Plug-ins of a daemon that serves jobs.
+ */
+import { delay, ServiceKey, type Kernel, type Plugin, type PluginCatalogue } from '@vanillathread/kernel'
+import type { Ingress } from '@vanillathread/ports'
+import { PeerNetwork } from '../peer/PeerNetwork.js'
+import { ConfigurationWatch } from './ConfigurationWatch.js'
+import { JobGateway } from './JobGateway.js'
+import { JOBS_PLATFORM, JOBS_SETTINGS } from './JobsDaemon.js'
+import { stopAfterMs } from './jobOptions.js'
+import { Members } from './Members.js'
+import { ShardWatch } from './ShardWatch.js'
+
+enum JobPluginId {
+  Peers = 'jobs-peers',
+  Configuration = 'jobs-configuration',
+  Shard = 'jobs-shard',
+  Clients = 'jobs-clients',
+}
+
+const NETWORK = ServiceKey.create<PeerNetwork>('jobs-network')
+const MEMBERS = ServiceKey.create<Members>('jobs-members')
+const CONFIGURATION = ServiceKey.create<ConfigurationWatch>('jobs-configuration')
+const SHARD = ServiceKey.create<ShardWatch>('jobs-shard')
+
+/** The one shard of a small deployment. */
+const SHARD_NAME = 'main'
+
+/** Share of the time between the signal and the kill in which an owner may write what is left. */
+const FLUSH_SHARE = 0.2
+
+class PeersPlugin implements Plugin {
+  private readonly network: PeerNetwork
+  private readonly members: Members
+
+  constructor (kernel: Kernel) {
+    const settings = kernel.get(JOBS_SETTINGS)
+    this.network = PeerNetwork.create({ listen: settings.peer, timers: kernel.timers, log: kernel.log })
+    this.members = Members.create({ settings, timers: kernel.timers, rows: kernel.get(JOBS_PLATFORM).rows, network: this.network })
+    kernel.provide(NETWORK, this.network)
+    kernel.provide(MEMBERS, this.members)
+  }
+
+  async start (): Promise<void> {
+    await this.network.listen()
+    this.members.join()
+  }
+
+  async dispose (): Promise<void> {
+    this.members.dispose()
+    await this.network.dispose()
+  }
+}
+
+class ConfigurationPlugin implements Plugin {
+  private readonly watch: ConfigurationWatch
+
+  constructor (kernel: Kernel) {
+    this.watch = ConfigurationWatch.create({ feeds: kernel.get(JOBS_PLATFORM).feeds, timers: kernel.timers, log: kernel.log })
+    kernel.provide(CONFIGURATION, this.watch)
+  }
+
+  async start (): Promise<void> {
+    this.watch.run()
+  }
+
+  dispose (): void {
+    this.watch.dispose()
+  }
+}
+
+class ShardPlugin implements Plugin {
+  private readonly watch: ShardWatch
+
+  constructor (private readonly kernel: Kernel) {
+    const { rows, feeds, vms, advisor } = kernel.get(JOBS_PLATFORM)
+    this.watch = ShardWatch.create({
+      shard: SHARD_NAME,
+      context: { settings: kernel.get(JOBS_SETTINGS), timers: kernel.timers, log: kernel.log, rows, feeds, vms, advisor },
+      network: kernel.get(NETWORK),
+      members: kernel.get(MEMBERS),
+    })
+    kernel.provide(SHARD, this.watch)
+  }
+
+  async drain (): Promise<void> {
+    await this.watch.stop(this.kernel.get(JOBS_SETTINGS).graceMs * FLUSH_SHARE)
+  }
+
+  dispose (): void {
+    this.watch.dispose()
+  }
+}
+
+class ClientsPlugin implements Plugin {
+  private readonly gateway: JobGateway
+  private readonly ingress: Ingress
+
+  constructor (private readonly kernel: Kernel) {
+    const platform = kernel.get(JOBS_PLATFORM)
+    this.gateway = JobGateway.create({
+      timers: kernel.timers,
+      log: kernel.log,
+      rows: platform.rows,
+      configuration: kernel.get(CONFIGURATION),
+      shard: kernel.get(SHARD),
+      shardName: SHARD_NAME,
+      network: kernel.get(NETWORK),
+    })
+    this.ingress = platform.openIngress(this.gateway)
+  }
+
+  async start (): Promise<void> {
+    await this.ingress.listen()
+  }
+
+  /** Hands the shard over at once, and serves clients until the balancer sends none any more. */
+  async drain (): Promise<void> {
+    const { graceMs } = this.kernel.get(JOBS_SETTINGS)
+    this.gateway.beginStop()
+    const handedOver = this.kernel.get(SHARD).stop(graceMs * FLUSH_SHARE)
+    await delay(this.kernel.timers, Math.min(stopAfterMs, graceMs / 2))
+    await handedOver
+    await this.ingress.close(graceMs / 4)
+  }
+}
+
+/** Registers every plug-in. */
+export function registerJobPlugins (catalogue: PluginCatalogue): void {
+  catalogue.register({ id: JobPluginId.Peers, requires: [], create: (kernel) => new PeersPlugin(kernel) })
+  catalogue.register({ id: JobPluginId.Configuration, requires: [], create: (kernel) => new ConfigurationPlugin(kernel) })
+  catalogue.register({ id: JobPluginId.Shard, requires: [JobPluginId.Peers, JobPluginId.Configuration], create: (kernel) => new ShardPlugin(kernel) })
+  catalogue.register({ id: JobPluginId.Clients, requires: [JobPluginId.Shard], create: (kernel) => new ClientsPlugin(kernel) })
+}
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -2,7 +2,7 @@
  * Messages between daemons, encoded as CBOR in frames with a length prefix.
  */
 import { z } from 'zod'
-import { configurationHeadSchema } from '@vanillathread/model'
+import { configurationHeadSchema, JobState } from '@vanillathread/model'
 import { MemberPhase } from '@vanillathread/policy'
 
 /** Kinds of {@link PeerMessage}. @public */
@@ -15,6 +15,14 @@
   Objects = 'objects',
   VmStates = 'vm-states',
   Demand = 'demand',
+  Hello = 'hello',
+  ShardBeat = 'shard-beat',
+  ShardBeatAck = 'shard-beat-ack',
+  ShardReleased = 'shard-released',
+  JobHint = 'job-hint',
+  CancelHint = 'cancel-hint',
+  JobQuery = 'job-query',
+  JobAnswer = 'job-answer',
 }
 
 const count = z.int().min(0)
@@ -51,8 +59,31 @@
   limits: slotCountsSchema,
 })
 
+const addressSchema = z.strictObject({ host: z.string(), port: count })
+
+/** Messages about jobs and the owners of shards. */
+const jobMessageSchemas = [
+  z.strictObject({ kind: z.literal(PeerMessageKind.Hello), name: z.string(), address: addressSchema }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.ShardBeat),
+    shard: z.string(),
+    owner: z.string(),
+    address: addressSchema,
+    fencingToken: count,
+    /** Time since the store last answered the owner. */
+    storeSilentMs: z.number(),
+  }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardBeatAck), shard: z.string(), fencingToken: count, storeSilentMs: z.number() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: count }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.JobHint), shard: z.string(), row: z.instanceof(Uint8Array), version: count }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: count, job: z.string().optional(), queue: z.string().optional() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.JobAnswer), seq: count, state: z.enum(JobState).optional(), pending: count.optional() }),
+] as const
+
 /** Schema of every message. @public */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
+  ...jobMessageSchemas,
   z.strictObject({
     kind: z.literal(PeerMessageKind.Heartbeat),
     seq: count,
--- /dev/null
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -0,0 +1,183 @@
+/**
+ * Jobs, VMs and runs of one shard, with the changes that every policy shares.
+ */
+import { EventCode, parseTaskName, type EndEntry } from '@vanillathread/model'
+import { TrackedVm } from '../vms/TrackedVm.js'
+import { DurationEstimates } from './DurationEstimates.js'
+import { OrderKind, type Order } from './orders.js'
+import type { TrackedJob, TrackedTask } from './TrackedJob.js'
+import { RunPhase, StopReason, TrackedRun } from './TrackedRun.js'
+
+/** Values that explain a decision in the log. @public */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** Told of every decision. @public */
+export type DecisionObserver = (code: EventCode, fields: DecisionFields) => void
+
+/** Jobs whose tasks fail on a VM, with no success between, before it is paused: one bad job is not the VM's fault. */
+export const DISTINCT_FAILED_JOBS = 3
+
+/** First pause of a VM that fails tasks of several jobs, in milliseconds; doubles with each further pause. */
+const AVOID_BASE_MS = 1_500
+const AVOID_MAX_MS = 12_000
+
+/** State of one shard. @public */
+export class SchedulerState {
+  readonly jobs = new Map<string, TrackedJob>()
+  /** Jobs that are not over, by pool. */
+  readonly openJobs = new Map<string, Set<TrackedJob>>()
+  readonly vms = new Map<string, TrackedVm>()
+  readonly estimates = DurationEstimates.create()
+  /** Ids that VMs name and we have not read yet. */
+  readonly wantedJobs = new Set<string>()
+  /** Ids that the store does not know. */
+  readonly absentJobs = new Set<string>()
+  readonly orders: Order[] = []
+  private readonly failuresByVm = new Map<string, { jobs: Set<string>, pauses: number }>()
+
+  private constructor (readonly observe: DecisionObserver) {}
+
+  static create (observe: DecisionObserver): SchedulerState {
+    return new SchedulerState(observe)
+  }
+
+  takeOrders (): Order[] {
+    return this.orders.splice(0)
+  }
+
+  openJob (job: TrackedJob): void {
+    this.jobs.set(job.id, job)
+    if (job.isOver) return
+    const open = this.openJobs.get(job.accepted.pool) ?? new Set()
+    open.add(job)
+    this.openJobs.set(job.accepted.pool, open)
+  }
+
+  /** Returns the task that a name stands for; an unknown job is put on the list of wanted ones. */
+  findTask (name: string): { task?: TrackedTask, unread: boolean } {
+    const parsed = parseTaskName(name)
+    if (parsed === undefined) return { unread: false }
+    const job = this.jobs.get(parsed.jobId)
+    if (job === undefined) {
+      const unread = !this.absentJobs.has(parsed.jobId)
+      if (unread) this.wantedJobs.add(parsed.jobId)
+      return { unread }
+    }
+    return { task: job.findTask(parsed.occurrence, parsed.step, parsed.index), unread: false }
+  }
+
+  startRun (task: TrackedTask, vm: TrackedVm, number: number, nowMs: number, ticket?: string): TrackedRun {
+    const run = TrackedRun.create(task, number, vm.id, nowMs)
+    task.lastRun = Math.max(task.lastRun, number)
+    task.runs.add(run)
+    vm.addRun(run)
+    this.orders.push({ kind: OrderKind.Start, run, ticket })
+    return run
+  }
+
+  /** Tracks a run that a VM lists and we did not start. */
+  adoptRun (task: TrackedTask, vm: TrackedVm, number: number, nowMs: number): TrackedRun {
+    const run = TrackedRun.create(task, number, vm.id, nowMs)
+    task.lastRun = Math.max(task.lastRun, number)
+    task.runs.add(run)
+    task.begun = true
+    vm.addRun(run)
+    return run
+  }
+
+  stopRun (run: TrackedRun, reason: StopReason, nowMs: number): void {
+    if (run.phase === RunPhase.Stopping) return
+    run.phase = RunPhase.Stopping
+    run.stopReason = reason
+    run.stopSentAtMs = nowMs
+    this.orders.push({ kind: OrderKind.Stop, run })
+    this.observe(EventCode.TaskStopOrdered, { task: run.name, run: run.number, vm: run.vmId, reason })
+  }
+
+  /** Forgets a run that occupies its VM no more. */
+  releaseRun (run: TrackedRun): void {
+    run.task.runs.delete(run)
+    this.vms.get(run.vmId)?.removeRun(run)
+  }
+
+  /** Applies an end that a VM listed. */
+  applyEnd (vm: TrackedVm, end: EndEntry, task: TrackedTask | undefined, nowMs: number): void {
+    const run = vm.runs.get(`${end.task}#${end.run}`)
+    if (run !== undefined) this.releaseRun(run)
+    if (task === undefined) return
+    const { job } = task.step.occurrence
+    task.lastRun = Math.max(task.lastRun, end.run)
+    task.begun = true
+    if (end.checkpoint !== '') task.checkpoint = end.checkpoint
+    this.observe(EventCode.TaskEnded, { task: end.task, run: end.run, vm: vm.id, end: end.end, number: end.number })
+    if (job.isOver) return
+    if (end.end === 'done') this.applyDone(vm, run, task, nowMs)
+    else if (end.end === 'failed') this.applyFailure(vm, task, end.run, nowMs)
+    else if (task.step.spec.gang) this.breakGang(task, end.run, nowMs)
+    this.closeIfOver(job, nowMs)
+  }
+
+  cancelJob (job: TrackedJob, nowMs: number): void {
+    job.markCancelled()
+    this.closeIfOver(job, nowMs)
+  }
+
+  /** Gives up every run of a VM whose life or lease is over. */
+  loseRuns (vm: TrackedVm, runs: Iterable<TrackedRun>, reason: string): void {
+    for (const run of [...runs]) {
+      this.releaseRun(run)
+      this.observe(EventCode.TaskLost, { task: run.name, run: run.number, vm: vm.id, reason })
+    }
+  }
+
+  /** Stops what a job that is over still runs, and takes it off the list. */
+  closeIfOver (job: TrackedJob, nowMs: number): void {
+    if (!job.isOver) return
+    this.openJobs.get(job.accepted.pool)?.delete(job)
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of occurrence.steps) {
+        for (const task of step.tasks) {
+          for (const run of task.runs) this.stopRun(run, job.cancelled ? StopReason.Cancelled : StopReason.JobOver, nowMs)
+        }
+      }
+    }
+  }
+
+  private applyDone (vm: TrackedVm, run: TrackedRun | undefined, task: TrackedTask, nowMs: number): void {
+    const { job } = task.step.occurrence
+    this.failuresByVm.delete(vm.id)
+    if (run?.confirmedAtMs !== undefined) this.estimates.observe(job.accepted.queue, nowMs - run.confirmedAtMs)
+    job.markDone(task)
+    for (const other of task.runs) this.stopRun(other, StopReason.Unwanted, nowMs)
+  }
+
+  private applyFailure (vm: TrackedVm, task: TrackedTask, run: number, nowMs: number): void {
+    const { job } = task.step.occurrence
+    job.markFailed(task, run)
+    task.failedVms.add(vm.id)
+    this.judgeVm(vm, job.id, nowMs)
+    if (task.step.spec.gang) this.breakGang(task, run, nowMs)
+  }
+
+  /** Pauses a VM that fails tasks of several jobs with no success in between. */
+  private judgeVm (vm: TrackedVm, jobId: string, nowMs: number): void {
+    const failures = this.failuresByVm.get(vm.id) ?? { jobs: new Set<string>(), pauses: 0 }
+    failures.jobs.add(jobId)
+    this.failuresByVm.set(vm.id, failures)
+    if (failures.jobs.size < DISTINCT_FAILED_JOBS) return
+    const pauseMs = Math.min(AVOID_MAX_MS, AVOID_BASE_MS * 2 ** failures.pauses)
+    failures.pauses += 1
+    failures.jobs.clear()
+    vm.avoidUntilMs = nowMs + pauseMs
+    this.observe(EventCode.VmAvoided, { vm: vm.id, pauseMs, reason: 'tasks of several jobs failed' })
+  }
+
+  /** Ends the other members of a gang's run. */
+  private breakGang (task: TrackedTask, number: number, nowMs: number): void {
+    for (const member of task.step.tasks) {
+      for (const run of member.runs) {
+        if (run.number === number) this.stopRun(run, StopReason.GangBroken, nowMs)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -0,0 +1,156 @@
+/**
+ * Chooses VMs for tasks that wait.
+ */
+import { EventCode } from '@vanillathread/model'
+import type { TrackedVm } from '../vms/TrackedVm.js'
+import { compareRanks, rankJob, type JobRank } from './rankJobs.js'
+import type { SchedulerState } from './SchedulerState.js'
+import type { TrackedJob, TrackedStep, TrackedTask } from './TrackedJob.js'
+
+/** What placing needs beside the shard's state. @public */
+export interface PlacementContext {
+  readonly nowMs: number
+  /** Clock that acceptance times are on. */
+  readonly storeNowMs: number
+  /** Clock that due times are on, in milliseconds since 1970. */
+  readonly wallClockMs: number
+  /** Says whether a job's tasks surely run nowhere that we do not know of. */
+  mayStart (job: TrackedJob): boolean
+  /** Returns the tickets of a step by VM, or undefined where advice is not there yet. */
+  getTickets (step: TrackedStep): ReadonlyMap<string, string> | undefined
+}
+
+/** Places what fits, in the order of ranks. @public */
+export function placeTasks (state: SchedulerState, pool: string, context: PlacementContext): void {
+  const jobs = state.openJobs.get(pool)
+  if (jobs === undefined || jobs.size === 0) return
+  const vms = [...state.vms.values()].filter((vm) => vm.entry.pool === pool && vm.isUsable(context.nowMs))
+  if (vms.length === 0) return
+  for (const { job } of rankJobs(state, jobs, context)) {
+    for (const step of listReadySteps(job, context.wallClockMs)) {
+      if (step.spec.gang) placeGang(state, step, vms, context)
+      else placeStep(state, step, vms, context)
+    }
+  }
+}
+
+function rankJobs (state: SchedulerState, jobs: Iterable<TrackedJob>, context: PlacementContext): JobRank[] {
+  const ranks: JobRank[] = []
+  for (const job of jobs) {
+    if (context.mayStart(job) && hasWaitingTasks(job, context.wallClockMs)) ranks.push(rankJob(job, state.estimates, context.storeNowMs))
+  }
+  return ranks.sort(compareRanks)
+}
+
+function hasWaitingTasks (job: TrackedJob, wallClockMs: number): boolean {
+  return listReadySteps(job, wallClockMs).length > 0
+}
+
+/** Steps whose turn has come and that have tasks without a run. */
+function listReadySteps (job: TrackedJob, wallClockMs: number): TrackedStep[] {
+  const { spec } = job.accepted
+  for (let index = 0; index < spec.repeatCount && spec.firstRunMs + index * spec.intervalMs <= wallClockMs; index++) job.getOccurrence(index)
+  const steps: TrackedStep[] = []
+  for (const occurrence of job.occurrences.values()) {
+    for (const step of occurrence.steps) {
+      if (!step.isDone && step.isReady && step.tasks.some((task) => task.isWaiting)) steps.push(step)
+    }
+  }
+  return steps
+}
+
+function placeStep (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
+  const tickets = getTicketsIfAdvised(step, context)
+  if (tickets === undefined) return
+  for (const task of step.tasks) {
+    if (!task.isWaiting) continue
+    const vm = chooseVm(step, task, vms, tickets)
+    // Tasks of a step are alike, so the next one does not fit either.
+    if (vm === undefined) return
+    start(state, task, vm, task.lastRun + 1, tickets, context)
+  }
+}
+
+/** Starts all tasks of a gang, or none. */
+function placeGang (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
+  const tickets = getTicketsIfAdvised(step, context)
+  if (tickets === undefined || step.tasks.some((task) => task.runs.size > 0)) return
+  const racks = step.spec.sameRack ? new Set(vms.map((vm) => vm.rack)) : new Set<string>()
+  for (const rack of [...racks, undefined]) {
+    const candidates = rack === undefined ? vms : vms.filter((vm) => vm.rack === rack)
+    const chosen = fitGang(step, candidates, tickets)
+    if (chosen === undefined) continue
+    const number = Math.max(...step.tasks.map((task) => task.lastRun)) + 1
+    step.tasks.forEach((task, index) => {
+      const vm = chosen[index]
+      if (vm !== undefined) start(state, task, vm, number, tickets, context)
+    })
+    return
+  }
+}
+
+/** Finds a VM for every task of a gang, or undefined. */
+function fitGang (step: TrackedStep, vms: readonly TrackedVm[], tickets: ReadonlyMap<string, string> | 'none'): TrackedVm[] | undefined {
+  const { need, fills, maxTasksPerVm } = step.spec
+  const chosen: TrackedVm[] = []
+  for (const vm of [...vms].sort((a, b) => b.freeCpuMillis - a.freeCpuMillis)) {
+    if (!isAllowed(step, vm, tickets)) continue
+    for (let count = 1; chosen.length < step.tasks.length; count++) {
+      const sum = { cpuMillis: need.cpuMillis * count, memoryMb: need.memoryMb * count, accelerators: need.accelerators * count }
+      if (!vm.hasRoom(sum, fills) || (maxTasksPerVm !== undefined && count > maxTasksPerVm)) break
+      chosen.push(vm)
+    }
+  }
+  return chosen.length === step.tasks.length ? chosen : undefined
+}
+
+function start (
+  state: SchedulerState, task: TrackedTask, vm: TrackedVm, number: number,
+  tickets: ReadonlyMap<string, string> | 'none', context: PlacementContext
+): void {
+  const { job } = task.step.occurrence
+  const run = state.startRun(task, vm, number, context.nowMs, tickets === 'none' ? undefined : tickets.get(vm.id))
+  state.observe(EventCode.TaskStartOrdered, {
+    task: run.name, run: number, vm: vm.id, freeCpuMillis: vm.freeCpuMillis, waitedMs: Math.round(context.storeNowMs - job.accepted.acceptedAtMs),
+  })
+}
+
+function getTicketsIfAdvised (step: TrackedStep, context: PlacementContext): ReadonlyMap<string, string> | 'none' | undefined {
+  if (step.occurrence.job.accepted.advice === undefined) return 'none'
+  return context.getTickets(step)
+}
+
+function isAllowed (step: TrackedStep, vm: TrackedVm, tickets: ReadonlyMap<string, string> | 'none'): boolean {
+  const { requiredLabel } = step.spec
+  if (requiredLabel !== undefined && !vm.entry.labels.includes(requiredLabel)) return false
+  return tickets === 'none' || tickets.has(vm.id)
+}
+
+function chooseVm (step: TrackedStep, task: TrackedTask, vms: readonly TrackedVm[], tickets: ReadonlyMap<string, string> | 'none'): TrackedVm | undefined {
+  const { spec } = step
+  let best: TrackedVm | undefined
+  let bestScore = Infinity
+  for (const vm of vms) {
+    if (!vm.hasRoom(spec.need, spec.fills) || !isAllowed(step, vm, tickets)) continue
+    if (spec.maxTasksPerVm !== undefined && vm.countRunsOf(step) >= spec.maxTasksPerVm) continue
+    const score = scoreVm(step, task, vm)
+    if (score < bestScore) {
+      best = vm
+      bestScore = score
+    }
+  }
+  return best
+}
+
+/** Each weight exceeds what all smaller ones can add up to: a VM has at most some hundred thousand thousandths of a core. */
+const FAILED_HERE_WEIGHT = 1e9
+const OTHER_RACK_WEIGHT = 1e8
+
+/** Lower is better: away from VMs where the task failed, near its data, then the fullest VM that has room. */
+function scoreVm (step: TrackedStep, task: TrackedTask, vm: TrackedVm): number {
+  const { spec } = step
+  let score = spec.fills || spec.longRunning ? -vm.freeCpuMillis : vm.freeCpuMillis
+  if (task.failedVms.has(vm.id)) score += FAILED_HERE_WEIGHT
+  if (spec.dataRack !== undefined && vm.rack !== spec.dataRack) score += OTHER_RACK_WEIGHT
+  return score
+}
--- a/scripts/writeTables.js
+++ b/scripts/writeTables.js
@@ -25,7 +25,7 @@
 const eventRows = listNumbers(EventCode).map((code) => `| ${code} | ${EventCode[code]} | ${EVENTS[code].level} | ${EVENTS[code].message} |`)
 writeFileSync('docs/EVENTS.md', `# Log events
 
-1xx: daemon. 2xx: configuration and platform. 3xx: peers. 4xx: endpoints. 5xx: requests. 6xx: fleet.
+1xx: daemon. 2xx: configuration and platform. 3xx: peers. 4xx: endpoints. 5xx: requests. 6xx: fleet. 7xx: jobs, VMs, shards, store, machines.
 No event carries a request body, a header value or a secret.
 Written by \`node scripts/writeTables.js\`; a test keeps this catalogue and the code equal.
 
