Machines follow demand, and maintenance waves are carried out

Change: a pure planner moves empty machines to pools whose queues want more and back to standby; a keeper carries moves and maintenance out, writing each machine of a wave ahead of its order.

--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -185,10 +185,8 @@
 
   private remember (id: string, state: JobState): void {
     if (this.finalStates.size >= REMEMBERED_STATES) {
-      for (const oldest of this.finalStates.keys()) {
-        this.finalStates.delete(oldest)
-        break
-      }
+      const oldest = this.finalStates.keys().next().value
+      if (oldest !== undefined) this.finalStates.delete(oldest)
     }
     this.finalStates.set(id, state)
   }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -4,9 +4,11 @@
 import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
 import { JobScheduler, type Order, type TrackedVm } from '@vanillathread/policy'
-import { StoreFailureKind, type Advisor, type FleetFeeds, type RowCondition, type RowStore, type StoredRow, type VmChange, type VmClients } from '@vanillathread/ports'
+import { StoreFailureKind, type Advisor, type FleetFeeds, type MachineService, type RowCondition, type RowStore, type StoredRow, type VmChange, type VmClients } from '@vanillathread/ports'
 import { AdviceBook } from './AdviceBook.js'
 import { CommitLoop } from './CommitLoop.js'
+import type { ConfigurationWatch } from './ConfigurationWatch.js'
+import { MachineKeeper } from './MachineKeeper.js'
 import { shardOptions, taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { decodeJobChange, loadShard, type ShardContent } from './ShardLoader.js'
@@ -22,6 +24,8 @@
   readonly feeds: FleetFeeds
   readonly vms: VmClients
   readonly advisor?: Advisor
+  readonly machines?: MachineService
+  readonly configuration: ConfigurationWatch
 }
 
 /** Options of {@link ShardOwner.create}. */
@@ -41,6 +45,7 @@
   private readonly sessions = new Map<string, VmSession>()
   private readonly advice: AdviceBook
   private commits: CommitLoop | undefined
+  private keeper: MachineKeeper | undefined
   private readonly timers: Subscription[] = []
   private planWanted = false
   private readingWanted = false
@@ -113,6 +118,7 @@
 
   /** Stops starting tasks, writes what is left and lets a successor begin. */
   async finish (limitMs: number): Promise<void> {
+    this.keeper?.dispose()
     for (const timer of this.timers) timer.dispose()
     this.loaded = false
     await this.commits?.flush(limitMs)
@@ -126,6 +132,7 @@
     for (const session of this.sessions.values()) session.dispose()
     this.sessions.clear()
     this.commits?.dispose()
+    this.keeper?.dispose()
     this.advice.dispose()
   }
 
@@ -169,10 +176,27 @@
       options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan()),
       options.timers.every(taskOptions.jobFeedPeriodMs, () => { this.readJobs() })
     )
+    this.openKeeper()
     this.followVms(vmsVersion)
     this.onChange()
   }
 
+  private openKeeper (): void {
+    const { machines, configuration, settings, generation, onSuperseded } = this.options
+    if (machines === undefined) return
+    this.keeper = MachineKeeper.create({
+      ...this.options,
+      machines,
+      scheduler: this.scheduler,
+      // A former owner's last order must be older than the time for which orders come from one holder.
+      ordersFromMs: generation === 0 ? 0 : this.startedAtMs + settings.orderLeaseMs,
+      getPools: () => configuration.current?.pools ?? [],
+      getWaves: () => configuration.waves.values(),
+      onSuperseded,
+      onChange: () => this.onChange(),
+    })
+  }
+
   private plan (): void {
     const { timers, rows } = this.options
     const moment = { nowMs: timers.now(), storeNowMs: rows.nowMs(), wallClockMs: timers.wallClock() }
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/WaveBook.ts
@@ -0,0 +1,133 @@
+/**
+ * How far maintenance waves have got, as the store keeps it.
+ */
+import type { EventLog } from '@vanillathread/kernel'
+import { EventCode } from '@vanillathread/model'
+import { StoreFailureKind, type FleetFeeds, type RowCondition, type RowStore, type Wave } from '@vanillathread/ports'
+import { decodeWaveRow, encodeRow, Table } from './rows.js'
+
+/** Options of {@link WaveBook.create}. */
+export interface WaveBookOptions {
+  readonly shard: string
+  readonly rows: RowStore
+  readonly feeds: FleetFeeds
+  readonly log: EventLog
+  readonly ownerRow: RowCondition
+  onSuperseded (reason: string): void
+}
+
+/** Progress of one wave. */
+export interface WaveProgress {
+  readonly ordered: Set<string>
+  readonly ended: Set<string>
+  complete: boolean
+}
+
+interface StoredWave extends WaveProgress {
+  version: number
+  seenAtMs: number
+  /** True while a write of this row is in flight. */
+  writing: boolean
+  changed: boolean
+  announced: boolean
+}
+
+/** Waves of a shard. */
+export class WaveBook {
+  private readonly waves = new Map<number, StoredWave>()
+  private readonly reading = new Set<number>()
+
+  private constructor (private readonly options: WaveBookOptions) {}
+
+  static create (options: WaveBookOptions): WaveBook {
+    return new WaveBook(options)
+  }
+
+  /** Returns a wave's progress, or undefined until it is read. */
+  get (wave: number): WaveProgress | undefined {
+    const known = this.waves.get(wave)
+    if (known === undefined) this.read(wave)
+    else if (!known.announced) this.announce(wave, known)
+    return known
+  }
+
+  /** Writes that a machine's maintenance may be ordered from now on. @returns false where it could not be written. */
+  async noteOrdered (wave: number, machine: string): Promise<boolean> {
+    const known = this.waves.get(wave)
+    if (known === undefined) return false
+    if (known.ordered.has(machine)) return true
+    if (known.writing) return false
+    known.ordered.add(machine)
+    if (await this.write(wave, known)) return true
+    known.ordered.delete(machine)
+    return false
+  }
+
+  /** Notes that a machine is back or gone; written with the next change. */
+  noteEnded (wave: number, machine: string): void {
+    this.waves.get(wave)?.ended.add(machine)
+  }
+
+  /** Tells the operator that a wave is complete. */
+  async complete (wave: Wave): Promise<void> {
+    const known = this.waves.get(wave.number)
+    if (known === undefined || known.writing || known.complete) return
+    if (!await this.write(wave.number, known)) return
+    known.writing = true
+    const res = await this.options.feeds.writeWaveState(wave.number, true)
+    known.writing = false
+    known.complete = res.ok
+    this.options.log.write(EventCode.WaveComplete, { wave: wave.number, machines: wave.machines.length, outcome: res.ok ? 'told' : res.error.kind })
+  }
+
+  private async read (wave: number): Promise<void> {
+    if (this.reading.has(wave)) return
+    this.reading.add(wave)
+    const { rows, shard } = this.options
+    const key = String(wave)
+    const res = await rows.readRange({ table: Table.Waves, part: shard, from: key, to: `${key}\0` })
+    this.reading.delete(wave)
+    if (!res.ok) return
+    const row = res.value.rows[0]
+    const stored = row === undefined ? undefined : decodeWaveRow(row.value)
+    this.waves.set(wave, {
+      ordered: new Set(stored?.ordered),
+      ended: new Set(stored?.ended),
+      complete: false,
+      version: row?.version ?? 0,
+      seenAtMs: stored?.seenAtMs ?? Math.round(rows.nowMs()),
+      writing: false,
+      changed: false,
+      announced: false,
+    })
+  }
+
+  /** Tells the operator that a wave has begun. */
+  private async announce (wave: number, known: StoredWave): Promise<void> {
+    known.announced = true
+    const res = await this.options.feeds.writeWaveState(wave, false)
+    if (!res.ok) known.announced = false
+  }
+
+  private async write (wave: number, known: StoredWave): Promise<boolean> {
+    const { rows, shard, ownerRow, log } = this.options
+    const row = { table: Table.Waves, part: shard, key: String(wave) }
+    known.writing = true
+    const value = encodeRow({ ordered: [...known.ordered], ended: [...known.ended], seenAtMs: known.seenAtMs })
+    const res = await rows.transact({ conditions: [ownerRow, { ...row, version: known.version }], puts: [{ ...row, value }], removes: [] })
+    known.writing = false
+    if (res.ok) {
+      known.version = res.value.version
+      return true
+    }
+    if (res.error.kind !== StoreFailureKind.Conflict) {
+      log.write(EventCode.StoreCallFailed, { call: 'write wave', wave, outcome: res.error.kind, reason: res.error.reason })
+      return false
+    }
+    const owner = res.error.rows.find((each) => each.table === ownerRow.table && each.key === ownerRow.key)
+    if (owner?.version !== ownerRow.version) this.options.onSuperseded('a wave\'s row names another owner')
+    // Only the owner writes the row, so an earlier try of ours was carried out after all.
+    known.version = res.error.rows.find((each) => each.table === row.table && each.key === row.key)?.version ?? 0
+    return false
+  }
+}
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -52,6 +52,26 @@
   storeRetryMs: 200,
 } as const
 
+/** Constants of moving and maintaining machines. */
+export const machineOptions = {
+  /** Period of planning. */
+  periodMs: 200,
+  /** Period of reading the list of machines, each call of which is priced. */
+  listPeriodMs: 4_000,
+  /** Same while a machine is expected back. */
+  busyListPeriodMs: 1_000,
+  /** Time for which tasks that end by themselves may stay on a machine that is emptied: about the longest task's. */
+  shortTaskGraceMs: 2_000,
+  /** Pause before an order that was refused or lost is given again. */
+  orderRetryMs: 400,
+  capacity: {
+    /** A move to standby and back costs about what a machine costs in this time. */
+    keepMs: 2_000,
+    /** Enough to begin on the first jobs of a turn. */
+    spareMachines: 1,
+  },
+} as const
+
 /** Constants of serving clients. */
 export const clientOptions = {
   /** Time left of a request's deadline below which it is not tried again. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -73,10 +73,10 @@
   private readonly watch: ShardWatch
 
   constructor (private readonly kernel: Kernel) {
-    const { rows, feeds, vms, advisor } = kernel.get(JOBS_PLATFORM)
+    const { rows, feeds, vms, advisor, machines } = kernel.get(JOBS_PLATFORM)
     this.watch = ShardWatch.create({
       shard: SHARD_NAME,
-      context: { settings: kernel.get(JOBS_SETTINGS), timers: kernel.timers, log: kernel.log, rows, feeds, vms, advisor },
+      context: { settings: kernel.get(JOBS_SETTINGS), timers: kernel.timers, log: kernel.log, rows, feeds, vms, advisor, machines, configuration: kernel.get(CONFIGURATION) },
       network: kernel.get(NETWORK),
       members: kernel.get(MEMBERS),
     })
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -40,3 +40,6 @@
 export { RunPhase, StopReason, TrackedRun } from './lib/jobs/TrackedRun.js'
 export { canTakeAway, evacuateVm } from './lib/jobs/evacuateVm.js'
 export { PaceController } from './lib/jobs/PaceController.js'
+export { CapacityPlanner, type CapacityPlannerOptions, type PlannedMachine, type PlannedMove, type PlannedPool } from './lib/machines/CapacityPlanner.js'
+export { planWave, WaveMachineState, type WaveMachine, type WaveView } from './lib/machines/planWave.js'
+export { ArrivalMeter, type PoolLoad } from './lib/machines/PoolLoad.js'
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -1,8 +1,9 @@
 /**
  * The owner's view of one shard: takes in what happens, gives out orders.
  */
-import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
+import { EventCode, isFinalState, JobState, type AcceptedJob, type JobSpec, type VmEntry, type VmReport } from '@vanillathread/model'
 import { TrackedVm } from '../vms/TrackedVm.js'
+import { ArrivalMeter, getJobWork, measureDemand, type PoolLoad } from '../machines/PoolLoad.js'
 import { evacuateVm } from './evacuateVm.js'
 import type { JobProgress } from './JobProgress.js'
 import { OrderKind, StartOutcome, type Order } from './orders.js'
@@ -19,6 +20,21 @@
 /** Time after which an unanswered stop is sent again. */
 const STOP_RETRY_MS = 600
 
+/** Short form of a job's steps, as in `6x1800m2500MB after 0 apart 2`. */
+function describeSteps (spec: JobSpec): string {
+  return spec.steps.map((step) => [
+    `${step.taskCount}x${step.need.cpuMillis}m${step.need.memoryMb}MB`,
+    step.after.length > 0 ? `after ${step.after.join('+')}` : '',
+    step.maxTasksPerVm === undefined ? '' : `apart ${step.maxTasksPerVm}`,
+    step.longRunning ? `lasts miss ${step.mayMiss}` : '',
+    step.targetMs === undefined ? '' : `target ${step.targetMs}`,
+    step.fills ? 'fills' : '',
+    step.gang ? 'gang' : '',
+    step.checkpointing ? 'saves' : '',
+    step.speculative ? 'copies' : '',
+  ].filter((part) => part !== '').join(' ')).join(', ')
+}
+
 /** Options of {@link JobScheduler.create}. @public */
 export interface JobSchedulerOptions {
   /** Number of owners that the shard had before. */
@@ -44,6 +60,9 @@
 export class JobScheduler {
   readonly state: SchedulerState
   private readonly pacing = PaceController.create()
+  private readonly arrivals = ArrivalMeter.create()
+  /** Births of VMs that were moved or maintained; their old registrations linger. */
+  private readonly retiredVms = new Map<string, number>()
   /** Times from which tasks that end by themselves are stopped on a VM that is evacuated. */
   private readonly evacuations = new Map<string, number>()
   private readonly pendingCancels = new Set<string>()
@@ -68,8 +87,9 @@
       progress,
     })
     this.state.openJob(job)
+    if (!isOlder) this.arrivals.observe(accepted.pool, getJobWork(this.state, job), nowMs)
     this.state.wantedJobs.delete(accepted.id)
-    this.state.observe(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state })
+    this.state.observe(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state, steps: describeSteps(accepted.spec) })
     if (this.pendingCancels.delete(accepted.id)) this.state.cancelJob(job, nowMs)
     return true
   }
@@ -87,6 +107,8 @@
 
   /** Takes in a registration, new or changed. */
   setVm (entry: VmEntry): void {
+    if (this.retiredVms.get(entry.id) === entry.bornMs) return
+    this.retiredVms.delete(entry.id)
     const vm = this.state.vms.get(entry.id)
     if (vm === undefined) {
       this.state.vms.set(entry.id, TrackedVm.create(entry))
@@ -117,6 +139,19 @@
     this.state.observe(EventCode.VmForgotten, { vm: id, reason })
   }
 
+  /** Forgets a VM whose machine was moved or maintained, which ends all that it ran. */
+  retireVm (id: string, reason: string): void {
+    const vm = this.state.vms.get(id)
+    if (vm === undefined) return
+    this.retiredVms.set(id, vm.entry.bornMs)
+    this.forgetVm(id, reason)
+  }
+
+  /** What a pool's queues ask for. */
+  getDemand (pool: string, nowMs: number): PoolLoad {
+    return measureDemand(this.state, pool, this.arrivals, nowMs)
+  }
+
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
     this.tried.add(vm.id)
     reconcileReport(this.state, vm, report, sentAtMs, nowMs)
--- /dev/null
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -0,0 +1,125 @@
+/**
+ * Moves empty machines to where demand is, and to standby where there is none.
+ *
+ * Load it answers: queues that in turn ask for several times their mean for some seconds, more than their pool holds,
+ * while the others ask for almost nothing.
+ */
+import type { Capacity } from '@vanillathread/model'
+import type { PoolLoad } from './PoolLoad.js'
+
+/** A machine as capacity planning sees it. @public */
+export interface PlannedMachine {
+  readonly id: string
+  /** Pool that it serves, or will once its move is over. */
+  readonly pool: string
+  readonly capacity: Capacity
+  /** Up, without runs, and free of other plans. */
+  readonly movable: boolean
+}
+
+/** A pool as capacity planning sees it. @public */
+export interface PlannedPool {
+  readonly demand: PoolLoad
+  readonly standby: boolean
+}
+
+/** Options of {@link CapacityPlanner.create}. @public */
+export interface CapacityPlannerOptions {
+  /** Time that a move takes; demand is foreseen this far. */
+  readonly moveMs: number
+  /** Time for which a pool's highest target counts, so that a machine is not sent away between two turns of load. */
+  readonly keepMs: number
+  /** Machines that a pool keeps without any demand. */
+  readonly spareMachines: number
+}
+
+/** A move. @public */
+export interface PlannedMove {
+  readonly machine: string
+  readonly fromPool: string
+  readonly toPool: string
+  readonly reason: string
+}
+
+/** Share of a machine's processor that placing can fill, as tasks do not divide it evenly. */
+const FILL_SHARE = 0.9
+
+/** Share of the rise foreseen from the trend that is trusted. */
+const TREND_TRUST = 0.7
+
+interface PoolBalance {
+  readonly pool: string
+  readonly machines: PlannedMachine[]
+  /** Machines that the demand of this moment takes. */
+  readonly wanted: number
+  /** Highest recent target; what exceeds it may go. */
+  readonly kept: number
+}
+
+/** Plans moves. @public */
+export class CapacityPlanner {
+  private readonly targets = new Map<string, Array<{ readonly atMs: number, readonly target: number }>>()
+
+  private constructor (private readonly options: CapacityPlannerOptions) {}
+
+  static create (options: CapacityPlannerOptions): CapacityPlanner {
+    return new CapacityPlanner(options)
+  }
+
+  plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[] {
+    const standby = pools.find((pool) => pool.standby)?.demand.pool
+    const balances = pools.filter((pool) => !pool.standby).map((pool) => this.balance(nowMs, pool, machines))
+    const reserve = machines.filter((machine) => machine.pool === standby && machine.movable)
+    const moves = coverDeficits(balances, reserve)
+    if (standby !== undefined) moves.push(...returnSurplus(balances, standby, new Set(moves.map((move) => move.machine))))
+    return moves
+  }
+
+  private balance (nowMs: number, { demand }: PlannedPool, machines: readonly PlannedMachine[]): PoolBalance {
+    const own = machines.filter((machine) => machine.pool === demand.pool)
+    const wanted = countMachines(demand, own.length > 0 ? own : machines, this.options)
+    const history = (this.targets.get(demand.pool) ?? []).filter((entry) => nowMs - entry.atMs <= this.options.keepMs)
+    history.push({ atMs: nowMs, target: wanted })
+    this.targets.set(demand.pool, history)
+    return { pool: demand.pool, machines: own, wanted, kept: Math.max(...history.map((entry) => entry.target)) }
+  }
+}
+
+/** Machines that a pool's demand takes, now or by the time that a move would end. */
+function countMachines (demand: PoolLoad, machines: readonly PlannedMachine[], options: CapacityPlannerOptions): number {
+  if (machines.length === 0) return 0
+  const cpuMillis = machines.reduce((sum, machine) => sum + machine.capacity.cpuMillis, 0) / machines.length
+  const memoryMb = machines.reduce((sum, machine) => sum + machine.capacity.memoryMb, 0) / machines.length
+  const foreseen = demand.arrivingCpuMillis + Math.max(0, demand.trendCpuMillisPerSecond) * TREND_TRUST * options.moveMs / 1_000
+  const byCpu = (Math.max(demand.busyCpuMillis, foreseen) + demand.lastingCpuMillis) / (cpuMillis * FILL_SHARE)
+  const byMemory = demand.memoryMb / (memoryMb * FILL_SHARE)
+  return Math.max(Math.ceil(Math.max(byCpu, byMemory)), demand.fewestVms, options.spareMachines)
+}
+
+/** Gives each pool in need machines of others that need them less, then standby machines, the largest need first. */
+function coverDeficits (balances: readonly PoolBalance[], reserve: PlannedMachine[]): PlannedMove[] {
+  const moves: PlannedMove[] = []
+  const surplus = balances.flatMap((balance) => listSurplus(balance))
+  const sources = [...surplus, ...reserve]
+  const needy = balances.filter((balance) => balance.wanted > balance.machines.length)
+    .sort((a, b) => (b.wanted - b.machines.length) - (a.wanted - a.machines.length))
+  for (const balance of needy) {
+    for (let missing = balance.wanted - balance.machines.length; missing > 0; missing--) {
+      const machine = sources.shift()
+      if (machine === undefined) return moves
+      moves.push({ machine: machine.id, fromPool: machine.pool, toPool: balance.pool, reason: `wants ${balance.wanted}, has ${balance.machines.length}` })
+    }
+  }
+  return moves
+}
+
+function returnSurplus (balances: readonly PoolBalance[], standby: string, taken: ReadonlySet<string>): PlannedMove[] {
+  return balances.flatMap((balance) => listSurplus(balance)
+    .filter((machine) => !taken.has(machine.id))
+    .map((machine) => ({ machine: machine.id, fromPool: balance.pool, toPool: standby, reason: `keeps ${balance.kept}, has ${balance.machines.length}` })))
+}
+
+function listSurplus (balance: PoolBalance): PlannedMachine[] {
+  const excess = balance.machines.length - balance.kept
+  return excess <= 0 ? [] : balance.machines.filter((machine) => machine.movable).slice(0, excess)
+}
