--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -26,6 +26,8 @@
 interface Batch {
   readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress }>
   readonly roster: readonly TrackedVm[]
+  /** VMs that are certain to hold no runs any more. */
+  readonly left: readonly string[]
   /** Ends that are recorded once this batch is, by VM. */
   readonly ends: ReadonlyMap<TrackedVm, number>
 }
@@ -80,24 +82,30 @@
     })
     const vms = [...scheduler.state.vms.values()]
     const roster = vms.filter((vm) => !vm.recorded).slice(0, MAX_ROSTER_ROWS)
+    const left = [...scheduler.forgottenVms].slice(0, MAX_ROSTER_ROWS)
     const complete = changed.length === jobs.length
     if (!complete) this.wanted = true
     const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.notedEnd).map((vm) => [vm, vm.appliedEnd]) : [])
-    return { jobs, roster, ends }
+    return { jobs, roster, left, ends }
   }
 
   /** @returns false where the batch must be tried again. */
   private async commit (batch: Batch): Promise<boolean> {
+    const { scheduler } = this.options
+    // A VM that has left alone is not worth a transaction; it goes with the next one.
     if (batch.jobs.length === 0 && batch.roster.length === 0) {
       this.markCommitted(batch)
       return true
     }
     const puts = this.listPuts(batch)
     const conditions = [this.options.ownerRow, ...puts.map((put) => ({ table: put.table, part: put.part, key: put.key, version: this.options.versions.get(nameRow(put)) ?? 0 }))]
-    const res = await this.options.rows.transact({ conditions, puts, removes: [] })
+    const removes = batch.left.map((vm) => ({ table: Table.Rosters, part: this.options.shard, key: vm }))
+    const res = await this.options.rows.transact({ conditions, puts, removes })
     if (this.disposed) return true
     if (res.ok) {
       for (const put of puts) this.options.versions.set(nameRow(put), res.value.version)
+      for (const remove of removes) this.options.versions.delete(nameRow(remove))
+      for (const vm of batch.left) scheduler.forgottenVms.delete(vm)
       this.markCommitted(batch)
       return true
     }
--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -14,6 +14,8 @@
   readonly maxLeaseMs: number
   /** Time for which orders for one machine must come from one holder. */
   readonly orderLeaseMs: number
+  /** True where the platform refuses orders for machines under a lower token than it has seen. */
+  readonly fencingEnforced: boolean
   /** Time after which a draining VM must get no new task. */
   readonly drainMs: number
   /** Time between the signal to stop and the kill. */
--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -7,7 +7,7 @@
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type Wave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
-import { WaveBook } from './WaveBook.js'
+import { WaveBook, type FormerVm, type WaveProgress } from './WaveBook.js'
 
 /** Options of {@link MachineKeeper.create}. */
 export interface MachineKeeperOptions {
@@ -36,6 +36,7 @@
   /** Pool of a move, or undefined for a maintenance. */
   readonly toPool?: string
   readonly vmId?: string
+  readonly former: FormerVm
   phase: 'evacuating' | 'ordering' | 'underway'
   orderedAtMs: number
 }
@@ -70,6 +71,7 @@
     const nowMs = this.options.timers.now()
     this.readList(nowMs)
     if (this.listedAtMs < 0) return
+    if (this.options.rows.silentForMs() > machineOptions.storeSilentMs) return
     this.planWaves(nowMs)
     this.planMoves(nowMs)
     for (const task of [...this.tasks.values()]) this.advance(task, nowMs)
@@ -96,7 +98,7 @@
     for (const wave of this.options.getWaves()) {
       const record = this.waves.get(wave.number)
       if (record === undefined || record.complete) continue
-      const machines = wave.machines.map((id) => this.viewWaveMachine(wave, id, record.ended))
+      const machines = wave.machines.map((id) => this.viewWaveMachine(wave, id, record))
       for (const machine of machines) {
         if (machine.state === WaveMachineState.Ended) this.waves.noteEnded(wave.number, machine.id)
       }
@@ -105,24 +107,37 @@
         continue
       }
       if (nowMs < this.options.ordersFromMs) continue
+      for (const id of this.listUnfinished(wave, record)) this.begin({ machine: id, wave: wave.number }, nowMs)
       for (const id of planWave({ cap: wave.cap, machines, servingByPool: this.countServing(nowMs) })) this.begin({ machine: id, wave: wave.number }, nowMs)
     }
   }
 
-  private viewWaveMachine (wave: Wave, id: string, ended: ReadonlySet<string>): WaveMachine {
+  private viewWaveMachine (wave: Wave, id: string, record: WaveProgress): WaveMachine {
     const machine = this.listed.get(id)
     const task = this.tasks.get(id)
     const vm = this.findVm(id)
     const gone = machine === undefined && vm === undefined
+    const former = record.ordered.get(id)
+    const back = former !== undefined && task === undefined && vm !== undefined && !isSameVm(vm, former)
     return {
       id,
-      state: ended.has(id) || gone ? WaveMachineState.Ended : getWaveState(task, wave.number),
+      state: record.ended.has(id) || gone || back ? WaveMachineState.Ended : getWaveState(task, wave.number, former !== undefined),
       pool: vm?.entry.pool ?? machine?.pool ?? '',
       usedCpuMillis: vm === undefined ? 0 : vm.entry.capacity.cpuMillis - vm.freeCpuMillis,
       occupied: (task !== undefined && task.wave !== wave.number) || machine?.state === MachineState.Moving,
     }
   }
 
+  /** Machines that a former owner may have ordered, and whose VM is still the one from before. */
+  private listUnfinished (wave: Wave, record: WaveProgress): string[] {
+    return wave.machines.filter((id) => {
+      const former = record.ordered.get(id)
+      if (former === undefined || record.ended.has(id) || this.tasks.has(id)) return false
+      const vm = this.findVm(id)
+      return vm === undefined ? this.listed.get(id)?.state === MachineState.Up : isSameVm(vm, former)
+    })
+  }
+
   private countServing (nowMs: number): Map<string, number> {
     const serving = new Map<string, number>()
     for (const vm of this.options.scheduler.state.vms.values()) {
@@ -148,7 +163,8 @@
     if (task?.toPool !== undefined) return { id, pool: task.toPool, capacity, movable: false }
     const vm = this.findVm(id)
     const pool = vm?.entry.pool ?? machine.pool
-    if (task !== undefined) return { id, pool, capacity, movable: false }
+    // A machine of a wave serves nobody until it is back, so its pool may be given another.
+    if (task !== undefined) return undefined
     if (vm !== undefined) return { id, pool, capacity, movable: vm.runs.size === 0 && vm.isUsable(nowMs) }
     const standby = this.options.getPools().some((rules) => rules.standby && rules.name === machine.pool)
     if (standby) return { id, pool, capacity, movable: machine.state === MachineState.Up || machine.state === MachineState.Down }
@@ -157,7 +173,7 @@
 
   private begin (plan: { machine: string, wave?: number, toPool?: string }, nowMs: number): void {
     const vm = this.findVm(plan.machine)
-    this.tasks.set(plan.machine, { ...plan, vmId: vm?.id, phase: 'evacuating', orderedAtMs: 0 })
+    this.tasks.set(plan.machine, { ...plan, vmId: vm?.id, former: { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }, phase: 'evacuating', orderedAtMs: 0 })
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
     this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.shortTaskGraceMs)
@@ -175,7 +191,7 @@
   private async order (task: MachineTask): Promise<void> {
     const { machines, settings, ownerRow, timers, log, scheduler } = this.options
     task.phase = 'ordering'
-    if (task.wave !== undefined && !await this.waves.noteOrdered(task.wave, task.machine)) {
+    if (task.wave !== undefined && !await this.waves.noteOrdered(task.wave, task.machine, task.former)) {
       task.phase = 'evacuating'
       return
     }
@@ -243,8 +259,13 @@
   }
 }
 
-function getWaveState (task: MachineTask | undefined, wave: number): WaveMachineState {
-  if (task === undefined || task.wave !== wave) return WaveMachineState.Due
+function isSameVm (vm: TrackedVm, former: FormerVm): boolean {
+  return vm.id === former.vmId && vm.entry.bornMs === former.bornMs
+}
+
+/** @param ordered - true where the maintenance may have been ordered; such a machine counts against the cap. */
+function getWaveState (task: MachineTask | undefined, wave: number, ordered: boolean): WaveMachineState {
+  if (task === undefined || task.wave !== wave) return ordered ? WaveMachineState.Down : WaveMachineState.Due
   return task.phase === 'evacuating' ? WaveMachineState.Evacuating : WaveMachineState.Down
 }
 
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -163,6 +163,10 @@
       const vm = scheduler.state.vms.get(entry.id)
       if (vm !== undefined) vm.recorded = true
     }
+    for (const change of vms) {
+      // A registration may prove that a VM of the roster has ended.
+      if (change.entry !== undefined) scheduler.setVm(change.entry)
+    }
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
     for (const entry of content.roster) {
       if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
@@ -188,8 +192,8 @@
       ...this.options,
       machines,
       scheduler: this.scheduler,
-      // A former owner's last order must be older than the time for which orders come from one holder.
-      ordersFromMs: generation === 0 ? 0 : this.startedAtMs + settings.orderLeaseMs,
+      // Where the platform checks no fences, a former owner's last order must be old enough.
+      ordersFromMs: generation === 0 || settings.fencingEnforced ? 0 : this.startedAtMs + settings.orderLeaseMs,
       getPools: () => configuration.current?.pools ?? [],
       getWaves: () => configuration.waves.values(),
       onSuperseded,
--- a/packages/daemon/src/lib/jobs/ShardWatch.ts
+++ b/packages/daemon/src/lib/jobs/ShardWatch.ts
@@ -10,7 +10,7 @@
 import type { PeerNetwork } from '../peer/PeerNetwork.js'
 import { shardOptions } from './jobOptions.js'
 import type { Members } from './Members.js'
-import { decodeOwnerRow, encodeRow, Table, type OwnerRow } from './rows.js'
+import { decodeBeatRow, decodeOwnerRow, encodeRow, Table, type OwnerRow } from './rows.js'
 import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
 
 /** Options of {@link ShardWatch.create}. */
@@ -147,13 +147,13 @@
     if (!await this.readRow() || this.row?.value.owner === '' || this.stopping) return
     const res = await rows.readRange({ table: Table.Beats, part: this.options.shard })
     if (!res.ok) return
-    const version = res.value.rows[0]?.version ?? 0
+    const row = res.value.rows[0]
     const nowMs = timers.now()
-    if (this.storeBeat?.version !== version) {
-      this.storeBeat = { version, sinceMs: nowMs }
-      return
-    }
-    if (nowMs - this.storeBeat.sinceMs >= shardOptions.standStillMs) await this.take('owner does not reach the store')
+    // The row holds the store's clock at its write, so one look tells how long it has stood still.
+    const ageMs = rows.nowMs() - ((row === undefined ? undefined : decodeBeatRow(row.value)) ?? 0)
+    this.storeBeat ??= { version: row?.version ?? 0, sinceMs: nowMs }
+    if (this.storeBeat.version !== (row?.version ?? 0)) this.storeBeat = { version: row?.version ?? 0, sinceMs: nowMs }
+    if (Math.max(ageMs, nowMs - this.storeBeat.sinceMs) >= shardOptions.standStillMs) await this.take('owner does not reach the store')
   }
 
   private async take (reason: string): Promise<void> {
--- a/packages/daemon/src/lib/jobs/WaveBook.ts
+++ b/packages/daemon/src/lib/jobs/WaveBook.ts
@@ -16,9 +16,16 @@
   onSuperseded (reason: string): void
 }
 
+/** The VM that was on a machine when its maintenance was ordered. */
+export interface FormerVm {
+  readonly vmId: string
+  readonly bornMs: number
+}
+
 /** Progress of one wave. */
 export interface WaveProgress {
-  readonly ordered: Set<string>
+  /** Machines whose maintenance was or may have been ordered, by id. */
+  readonly ordered: Map<string, FormerVm>
   readonly ended: Set<string>
   complete: boolean
 }
@@ -52,14 +59,16 @@
   }
 
   /** Writes that a machine's maintenance may be ordered from now on. @returns false where it could not be written. */
-  async noteOrdered (wave: number, machine: string): Promise<boolean> {
+  async noteOrdered (wave: number, machine: string, former: FormerVm): Promise<boolean> {
     const known = this.waves.get(wave)
     if (known === undefined) return false
-    if (known.ordered.has(machine)) return true
     if (known.writing) return false
-    known.ordered.add(machine)
+    const before = known.ordered.get(machine)
+    if (before?.vmId === former.vmId && before.bornMs === former.bornMs) return true
+    known.ordered.set(machine, former)
     if (await this.write(wave, known)) return true
-    known.ordered.delete(machine)
+    if (before === undefined) known.ordered.delete(machine)
+    else known.ordered.set(machine, before)
     return false
   }
 
@@ -91,7 +100,7 @@
     const row = res.value.rows[0]
     const stored = row === undefined ? undefined : decodeWaveRow(row.value)
     this.waves.set(wave, {
-      ordered: new Set(stored?.ordered),
+      ordered: new Map(stored?.ordered.map(([machine, vmId, bornMs]) => [machine, { vmId, bornMs }])),
       ended: new Set(stored?.ended),
       complete: false,
       version: row?.version ?? 0,
@@ -113,7 +122,8 @@
     const { rows, shard, ownerRow, log } = this.options
     const row = { table: Table.Waves, part: shard, key: String(wave) }
     known.writing = true
-    const value = encodeRow({ ordered: [...known.ordered], ended: [...known.ended], seenAtMs: known.seenAtMs })
+    const ordered = [...known.ordered].map(([machine, { vmId, bornMs }]) => [machine, vmId, bornMs] as const)
+    const value = encodeRow({ ordered, ended: [...known.ended], seenAtMs: known.seenAtMs })
     const res = await rows.transact({ conditions: [ownerRow, { ...row, version: known.version }], puts: [{ ...row, value }], removes: [] })
     known.writing = false
     if (res.ok) {
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -12,10 +12,10 @@
   doubtAfterMs: 700,
   /** Added for each daemon that is asked to take over before this one, so that they do not race. */
   rankDelayMs: 150,
-  /** Time for which the owner's row must stand still before it is taken over: two store beats and a slow answer. */
-  standStillMs: 1_600,
+  /** Time for which the owner's proof must stand still before the shard is taken over: a store beat, and two slow answers. */
+  standStillMs: 1_300,
   /** Time without the store after which an owner is doubted though its peers hear it. */
-  ownerStoreSilentMs: 1_700,
+  ownerStoreSilentMs: 1_200,
   /** Period of looking after ownership. */
   watchPeriodMs: 100,
   /** Shortest time between two looks at a doubted owner's row. */
@@ -64,6 +64,8 @@
   shortTaskGraceMs: 2_000,
   /** Pause before an order that was refused or lost is given again. */
   orderRetryMs: 400,
+  /** Time without the store after which no order is given, as another daemon may own the shard. */
+  storeSilentMs: 1_000,
   capacity: {
     /** A move to standby and back costs about what a machine costs in this time. */
     keepMs: 2_000,
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -51,6 +51,12 @@
   return ownerRowSchema.safeParse(decode(bytes)).data
 }
 
+/** Decodes an owner's proof that it reaches the store: the store's clock at the write. */
+export function decodeBeatRow (bytes: Uint8Array): number | undefined {
+  const row = decode(bytes) as { readonly atMs?: unknown } | undefined
+  return typeof row?.atMs === 'number' ? row.atMs : undefined
+}
+
 /** Decodes the row of a daemon. */
 export function decodeMemberRow (bytes: Uint8Array): Address | undefined {
   return memberRowSchema.safeParse(decode(bytes)).data
@@ -76,8 +82,8 @@
 
 /** Progress of a maintenance wave. */
 export interface WaveRow {
-  /** Machines whose maintenance was or may have been ordered. */
-  readonly ordered: readonly string[]
+  /** Machines whose maintenance was or may have been ordered, each with the VM that was on it and that VM's birth. */
+  readonly ordered: ReadonlyArray<readonly [machine: string, vmId: string, bornMs: number]>
   /** Machines that came back, or are gone. */
   readonly ended: readonly string[]
   /** Store clock at which the wave was first seen. */
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -59,6 +59,8 @@
 /** Scheduler of one shard. @public */
 export class JobScheduler {
   readonly state: SchedulerState
+  /** VMs that a successor need not ask about any more. */
+  readonly forgottenVms = new Set<string>()
   private readonly pacing = PaceController.create()
   private readonly arrivals = ArrivalMeter.create()
   /** Births of VMs that were moved or maintained; their old registrations linger. */
@@ -107,11 +109,13 @@
 
   /** Takes in a registration, new or changed. */
   setVm (entry: VmEntry): void {
+    this.dropFormerVm(entry)
     if (this.retiredVms.get(entry.id) === entry.bornMs) return
     this.retiredVms.delete(entry.id)
     const vm = this.state.vms.get(entry.id)
     if (vm === undefined) {
       this.state.vms.set(entry.id, TrackedVm.create(entry))
+      this.forgottenVms.delete(entry.id)
       this.state.observe(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
       return
     }
@@ -135,6 +139,7 @@
     if (vm === undefined) return
     this.state.loseRuns(vm, vm.runs.values(), reason)
     this.state.vms.delete(id)
+    if (vm.recorded) this.forgottenVms.add(id)
     this.evacuations.delete(id)
     this.state.observe(EventCode.VmForgotten, { vm: id, reason })
   }
@@ -259,6 +264,15 @@
     return true
   }
 
+  /** A new VM on a machine proves that the one before it has ended. */
+  private dropFormerVm (entry: VmEntry): void {
+    if (entry.machine === undefined) return
+    for (const vm of this.state.vms.values()) {
+      if (vm.entry.machine !== entry.machine || vm.id === entry.id || vm.entry.bornMs >= entry.bornMs) continue
+      this.retireVm(vm.id, 'its machine runs a newer VM')
+    }
+  }
+
   private dropLapsedVms (nowMs: number): void {
     for (const vm of [...this.state.vms.values()]) {
       if (vm.heard) {
