--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -159,13 +159,13 @@
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
     this.jobsVersion = content.jobsVersion
     for (const entry of content.roster) {
-      scheduler.setVm(entry)
+      scheduler.setVm(entry, nowMs)
       const vm = scheduler.state.vms.get(entry.id)
       if (vm !== undefined) vm.recorded = true
     }
     for (const change of vms) {
       // A registration may prove that a VM of the roster has ended.
-      if (change.entry !== undefined) scheduler.setVm(change.entry)
+      if (change.entry !== undefined) scheduler.setVm(change.entry, nowMs)
     }
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
     for (const entry of content.roster) {
@@ -264,7 +264,7 @@
   private applyVms (changes: readonly VmChange[]): void {
     const { log, timers } = this.options
     for (const change of changes) {
-      if (change.entry !== undefined) this.scheduler.setVm(change.entry)
+      if (change.entry !== undefined) this.scheduler.setVm(change.entry, timers.now())
       else this.scheduler.unregisterVm(change.id, timers.now())
       if (change.fault !== undefined) log.write(EventCode.VmEntryInvalid, { vm: change.id, reason: change.fault })
     }
--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -75,7 +75,8 @@
     const sentAtMs = timers.now()
     const answer = await client.renew({
       fencingToken,
-      leaseUntilMs: vm.knowsClock ? vm.extendLease(sentAtMs, leaseMs) : undefined,
+      // A lease that is given to a silent VM may have arrived, so giving more would put off the time at which it has surely ended.
+      leaseUntilMs: vm.knowsClock && vm.silentSinceMs === undefined ? vm.extendLease(sentAtMs, leaseMs) : undefined,
       notedEnd: vm.notedEnd,
       waitMs: this.getWaitMs(),
     })
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -67,8 +67,8 @@
   /** Time without the store after which no order is given, as another daemon may own the shard. */
   storeSilentMs: 1_000,
   capacity: {
-    /** A move to standby and back costs about what a machine costs in this time. */
-    keepMs: 2_000,
+    /** A move costs about what a machine costs in this time, so an idle machine is worth keeping no longer. */
+    keepMs: 1_000,
     /** Enough to begin on the first jobs of a turn. */
     spareMachines: 1,
   },
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -89,6 +89,18 @@
       for (const vm of lab.fleet.vms) vm.fault = VmFault.LateOrders
       lab.timers.after(1_500, () => { for (const vm of lab.fleet.vms) vm.fault = VmFault.None })
     }))
+    it('may be gone for good, with long-running tasks on them', async () => {
+      for (const seed of SEEDS) {
+        const lab = JobLab.create({ seed })
+        await lab.start()
+        lab.submit(createJob(createStep({ longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+        await lab.run(4_000)
+        const gone = lab.fleet.vms.find((vm) => vm.runs.size > 0)
+        lab.fleet.crash(gone?.entry.machine ?? '', 3_600_000)
+        await lab.finish(12_000)
+        assert.equal(lab.history.violations, [], `seed ${seed}`)
+      }
+    })
     it('may be cut while the owner crashes', () => expectKept(async (lab) => {
       const cut = lab.fleet.vms.slice(0, 2)
       for (const vm of cut) vm.fault = VmFault.Cut
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -35,6 +35,9 @@
   ].filter((part) => part !== '').join(' ')).join(', ')
 }
 
+/** Time for which tasks stay on a draining VM; most end by themselves, and the VM leaves after two seconds at the earliest. */
+const DRAINING_TASK_GRACE_MS = 1_200
+
 /** Options of {@link JobScheduler.create}. @public */
 export interface JobSchedulerOptions {
   /** Number of owners that the shard had before. */
@@ -108,7 +111,7 @@
   }
 
   /** Takes in a registration, new or changed. */
-  setVm (entry: VmEntry): void {
+  setVm (entry: VmEntry, nowMs: number): void {
     this.dropFormerVm(entry)
     if (this.retiredVms.get(entry.id) === entry.bornMs) return
     this.retiredVms.delete(entry.id)
@@ -120,6 +123,7 @@
       return
     }
     if (entry.draining && !vm.entry.draining) this.state.observe(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
+    if (entry.draining && !vm.entry.draining) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
     if (entry.bornMs !== vm.entry.bornMs) startNewLife(this.state, vm, entry.bornMs)
     vm.entry = entry
     vm.unregisteredAtMs = undefined
--- a/packages/policy/src/lib/jobs/evacuateVm.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.ts
@@ -15,20 +15,24 @@
       if (nowMs >= stopShortAtMs) state.stopRun(run, StopReason.Evacuation, nowMs)
       continue
     }
-    if (hasPlaceElsewhere(state, vm, run, nowMs) && canTakeAway(step)) state.stopRun(run, StopReason.Evacuation, nowMs)
+    // A VM that drains ends its tasks itself in a moment, so waiting for the others of the step gains nothing.
+    const allowed = vm.entry.draining || canTakeAway(state, step)
+    if (allowed && hasPlaceElsewhere(state, vm, run, nowMs)) state.stopRun(run, StopReason.Evacuation, nowMs)
   }
 }
 
 /** True while one more task of the step may become unavailable because of us. */
-export function canTakeAway (step: TrackedStep): boolean {
+export function canTakeAway (state: SchedulerState, step: TrackedStep): boolean {
   if (step.spec.mayMiss === 0) return true
-  const away = step.tasks.filter((task) => !isAtWork(task.runs)).length
+  const away = step.tasks.filter((task) => !isAtWork(state, task.runs)).length
   return away < step.spec.mayMiss
 }
 
-function isAtWork (runs: ReadonlySet<TrackedRun>): boolean {
+/** A task works where a VM that answers says so. */
+function isAtWork (state: SchedulerState, runs: ReadonlySet<TrackedRun>): boolean {
   for (const run of runs) {
-    if (run.phase === RunPhase.Running && run.percent >= 100) return true
+    const vm = state.vms.get(run.vmId)
+    if (run.phase === RunPhase.Running && run.percent >= 100 && vm?.registered === true && vm.silentSinceMs === undefined) return true
   }
   return false
 }
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -149,7 +149,8 @@
 /** Lower is better: away from VMs where the task failed, near its data, then the fullest VM that has room. */
 function scoreVm (step: TrackedStep, task: TrackedTask, vm: TrackedVm): number {
   const { spec } = step
-  let score = spec.fills || spec.longRunning ? -vm.freeCpuMillis : vm.freeCpuMillis
+  // A full VM is filled up first, so that others stay empty and can be moved to where demand is.
+  let score = spec.fills ? -vm.freeCpuMillis : vm.freeCpuMillis
   if (task.failedVms.has(vm.id)) score += FAILED_HERE_WEIGHT
   if (spec.dataRack !== undefined && vm.rack !== spec.dataRack) score += OTHER_RACK_WEIGHT
   return score
--- /dev/null
+++ b/packages/policy/src/lib/jobs/testSupport.ts
@@ -0,0 +1,85 @@
+/**
+ * Builders for tests of the scheduler.
+ */
+import type { AcceptedJob, JobSpec, StepSpec, VmEntry } from '@vanillathread/model'
+import { JobScheduler } from './JobScheduler.js'
+import { OrderKind, StartOutcome, type Order } from './orders.js'
+import { RunPhase } from './TrackedRun.js'
+
+const LEASE_MS = 5_000
+
+/** A step of four small tasks; what is left out is plain. */
+export function createTestStep (step: Partial<StepSpec> = {}): StepSpec {
+  return {
+    taskCount: 4,
+    need: { cpuMillis: 1_000, memoryMb: 100, accelerators: 0 },
+    estimateMs: 500,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    speculative: false,
+    longRunning: false,
+    fills: false,
+    mayMiss: 0,
+    ...step,
+  }
+}
+
+/** An accepted job. */
+export function createTestJob (spec: Partial<JobSpec> & { id?: string, acceptedAtMs?: number }): AcceptedJob {
+  const { id, acceptedAtMs, ...rest } = spec
+  return {
+    id: id ?? '00000000000000aa',
+    queue: 'queue',
+    pool: 'pool',
+    spec: { payload: '', steps: [createTestStep()], repeatCount: 0, firstRunMs: 0, intervalMs: 0, ...rest },
+    priority: 0,
+    maxAttempts: 2,
+    deadlineFactor: 1.6,
+    targetLatencyMs: 600,
+    acceptedAtMs: acceptedAtMs ?? 0,
+    configurationVersion: 1,
+  }
+}
+
+export function createVmEntry (id: string, entry: Partial<VmEntry> = {}): VmEntry {
+  return {
+    id,
+    machine: `m-${id}`,
+    pool: 'pool',
+    address: { host: 'h', port: 1 },
+    zone: 'z',
+    labels: ['k', 'r'],
+    draining: false,
+    bornMs: 1,
+    capacity: { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 },
+    ...entry,
+  }
+}
+
+export function createScheduler (options: { generation?: number } = {}): JobScheduler {
+  return JobScheduler.create({
+    generation: options.generation ?? 0, fencingToken: 1, leaseMs: LEASE_MS, formerOwnerMs: 0, startedAtMs: 0, observe: () => {},
+  })
+}
+
+/** Lets a VM report that it runs, in full, what it was told to. */
+export function hear (scheduler: JobScheduler, entry: VmEntry, nowMs: number): void {
+  scheduler.setVm(entry, nowMs)
+  const vm = scheduler.state.vms.get(entry.id)
+  if (vm === undefined) return
+  vm.recorded = true
+  const running = [...vm.runs.values()].map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
+  scheduler.applyReport(vm, { clockMs: nowMs, bornMs: entry.bornMs, running, ends: [] }, nowMs, nowMs)
+  vm.extendLease(nowMs, LEASE_MS)
+}
+
+/** Plans, and has every start accepted. */
+export function planOnce (scheduler: JobScheduler, nowMs: number): Order[] {
+  const orders = scheduler.plan({ nowMs, storeNowMs: nowMs, wallClockMs: nowMs }, () => undefined)
+  for (const order of orders) {
+    if (order.kind === OrderKind.Start && order.run.phase === RunPhase.Ordered) scheduler.applyStart(order.run, StartOutcome.Accepted, nowMs)
+  }
+  return orders
+}
