--- /dev/null
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -0,0 +1,84 @@
+/**
+ * What one transaction holds.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
+import { Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { JobScheduler } from '@vanillathread/policy'
+import type { RowStore, RowTransaction } from '@vanillathread/ports'
+import { CommitLoop } from './CommitLoop.js'
+
+/** Entries that the platform takes in one transaction. */
+const MAX_ENTRIES = 100
+
+function createJob (index: number): AcceptedJob {
+  const step = {
+    taskCount: 1,
+    need: { cpuMillis: 1, memoryMb: 1, accelerators: 0 },
+    estimateMs: 1,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    speculative: false,
+    longRunning: false,
+    fills: false,
+    mayMiss: 0,
+  }
+  return {
+    id: index.toString(16).padStart(16, '0'),
+    queue: 'q',
+    pool: 'p',
+    spec: { payload: '', steps: [step], repeatCount: 0, firstRunMs: 0, intervalMs: 0 },
+    priority: 0,
+    maxAttempts: 1,
+    deadlineFactor: 1,
+    targetLatencyMs: 1,
+    acceptedAtMs: 0,
+    configurationVersion: 1,
+  }
+}
+
+function createVm (index: number): VmEntry {
+  return { id: `vm-${index}`, pool: 'p', address: { host: 'h', port: 1 }, zone: 'z', capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, labels: [], draining: false, bornMs: 1 }
+}
+
+describe('CommitLoop', ({ it }) => {
+  it('writes everything in transactions that the platform takes', async () => {
+    const timers = FakeTimerService.create()
+    const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, formerOwnerMs: 0, startedAtMs: 0, observe: () => {} })
+    const transactions: RowTransaction[] = []
+    const rows = {
+      transact: async (transaction: RowTransaction) => {
+        transactions.push(transaction)
+        return Result.ok({ version: transactions.length + 1 })
+      }
+    } as unknown as RowStore
+    for (let index = 0; index < 90; index++) {
+      scheduler.addJob(createJob(index), 2, 0)
+      scheduler.cancelJob(createJob(index).id, 0)
+    }
+    for (let index = 0; index < 30; index++) {
+      scheduler.setVm(createVm(index), 0)
+      scheduler.forgottenVms.add(`gone-${index}`)
+    }
+    const loop = CommitLoop.create({
+      shard: 's',
+      scheduler,
+      rows,
+      timers,
+      log: MemoryEventLog.create(),
+      ownerRow: { table: 'shards', part: 's', key: 'owner', version: 1 },
+      versions: new Map(),
+      onCommitted: () => {},
+      onSuperseded: () => {},
+    })
+    loop.request()
+    await timers.advance(0)
+    await timers.advance(2_000)
+    for (const { conditions, puts, removes } of transactions) assert.ok(conditions.length + puts.length + removes.length <= MAX_ENTRIES)
+    assert.is(transactions.reduce((sum, { puts }) => sum + puts.length, 0), 120)
+    assert.is(scheduler.listChanged().length, 0)
+    loop.dispose()
+  })
+})
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -84,7 +84,7 @@
     const roster = vms.filter((vm) => !vm.recorded).slice(0, MAX_ROSTER_ROWS)
     const left = [...scheduler.forgottenVms].slice(0, MAX_ROSTER_ROWS)
     const complete = changed.length === jobs.length
-    if (!complete) this.wanted = true
+    if (!complete || vms.some((vm) => !vm.recorded && !roster.includes(vm))) this.wanted = true
     const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.notedEnd).map((vm) => [vm, vm.appliedEnd]) : [])
     return { jobs, roster, left, ends }
   }
@@ -150,8 +150,8 @@
   }
 }
 
-/** Roster rows in one transaction, beside forty jobs. */
-const MAX_ROSTER_ROWS = 8
+/** Roster rows written, and removed, in one transaction: with forty jobs and the owner's row that makes 91 of 100 entries. */
+const MAX_ROSTER_ROWS = 3
 
 /** Name of a row within its part. */
 export function nameRow (row: RowKey): string {
--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -48,6 +48,8 @@
   private readonly waves: WaveBook
   private readonly planner: CapacityPlanner
   private readonly timer: Subscription
+  /** Lists in a row that lacked a machine of a wave. */
+  private readonly missingLists = new Map<string, number>()
   private listedAtMs = -Infinity
   private listing = false
   private disposed = false
@@ -92,22 +94,25 @@
     this.listedAtMs = nowMs
     this.listed.clear()
     for (const machine of res.value) this.listed.set(machine.id, machine)
+    for (const wave of this.options.getWaves()) {
+      for (const id of wave.machines) {
+        if (!this.listed.has(id)) this.missingLists.set(id, (this.missingLists.get(id) ?? 0) + 1)
+      }
+    }
   }
 
   private planWaves (nowMs: number): void {
     for (const wave of this.options.getWaves()) {
       const record = this.waves.get(wave.number)
       if (record === undefined || record.complete) continue
+      this.noteGone(wave)
       const machines = wave.machines.map((id) => this.viewWaveMachine(wave, id, record))
-      for (const machine of machines) {
-        if (machine.state === WaveMachineState.Ended) this.waves.noteEnded(wave.number, machine.id)
-      }
       if (machines.every((machine) => machine.state === WaveMachineState.Ended)) {
         this.waves.complete(wave)
         continue
       }
       if (nowMs < this.options.ordersFromMs) continue
-      for (const id of this.listUnfinished(wave, record)) this.begin({ machine: id, wave: wave.number }, nowMs)
+      for (const id of this.listUnanswered(wave, record)) this.begin({ machine: id, wave: wave.number }, nowMs)
       for (const id of planWave({ cap: wave.cap, machines, servingByPool: this.countServing(nowMs) })) this.begin({ machine: id, wave: wave.number }, nowMs)
     }
   }
@@ -116,26 +121,36 @@
     const machine = this.listed.get(id)
     const task = this.tasks.get(id)
     const vm = this.findVm(id)
-    const gone = machine === undefined && vm === undefined
-    const former = record.ordered.get(id)
-    const back = former !== undefined && task === undefined && vm !== undefined && !isSameVm(vm, former)
     return {
       id,
-      state: record.ended.has(id) || gone || back ? WaveMachineState.Ended : getWaveState(task, wave.number, former !== undefined),
+      state: this.getWaveState(wave, id, record, task),
       pool: vm?.entry.pool ?? machine?.pool ?? '',
       usedCpuMillis: vm === undefined ? 0 : vm.entry.capacity.cpuMillis - vm.freeCpuMillis,
       occupied: (task !== undefined && task.wave !== wave.number) || machine?.state === MachineState.Moving,
     }
   }
 
-  /** Machines that a former owner may have ordered, and whose VM is still the one from before. */
-  private listUnfinished (wave: Wave, record: WaveProgress): string[] {
-    return wave.machines.filter((id) => {
-      const former = record.ordered.get(id)
-      if (former === undefined || record.ended.has(id) || this.tasks.has(id)) return false
-      const vm = this.findVm(id)
-      return vm === undefined ? this.listed.get(id)?.state === MachineState.Up : isSameVm(vm, former)
-    })
+  /** Only an answer says that a maintenance has begun: a VM may also be new for other reasons. */
+  private getWaveState (wave: Wave, id: string, record: WaveProgress, task: MachineTask | undefined): WaveMachineState {
+    const { state } = this.listed.get(id) ?? {}
+    if (task?.wave === wave.number) return task.phase === 'evacuating' && !record.ordered.has(id) ? WaveMachineState.Evacuating : WaveMachineState.Down
+    if (state === MachineState.InMaintenance) return WaveMachineState.Down
+    if (record.begun.has(id)) return WaveMachineState.Ended
+    if (record.ordered.has(id)) return WaveMachineState.Down
+    return WaveMachineState.Due
+  }
+
+  /** Machines whose maintenance a former owner may have ordered without an answer. */
+  private listUnanswered (wave: Wave, record: WaveProgress): string[] {
+    return wave.machines.filter((id) => record.ordered.has(id) && !record.begun.has(id) && !this.tasks.has(id) && this.listed.get(id)?.state === MachineState.Up)
+  }
+
+  /** Takes machines that the list lacks, again and again, for gone. */
+  private noteGone (wave: Wave): void {
+    for (const id of wave.machines) {
+      if (this.listed.has(id) || this.findVm(id) !== undefined) this.missingLists.delete(id)
+      else if ((this.missingLists.get(id) ?? 0) >= GONE_AFTER_LISTS) this.waves.noteBegun(wave.number, id)
+    }
   }
 
   private countServing (nowMs: number): Map<string, number> {
@@ -207,6 +222,7 @@
     })
     if (answer.kind === 'done') {
       if (task.vmId !== undefined) scheduler.retireVm(task.vmId, task.wave === undefined ? 'its machine was moved' : 'its machine is in maintenance')
+      if (task.wave !== undefined) this.waves.noteBegun(task.wave, task.machine)
       task.phase = 'underway'
       task.orderedAtMs = timers.now()
       this.options.onChange()
@@ -222,7 +238,7 @@
       return
     }
     if (task.wave !== undefined && (refusal === MachineRefusal.NotInWave || refusal === MachineRefusal.Unknown)) {
-      this.waves.noteEnded(task.wave, task.machine)
+      this.waves.noteBegun(task.wave, task.machine)
       this.finish(task)
       return
     }
@@ -240,7 +256,6 @@
     const listedLater = this.listedAtMs > task.orderedAtMs + takesMs
     const settled = machine === undefined || (machine.state !== MachineState.Moving && machine.state !== MachineState.InMaintenance)
     if (vm === undefined && !(listedLater && settled)) return
-    if (task.wave !== undefined) this.waves.noteEnded(task.wave, task.machine)
     if (task.toPool !== undefined && machine !== undefined) this.listed.set(task.machine, { ...machine, pool: task.toPool })
     this.finish(task)
   }
@@ -259,17 +274,10 @@
   }
 }
 
-function isSameVm (vm: TrackedVm, former: FormerVm): boolean {
-  return vm.id === former.vmId && vm.entry.bornMs === former.bornMs
-}
-
-/** @param ordered - true where the maintenance may have been ordered; such a machine counts against the cap. */
-function getWaveState (task: MachineTask | undefined, wave: number, ordered: boolean): WaveMachineState {
-  if (task === undefined || task.wave !== wave) return ordered ? WaveMachineState.Down : WaveMachineState.Due
-  return task.phase === 'evacuating' ? WaveMachineState.Evacuating : WaveMachineState.Down
-}
-
 function describeAnswer (answer: MachineAnswer): string | undefined {
   if (answer.kind === 'refused') return answer.refusal
   return answer.kind === 'unknown' ? answer.reason : undefined
 }
+
+/** Lists in a row that must lack a machine before it counts as gone: one may be read while the machine changes its pool. */
+const GONE_AFTER_LISTS = 2
--- a/packages/daemon/src/lib/jobs/WaveBook.ts
+++ b/packages/daemon/src/lib/jobs/WaveBook.ts
@@ -26,7 +26,8 @@
 export interface WaveProgress {
   /** Machines whose maintenance was or may have been ordered, by id. */
   readonly ordered: Map<string, FormerVm>
-  readonly ended: Set<string>
+  /** Machines whose maintenance has surely begun, or that are gone. */
+  readonly begun: Set<string>
   complete: boolean
 }
 
@@ -72,9 +73,9 @@
     return false
   }
 
-  /** Notes that a machine is back or gone; written with the next change. */
-  noteEnded (wave: number, machine: string): void {
-    this.waves.get(wave)?.ended.add(machine)
+  /** Notes that a machine's maintenance has surely begun, or that it is gone; written with the next change. */
+  noteBegun (wave: number, machine: string): void {
+    this.waves.get(wave)?.begun.add(machine)
   }
 
   /** Tells the operator that a wave is complete. */
@@ -101,7 +102,7 @@
     const stored = row === undefined ? undefined : decodeWaveRow(row.value)
     this.waves.set(wave, {
       ordered: new Map(stored?.ordered.map(([machine, vmId, bornMs]) => [machine, { vmId, bornMs }])),
-      ended: new Set(stored?.ended),
+      begun: new Set(stored?.begun),
       complete: false,
       version: row?.version ?? 0,
       seenAtMs: stored?.seenAtMs ?? Math.round(rows.nowMs()),
@@ -123,7 +124,7 @@
     const row = { table: Table.Waves, part: shard, key: String(wave) }
     known.writing = true
     const ordered = [...known.ordered].map(([machine, { vmId, bornMs }]) => [machine, vmId, bornMs] as const)
-    const value = encodeRow({ ordered, ended: [...known.ended], seenAtMs: known.seenAtMs })
+    const value = encodeRow({ ordered, begun: [...known.begun], seenAtMs: known.seenAtMs })
     const res = await rows.transact({ conditions: [ownerRow, { ...row, version: known.version }], puts: [{ ...row, value }], removes: [] })
     known.writing = false
     if (res.ok) {
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -84,8 +84,8 @@
 export interface WaveRow {
   /** Machines whose maintenance was or may have been ordered, each with the VM that was on it and that VM's birth. */
   readonly ordered: ReadonlyArray<readonly [machine: string, vmId: string, bornMs: number]>
-  /** Machines that came back, or are gone. */
-  readonly ended: readonly string[]
+  /** Machines whose maintenance has surely begun, or that are gone. */
+  readonly begun: readonly string[]
   /** Store clock at which the wave was first seen. */
   readonly seenAtMs: number
 }
@@ -93,7 +93,7 @@
 /** Decodes a wave's progress. */
 export function decodeWaveRow (bytes: Uint8Array): WaveRow | undefined {
   const row = decode(bytes) as WaveRow | undefined
-  return Array.isArray(row?.ordered) && Array.isArray(row.ended) ? row : undefined
+  return Array.isArray(row?.ordered) && Array.isArray(row.begun) ? row : undefined
 }
 
 /** Bytes that are no CBOR decode to undefined; callers log such rows. */
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -69,6 +69,18 @@
     it('may be silent', () => expectKept(fail(StoreFault.Silent)))
     it('may lose answers and carry writes out late', () => expectKept(fail(StoreFault.LosingAnswers)))
     it('may be slow', () => expectKept(fail(StoreFault.Slow)))
+    it('may be away while many jobs end and many VMs leave', async () => {
+      const lab = JobLab.create({ seed: 1 })
+      await lab.start()
+      for (let job = 0; job < 60; job++) lab.submit(createJob(createStep({ taskCount: 1, estimateMs: 2_000 })))
+      await lab.run(1_000)
+      lab.store.fault = StoreFault.Refusing
+      await lab.run(3_000)
+      for (const id of lab.fleet.machines.keys()) lab.fleet.crash(id, 100)
+      lab.store.fault = StoreFault.None
+      await lab.finish(20_000)
+      assert.equal(lab.history.violations, [])
+    })
     it('may forget its history', () => expectKept((lab) => lab.store.forgetHistory()))
   })
 
@@ -156,6 +168,21 @@
   })
 
   describe('maintenance', ({ it }) => {
+    it('is not said to be complete where orders were lost and VMs started anew', async () => {
+      for (const seed of SEEDS) {
+        const lab = await playWithFault({ seed }, async (each) => {
+          const machines = [...each.fleet.machines.keys()].slice(0, 6)
+          each.fleet.losesOrders = true
+          each.requestWave(1, machines, 6)
+          each.timers.after(3_000, () => { for (const id of machines) each.fleet.crash(id, 1_000) })
+          each.timers.after(3_200, () => { each.crashDaemon(each.findOwner(), 1_000) })
+          each.timers.after(5_000, () => { each.fleet.losesOrders = false })
+        })
+        assert.equal(lab.history.violations, [], `seed ${seed}`)
+        assert.ok(lab.history.completeWaves.has(1), `seed ${seed}`)
+      }
+    })
+
     it('keeps the cap and ends, over a crash of the owner', async () => {
       for (const seed of SEEDS) {
         const lab = await playWithFault({ seed }, async (each) => {
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -77,8 +77,13 @@
 
   onWaveComplete (wave: number): void {
     this.completeWaves.add(wave)
+    const open = this.listUnmaintained(wave)
+    if (open.length > 0) this.report('MIXED', `wave ${wave} is said to be complete, and ${open.join(', ')} had no maintenance`)
   }
 
+  /** Machines of a wave whose maintenance has not begun; set by the lab. */
+  listUnmaintained: (wave: number) => readonly string[] = () => []
+
   /** Caps of the waves that were requested. */
   readonly caps = new Map<number, number>()
 
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -177,6 +177,7 @@
 
   requestWave (number: number, machines: readonly string[], cap: number): void {
     this.history.caps.set(number, cap)
+    this.history.listUnmaintained = (wave) => machines.filter((id) => this.fleet.machines.get(id)?.maintained.has(wave) === false)
     writeWave(this.store, { number, machines, durationMs: 20_000, cap })
   }
 
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -44,6 +44,8 @@
 /** The fleet. @public */
 export class FleetStandIn implements MachineService, VmClients {
   readonly machines = new Map<string, StandInMachine>()
+  /** Orders are neither carried out nor answered. */
+  losesOrders = false
   private nextVm = 1
 
   private constructor (private readonly options: FleetStandInOptions) {}
@@ -92,6 +94,7 @@
   }
 
   async move (id: string, pool: string, orderer: MachineOrderer): Promise<MachineAnswer> {
+    if (this.losesOrders) return { kind: 'unknown', reason: 'no answer' }
     const entry = this.machines.get(id)
     const refusal = this.check(entry, orderer)
     if (entry === undefined || refusal !== undefined) return { kind: 'refused', refusal: refusal ?? MachineRefusal.Unknown }
@@ -102,6 +105,7 @@
   }
 
   async maintain (id: string, wave: number, orderer: MachineOrderer): Promise<MachineAnswer> {
+    if (this.losesOrders) return { kind: 'unknown', reason: 'no answer' }
     const entry = this.machines.get(id)
     if (entry?.maintained.has(wave) === true) return { kind: 'done' }
     const refusal = this.check(entry, orderer)
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -30,6 +30,9 @@
 const LATEST_MS = 5_000
 const SLOW_MS = 240
 
+/** Entries that one transaction may have; stated by the platform. */
+const MAX_ENTRIES = 100
+
 /** Rows, versions and history. @public */
 export class StoreStandIn {
   /** Fault for every daemon. */
@@ -68,6 +71,8 @@
   }
 
   transact (transaction: RowTransaction): Result<RowCommit, StoreFailure> {
+    const entries = transaction.conditions.length + transaction.puts.length + transaction.removes.length
+    if (entries > MAX_ENTRIES) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 400' })
     const broken = transaction.conditions.filter((condition) => !this.holds(condition))
     if (broken.length === 0) return Result.ok({ version: this.apply(transaction) })
     const rows = transaction.conditions.map((condition) => this.rows.get(nameOf(condition))).filter((row) => row !== undefined)
