--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -1,7 +1,7 @@
 /**
  * Serves clients: stores jobs and cancels, and tells what has become of jobs.
  */
-import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
+import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, isFinalState, JobState, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
 import { IngressAnswerKind, StoreFailureKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessage } from '../peer/messages.js'
@@ -21,6 +21,7 @@
   readonly shard: ShardWatch
   readonly shardName: string
   readonly network: PeerTransport
+  readonly metrics: Metrics
 }
 
 const JOB_ID = /^[0-9a-f]{16}$/
@@ -59,7 +60,28 @@
     this.stopping = true
   }
 
-  async submit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer> {
+  submit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer> {
+    return this.measure('submit', this.trySubmit(req, spec))
+  }
+
+  look (req: ClientRequest): Promise<IngressAnswer> {
+    return this.measure('look', this.tryLook(req))
+  }
+
+  cancel (req: ClientRequest): Promise<IngressAnswer> {
+    return this.measure('cancel', this.tryCancel(req))
+  }
+
+  /** Records how long a request took, and how it was answered. */
+  private async measure (call: string, pending: Promise<IngressAnswer>): Promise<IngressAnswer> {
+    const { timers, metrics } = this.options
+    const startedAtMs = timers.now()
+    const answer = await pending
+    metrics.timing('request_ms', timers.now() - startedAtMs, { call, answer: answer.kind })
+    return answer
+  }
+
+  private async trySubmit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer> {
     const target = this.findTarget(req)
     if (target.answer !== undefined) return target.answer
     const { queue, rest: id } = target
@@ -67,7 +89,7 @@
     return this.store(this.toJob(id, queue, spec), req)
   }
 
-  async look (req: ClientRequest): Promise<IngressAnswer> {
+  private async tryLook (req: ClientRequest): Promise<IngressAnswer> {
     const target = this.findTarget(req)
     if (target.answer !== undefined) return target.answer
     const { queue, rest } = target
@@ -78,7 +100,7 @@
     return state === undefined ? { kind: IngressAnswerKind.UnknownJob } : { kind: IngressAnswerKind.State, state }
   }
 
-  async cancel (req: ClientRequest): Promise<IngressAnswer> {
+  private async tryCancel (req: ClientRequest): Promise<IngressAnswer> {
     const target = this.findTarget(req)
     if (target.answer !== undefined) return target.answer
     const { rest: id } = target
--- a/packages/daemon/src/lib/jobs/JobsDaemon.ts
+++ b/packages/daemon/src/lib/jobs/JobsDaemon.ts
@@ -1,13 +1,16 @@
 /**
  * One daemon that serves jobs: a kernel with the plug-ins of this folder.
  */
-import { Kernel, NullMetrics, PluginCatalogue, ServiceKey, SystemTimerService, Tracing, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
+import { BoundedEventLog, Kernel, NullMetrics, PluginCatalogue, ServiceKey, SystemTimerService, Tracing, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
 import type { Advisor, ClientApi, FleetFeeds, Ingress, MachineService, RowStore, VmClients } from '@vanillathread/ports'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { registerJobPlugins } from './jobPlugins.js'
 import type { JobsSettings } from './JobsSettings.js'
 
+/** Lines of one event that a daemon writes in a second: an owner at five times the mean load starts about 600 tasks. */
+const LINES_PER_SECOND = 700
+
 /** The platform as a daemon uses it. @public */
 export interface JobsPlatform {
   readonly rows: RowStore
@@ -28,27 +31,37 @@
   readonly log: EventLog
   readonly timers?: TimerService
   readonly metrics?: Metrics
+  /** Returns the metrics as text, where they are to be served. */
+  renderMetrics? (): Promise<string>
 }
 
 export const JOBS_SETTINGS = ServiceKey.create<JobsSettings>('jobs-settings')
+export const METRICS_TEXT = ServiceKey.create<(() => Promise<string>) | undefined>('metrics-text')
 export const JOBS_PLATFORM = ServiceKey.create<JobsPlatform>('jobs-platform')
 
 /** A daemon that can be started and stopped. @public */
 export class JobsDaemon {
   readonly kernel: Kernel
+  private readonly log: BoundedEventLog
 
   private constructor (private readonly options: JobsDaemonOptions) {
     const catalogue = PluginCatalogue.create()
     registerJobPlugins(catalogue)
+    const timers = options.timers ?? SystemTimerService.create()
+    const metrics = options.metrics ?? NullMetrics.create()
+    this.log = BoundedEventLog.create({
+      log: options.log, timers, linesPerSecond: LINES_PER_SECOND, observe: (code) => metrics.increment('events', { event: EventCode[code] }),
+    })
     this.kernel = Kernel.create({
       catalogue,
-      timers: options.timers ?? SystemTimerService.create(),
-      log: options.log,
-      metrics: options.metrics ?? NullMetrics.create(),
+      timers,
+      log: this.log,
+      metrics,
       tracing: Tracing.create({ sampleRatio: 0 }),
     })
     this.kernel.provide(JOBS_SETTINGS, options.settings)
     this.kernel.provide(JOBS_PLATFORM, options.platform)
+    this.kernel.provide(METRICS_TEXT, options.renderMetrics?.bind(options))
   }
 
   static create (options: JobsDaemonOptions): JobsDaemon {
@@ -57,17 +70,19 @@
 
   async start (): Promise<void> {
     await this.kernel.start()
-    this.options.log.write(EventCode.DaemonStarted, { daemon: this.options.settings.name })
+    this.log.write(EventCode.DaemonStarted, { daemon: this.options.settings.name })
   }
 
   /** Ends without a word to anybody, as a crash does. */
   async crash (): Promise<void> {
     await this.kernel.dispose()
+    this.log.dispose()
   }
 
   async stop (): Promise<void> {
-    this.options.log.write(EventCode.DaemonStopping, { daemon: this.options.settings.name })
+    this.log.write(EventCode.DaemonStopping, { daemon: this.options.settings.name })
     await this.kernel.stop()
-    this.options.log.write(EventCode.DaemonStopped, { daemon: this.options.settings.name })
+    this.log.write(EventCode.DaemonStopped, { daemon: this.options.settings.name })
+    this.log.dispose()
   }
 }
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/MetricsServer.ts
@@ -0,0 +1,80 @@
+/**
+ * Serves the daemon's metrics as text, and samples what changes without an event.
+ */
+import fastify, { type FastifyInstance } from 'fastify'
+import { LoopLagMonitor, type EventLog, type Metrics, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { EventCode, type Address } from '@vanillathread/model'
+import type { RowStore } from '@vanillathread/ports'
+import type { ConfigurationWatch } from './ConfigurationWatch.js'
+import type { ShardWatch } from './ShardWatch.js'
+
+/** Period of the samples. */
+const SAMPLE_PERIOD_MS = 2_000
+
+/** Options of {@link MetricsServer.create}. */
+export interface MetricsServerOptions {
+  readonly address: Address
+  readonly timers: TimerService
+  readonly log: EventLog
+  readonly metrics: Metrics
+  readonly rows: RowStore
+  readonly shard: ShardWatch
+  readonly configuration: ConfigurationWatch
+  /** Returns the text to serve. */
+  render (): Promise<string>
+}
+
+/** Metrics of one daemon. */
+export class MetricsServer {
+  private readonly server: FastifyInstance
+  private readonly samples: Subscription
+  private readonly lag: LoopLagMonitor
+
+  private constructor (private readonly options: MetricsServerOptions) {
+    this.server = fastify()
+    this.server.get('/metrics', async (_req, res) => {
+      await res.header('content-type', 'text/plain; version=0.0.4').send(await options.render())
+    })
+    this.samples = options.timers.every(SAMPLE_PERIOD_MS, () => this.sample())
+    this.lag = LoopLagMonitor.create(options)
+  }
+
+  static create (options: MetricsServerOptions): MetricsServer {
+    return new MetricsServer(options)
+  }
+
+  /** A daemon whose metrics address is taken serves clients all the same. */
+  async listen (): Promise<void> {
+    try {
+      await this.server.listen(this.options.address)
+    } catch (err) {
+      this.options.log.write(EventCode.HandlerFailed, { operation: 'listen for metrics', reason: String(err) })
+    }
+  }
+
+  async dispose (): Promise<void> {
+    this.samples.dispose()
+    this.lag.dispose()
+    await this.server.close()
+  }
+
+  private sample (): void {
+    const { metrics, rows, shard, configuration } = this.options
+    metrics.gauge('store_silent_ms', Math.round(rows.silentForMs()))
+    metrics.gauge('configuration_version', configuration.current?.version ?? 0)
+    metrics.gauge('resident_bytes', process.memoryUsage.rss())
+    const { owner } = shard
+    metrics.gauge('owner', owner === undefined ? 0 : 1)
+    if (owner === undefined) return
+    const { state } = owner.scheduler
+    metrics.gauge('fencing_token', owner.fencingToken)
+    for (const pool of configuration.current?.pools ?? []) {
+      const vms = [...state.vms.values()].filter((vm) => vm.entry.pool === pool.name)
+      metrics.gauge('pool_vms', vms.length, { pool: pool.name })
+      metrics.gauge('pool_vms_silent', vms.filter((vm) => vm.silentSinceMs !== undefined).length, { pool: pool.name })
+      metrics.gauge('pool_free_cpu_millis', vms.reduce((sum, vm) => sum + vm.freeCpuMillis, 0), { pool: pool.name })
+      metrics.gauge('pool_open_jobs', state.openJobs.get(pool.name)?.size ?? 0, { pool: pool.name })
+      metrics.gauge('pool_runs', vms.reduce((sum, vm) => sum + vm.runs.size, 0), { pool: pool.name })
+    }
+  }
+}
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -7,8 +7,9 @@
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { ConfigurationWatch } from './ConfigurationWatch.js'
 import { JobGateway } from './JobGateway.js'
-import { JOBS_PLATFORM, JOBS_SETTINGS } from './JobsDaemon.js'
+import { JOBS_PLATFORM, JOBS_SETTINGS, METRICS_TEXT } from './JobsDaemon.js'
 import { stopAfterMs } from './jobOptions.js'
+import { MetricsServer } from './MetricsServer.js'
 import { Members } from './Members.js'
 import { ShardWatch } from './ShardWatch.js'
 
@@ -17,6 +18,7 @@
   Configuration = 'jobs-configuration',
   Shard = 'jobs-shard',
   Clients = 'jobs-clients',
+  Metrics = 'jobs-metrics',
 }
 
 const NETWORK = ServiceKey.create<PeerTransport>('jobs-network')
@@ -107,6 +109,7 @@
       shard: kernel.get(SHARD),
       shardName: SHARD_NAME,
       network: kernel.get(NETWORK),
+      metrics: kernel.metrics,
     })
     this.ingress = platform.openIngress(this.gateway)
   }
@@ -126,10 +129,38 @@
   }
 }
 
+class MetricsPlugin implements Plugin {
+  private readonly server: MetricsServer | undefined
+
+  constructor (kernel: Kernel) {
+    const render = kernel.get(METRICS_TEXT)
+    if (render === undefined) return
+    this.server = MetricsServer.create({
+      address: kernel.get(JOBS_SETTINGS).metrics,
+      timers: kernel.timers,
+      log: kernel.log,
+      metrics: kernel.metrics,
+      rows: kernel.get(JOBS_PLATFORM).rows,
+      shard: kernel.get(SHARD),
+      configuration: kernel.get(CONFIGURATION),
+      render,
+    })
+  }
+
+  async start (): Promise<void> {
+    await this.server?.listen()
+  }
+
+  async dispose (): Promise<void> {
+    await this.server?.dispose()
+  }
+}
+
 /** Registers every plug-in. */
 export function registerJobPlugins (catalogue: PluginCatalogue): void {
   catalogue.register({ id: JobPluginId.Peers, requires: [], create: (kernel) => new PeersPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Configuration, requires: [], create: (kernel) => new ConfigurationPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Shard, requires: [JobPluginId.Peers, JobPluginId.Configuration], create: (kernel) => new ShardPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Clients, requires: [JobPluginId.Shard], create: (kernel) => new ClientsPlugin(kernel) })
+  catalogue.register({ id: JobPluginId.Metrics, requires: [JobPluginId.Shard], create: (kernel) => new MetricsPlugin(kernel) })
 }
