--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -94,6 +94,7 @@
     this.listedAtMs = nowMs
     this.listed.clear()
     for (const machine of res.value) this.listed.set(machine.id, machine)
+    this.retireMovedVms()
     for (const wave of this.options.getWaves()) {
       for (const id of wave.machines) {
         if (!this.listed.has(id)) this.missingLists.set(id, (this.missingLists.get(id) ?? 0) + 1)
@@ -101,6 +102,16 @@
     }
   }
 
+  /** Forgets VMs that a former owner moved away: neither registered nor heard, and the list has their machine elsewhere. */
+  private retireMovedVms (): void {
+    const { scheduler } = this.options
+    for (const vm of [...scheduler.state.vms.values()]) {
+      const machine = this.listed.get(vm.entry.machine ?? '')
+      if (machine === undefined || vm.heard || vm.registered || machine.vmId === vm.id) continue
+      if (machine.pool !== vm.entry.pool) scheduler.retireVm(vm.id, 'the list has its machine in another pool')
+    }
+  }
+
   private planWaves (nowMs: number): void {
     for (const wave of this.options.getWaves()) {
       const record = this.waves.get(wave.number)
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -2,6 +2,7 @@
  * Promises about jobs under faults, on a fake clock with fixed seeds.
  */
 import { assert, describe } from '@vanillathread/testing'
+import { EventCode } from '@vanillathread/model'
 import { StoreFault, VmFault } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab, NaiveOwner, type JobLabOptions } from './lib/jobs/JobLab.js'
 
@@ -167,6 +168,29 @@
     })
   })
 
+  describe('successors', ({ it }) => {
+    it('do not wait for VMs whose machines the list shows in standby', async () => {
+      const lab = JobLab.create({ seed: 1 })
+      await lab.start()
+      for (let job = 0; job < 12; job++) lab.submit(createJob(createStep({ taskCount: 8, estimateMs: 1_500 })))
+      await lab.run(4_000)
+      const owner = lab.findOwner()
+      const former = lab.daemons[owner]
+      const before = lab.countStandby()
+      // The owner sends idle machines away and cannot write any more that their VMs are gone.
+      if (former !== undefined) former.store.refusesWrites = true
+      await lab.run(2_500)
+      assert.ok(lab.countStandby() > before, 'no machine went to standby')
+      await lab.crashDaemon(owner)
+      await lab.run(9_000)
+      const waitedFor = lab.daemons.flatMap(({ log }) => log.records)
+        .filter(({ code, fields }) => code === EventCode.VmForgotten && String(fields['reason']).includes('every former lease'))
+      assert.equal(waitedFor, [])
+      await lab.finish(1_000)
+      assert.equal(lab.history.violations, [])
+    })
+  })
+
   describe('maintenance', ({ it }) => {
     it('is not said to be complete where orders were lost and VMs started anew', async () => {
       for (const seed of SEEDS) {
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -175,6 +175,10 @@
     await this.timers.advance(1)
   }
 
+  countStandby (): number {
+    return [...this.fleet.machines.values()].filter(({ machine }) => machine.pool === STANDBY).length
+  }
+
   requestWave (number: number, machines: readonly string[], cap: number): void {
     this.history.caps.set(number, cap)
     this.history.listUnmaintained = (wave) => machines.filter((id) => this.fleet.machines.get(id)?.maintained.has(wave) === false)
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -132,6 +132,8 @@
 export class StoreClientStandIn implements RowStore {
   /** Fault for this daemon alone. */
   fault = StoreFault.None
+  /** Answers to writes that nothing was done, while reads go on. */
+  refusesWrites = false
   private answeredAtMs = 0
 
   private constructor (private readonly store: StoreStandIn) {}
@@ -152,6 +154,7 @@
     const { timers, random } = this.store
     const failed = await this.disturb(true)
     if (failed !== undefined) return failed
+    if (this.refusesWrites) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 429' })
     if (this.effectiveFault === StoreFault.LosingAnswers && random.nextFloat() < LOST_SHARE) {
       timers.after(random.nextBelow(LATEST_MS), () => { this.store.transact(transaction) })
       await delay(timers, TIMEOUT_MS)
