Overdue tasks get another VM; writes go over another daemon where the store does not answer this one

Change: a write without an answer after 400 ms, or refused, is asked of the owner as well; the row's condition makes it one write.

--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -2,14 +2,16 @@
  * Serves clients: stores jobs and cancels, and tells what has become of jobs.
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
-import { EventCode, isFinalState, JobState, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
-import { IngressAnswerKind, StoreFailureKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore, type StoreFailure } from '@vanillathread/ports'
-import { PeerMessageKind, type PeerMessage } from '../peer/messages.js'
+import { EventCode, exhaustiveSwitchError, isFinalState, JobState, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
+import { IngressAnswerKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
+import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import type { ConfigurationWatch } from './ConfigurationWatch.js'
 import { clientOptions } from './jobOptions.js'
+import { JobWriter, type WriteResult } from './JobWriter.js'
+import type { Members } from './Members.js'
 import { OwnerQueries } from './OwnerQueries.js'
-import { CANCEL_PREFIX, decodeProgressRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
+import { decodeProgressRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
 import type { ShardWatch } from './ShardWatch.js'
 
 /** Options of {@link JobGateway.create}. */
@@ -22,6 +24,7 @@
   readonly shardName: string
   readonly network: PeerTransport
   readonly metrics: Metrics
+  readonly members: Members
 }
 
 const JOB_ID = /^[0-9a-f]{16}$/
@@ -34,9 +37,11 @@
   private stopping = false
   private readonly finalStates = new Map<string, JobState>()
   private readonly queries: OwnerQueries
+  private readonly writer: JobWriter
 
   private constructor (private readonly options: JobGatewayOptions) {
     this.queries = OwnerQueries.create(options)
+    this.writer = JobWriter.create(options)
   }
 
   static create (options: JobGatewayOptions): JobGateway {
@@ -105,14 +110,18 @@
     if (target.answer !== undefined) return target.answer
     const { rest: id } = target
     if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownJob }
-    const { rows, shardName, timers } = this.options
-    const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
-    for (;;) {
-      const job = await rows.readRange({ table: Table.Jobs, part: shardName, from: `${JOB_PREFIX}${id}`, to: `${JOB_PREFIX}${id}\0` })
-      if (job.ok && job.value.rows.length === 0) return { kind: IngressAnswerKind.UnknownJob }
-      if (job.ok && await this.storeCancel(id)) return { kind: IngressAnswerKind.Cancelled }
-      if (timers.now() + clientOptions.submitRetryMs >= untilMs) return this.refuse(id, 'cancel could not be stored')
-      await delay(timers, clientOptions.submitRetryMs)
+    const { outcome } = await this.repeat(req, () => this.writer.writeCancel(id))
+    switch (outcome) {
+      case WriteOutcome.Stored:
+      case WriteOutcome.Exists:
+        this.options.shard.owner?.cancelJob(id)
+        this.sendToOwner({ kind: PeerMessageKind.CancelHint, shard: this.options.shardName, job: id })
+        return { kind: IngressAnswerKind.Cancelled }
+      case WriteOutcome.Absent: return { kind: IngressAnswerKind.UnknownJob }
+      case WriteOutcome.NotDone:
+      case WriteOutcome.Unknown:
+        return this.refuse(id, 'cancel could not be stored')
+      default: throw exhaustiveSwitchError(outcome)
     }
   }
 
@@ -142,42 +151,39 @@
 
   /** Stores a job. A row that is there already is the same job, sent again. */
   private async store (job: AcceptedJob, req: ClientRequest): Promise<IngressAnswer> {
-    const { rows, timers, shardName, log } = this.options
-    const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
-    const key = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${job.id}` }
+    const { timers, log } = this.options
+    const startedAtMs = timers.now()
     const value = encodeRow(job)
-    let mayBeStored = false
-    for (;;) {
-      const sentAtMs = timers.now()
-      const res = await rows.transact({ conditions: [{ ...key, version: 0 }], puts: [{ ...key, value }], removes: [] })
-      if (res.ok) {
-        log.write(EventCode.JobAccepted, { job: job.id, queue: job.queue, version: res.value.version, configuration: job.configurationVersion, storeMs: Math.round(timers.now() - sentAtMs) })
-        this.hint(job, value, res.value.version)
+    const { outcome, version } = await this.repeat(req, () => this.writer.writeJob(job.id, value))
+    const storeMs = Math.round(timers.now() - startedAtMs)
+    switch (outcome) {
+      case WriteOutcome.Stored:
+      case WriteOutcome.Exists:
+        log.write(EventCode.JobAccepted, { job: job.id, queue: job.queue, version, outcome, configuration: job.configurationVersion, storeMs })
+        if (version !== undefined) this.hint(job, value, version)
         return { kind: IngressAnswerKind.Accepted }
-      }
-      if (res.error.kind === StoreFailureKind.Conflict) {
-        log.write(EventCode.JobAccepted, { job: job.id, queue: job.queue, again: true })
-        return { kind: IngressAnswerKind.Accepted }
-      }
-      mayBeStored ||= res.error.kind === StoreFailureKind.Unknown
-      // A definite refusal ends the request at once, so that the client can ask another daemon.
-      if (!mayBeStored) return this.refuse(job.id, describe(res.error))
-      if (timers.now() + clientOptions.submitRetryMs >= untilMs) {
-        log.write(EventCode.JobOutcomeUnknown, { job: job.id, reason: describe(res.error) })
+      case WriteOutcome.NotDone:
+      case WriteOutcome.Absent:
+        return this.refuse(job.id, 'store took no write')
+      case WriteOutcome.Unknown:
+        log.write(EventCode.JobOutcomeUnknown, { job: job.id, storeMs, storeSilentMs: Math.round(this.options.rows.silentForMs()) })
         return { kind: IngressAnswerKind.OutcomeUnknown }
-      }
-      await delay(timers, clientOptions.submitRetryMs)
+      default: throw exhaustiveSwitchError(outcome)
     }
   }
 
-  private async storeCancel (id: string): Promise<boolean> {
-    const { rows, shardName } = this.options
-    const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
-    const res = await rows.transact({ conditions: [], puts: [{ ...key, value: encodeRow({ atMs: Math.round(rows.nowMs()) }) }], removes: [] })
-    if (!res.ok) return false
-    this.options.shard.owner?.cancelJob(id)
-    this.sendToOwner({ kind: PeerMessageKind.CancelHint, shard: shardName, job: id })
-    return true
+  /** Repeats a write whose outcome is not known. A definite outcome ends the request at once, so that the client can ask elsewhere. */
+  private async repeat (req: ClientRequest, write: () => Promise<WriteResult>): Promise<WriteResult> {
+    const { timers } = this.options
+    const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
+    let mayBeStored = false
+    for (;;) {
+      const result = await write()
+      mayBeStored ||= result.outcome === WriteOutcome.Unknown
+      if (result.outcome !== WriteOutcome.Unknown && (result.outcome !== WriteOutcome.NotDone || !mayBeStored)) return result
+      if (timers.now() + clientOptions.submitRetryMs >= untilMs) return { outcome: WriteOutcome.Unknown }
+      await delay(timers, clientOptions.submitRetryMs)
+    }
   }
 
   private hint (job: AcceptedJob, row: Uint8Array<ArrayBuffer>, version: number): void {
@@ -231,7 +237,3 @@
     return { kind: IngressAnswerKind.Refused, retryAfterMs: clientOptions.retryAfterMs }
   }
 }
-
-function describe (failure: StoreFailure): string {
-  return failure.kind === StoreFailureKind.Conflict ? failure.kind : `${failure.kind}: ${failure.reason}`
-}
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -80,6 +80,10 @@
   deadlineReserveMs: 150,
   /** Pause before a submission whose outcome is not known is tried again. */
   submitRetryMs: 100,
+  /** Time without the store's answer after which another daemon is asked to write as well: above a slow store's answer. */
+  hedgeAfterMs: 400,
+  /** Longest wait for another daemon's write: the bound on a call to the store, and the way. */
+  relayAnswerMs: 1_300,
   /** What a client that is refused is told to wait: the store's outages last seconds. */
   retryAfterMs: 1_000,
   /** Longest wait for the owner's answer before the store is read instead. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -110,6 +110,7 @@
       shardName: SHARD_NAME,
       network: kernel.get(NETWORK),
       metrics: kernel.metrics,
+      members: kernel.get(MEMBERS),
     })
     this.ingress = platform.openIngress(this.gateway)
   }
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -23,6 +23,8 @@
   CancelHint = 'cancel-hint',
   JobQuery = 'job-query',
   JobAnswer = 'job-answer',
+  WriteRequest = 'write-request',
+  WriteAnswer = 'write-answer',
 }
 
 const count = z.int().min(0)
@@ -61,6 +63,19 @@
 
 const addressSchema = z.strictObject({ host: z.string(), port: count })
 
+/** What became of a write that another daemon was asked for. @public */
+export enum WriteOutcome {
+  Stored = 'stored',
+  /** The row was there already. */
+  Exists = 'exists',
+  /** Nothing was done. */
+  NotDone = 'not-done',
+  /** The store did not answer. */
+  Unknown = 'unknown',
+  /** There is no such job to cancel. */
+  Absent = 'absent',
+}
+
 /** Messages about jobs and the owners of shards. */
 const jobMessageSchemas = [
   z.strictObject({ kind: z.literal(PeerMessageKind.Hello), name: z.string(), address: addressSchema }),
@@ -79,6 +94,8 @@
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: count, job: z.string().optional(), queue: z.string().optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobAnswer), seq: count, state: z.enum(JobState).optional(), pending: count.optional() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: count, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.WriteAnswer), seq: count, outcome: z.enum(WriteOutcome), version: count.optional() }),
 ] as const
 
 /** Schema of every message. @public */
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -85,6 +85,31 @@
     it('may forget its history', () => expectKept((lab) => lab.store.forgetHistory()))
   })
 
+  describe('gateways', ({ it }) => {
+    for (const fault of [StoreFault.Silent, StoreFault.Refusing]) {
+      it(`store jobs and cancels over another daemon where the store is ${fault} to them`, async () => {
+        const lab = JobLab.create({ seed: 1 })
+        await lab.start()
+        const cutOff = lab.daemons.find((_daemon, index) => index !== lab.findOwner())
+        if (cutOff === undefined) throw new Error('no daemon beside the owner')
+        cutOff.store.fault = fault
+        const path = '/checks/00000000000000ab'
+        const startedAtMs = lab.timers.now()
+        let answeredAtMs = 0
+        let cancelled = false
+        cutOff.api?.submit({ host: 'lab', path, deadlineMs: 3_000 }, createJob(createStep({ longRunning: true }))).then(async (answer) => {
+          answeredAtMs = lab.timers.now()
+          assert.is(answer.kind, 'accepted')
+          cancelled = (await cutOff.api?.cancel({ host: 'lab', path, deadlineMs: 3_000 }))?.kind === 'cancelled'
+        })
+        await lab.timers.advance(2_500)
+        assert.ok(answeredAtMs > 0 && answeredAtMs - startedAtMs < 1_000, `answered after ${answeredAtMs - startedAtMs} ms`)
+        assert.is(cancelled, true)
+        for (const { daemon } of lab.daemons) await daemon?.crash()
+      })
+    }
+  })
+
   describe('VMs', ({ it }) => {
     it('may crash and come back', () => expectKept((lab) => { for (const vm of lab.fleet.vms.slice(0, 3)) lab.fleet.crash(vm.entry.machine ?? '', 3_000) }))
     it('may be cut and run on', () => expectKept((lab) => {
--- a/packages/policy/src/lib/jobs/DurationEstimates.ts
+++ b/packages/policy/src/lib/jobs/DurationEstimates.ts
@@ -11,6 +11,7 @@
 /** Learned durations. @public */
 export class DurationEstimates {
   private readonly meanMs = new Map<string, number>()
+  private readonly samples = new Map<string, number>()
 
   private constructor () {}
 
@@ -19,10 +20,16 @@
   }
 
   observe (queue: string, durationMs: number): void {
+    this.samples.set(queue, (this.samples.get(queue) ?? 0) + 1)
     const mean = this.meanMs.get(queue)
     this.meanMs.set(queue, mean === undefined ? durationMs : mean + SAMPLE_WEIGHT * (durationMs - mean))
   }
 
+  /** Mean duration of a queue's tasks, or undefined until there are enough samples. */
+  getTrustedMs (queue: string, leastSamples: number): number | undefined {
+    return (this.samples.get(queue) ?? 0) >= leastSamples ? this.meanMs.get(queue) : undefined
+  }
+
   /** Expected duration of one task. */
   getTaskMs (queue: string, estimateMs: number): number {
     return this.meanMs.get(queue) ?? estimateMs
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -10,6 +10,7 @@
 import { PaceController } from './PaceController.js'
 import { placeTasks, type PlacementContext } from './placeTasks.js'
 import { reconcileReport, startNewLife } from './reconcileReport.js'
+import { restartOverdue } from './restartOverdue.js'
 import { SchedulerState, type DecisionObserver } from './SchedulerState.js'
 import { TrackedJob } from './TrackedJob.js'
 import { RunPhase, type TrackedRun } from './TrackedRun.js'
@@ -222,6 +223,7 @@
       const vm = this.state.vms.get(vmId)
       if (vm !== undefined) evacuateVm(this.state, vm, nowMs, stopShortAtMs)
     }
+    restartOverdue(this.state, nowMs)
     for (const pool of this.state.openJobs.keys()) {
       placeTasks(this.state, pool, { ...moment, getTickets, mayStart: (job) => this.mayStart(job) })
     }
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -69,6 +69,7 @@
   startRun (task: TrackedTask, vm: TrackedVm, number: number, nowMs: number, ticket?: string): TrackedRun {
     const run = TrackedRun.create(task, number, vm.id, nowMs)
     task.lastRun = Math.max(task.lastRun, number)
+    task.wantsCopy = false
     task.runs.add(run)
     vm.addRun(run)
     this.orders.push({ kind: OrderKind.Start, run, ticket })
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -17,6 +17,8 @@
   checkpoint = ''
   /** Runs that may still occupy a VM. */
   readonly runs = new Set<TrackedRun>()
+  /** True where a second run beside an overdue one is wanted. */
+  wantsCopy = false
   /** True once a run of this task was seen on a VM. */
   begun = false
 
@@ -31,7 +33,7 @@
 
   /** True where the task wants a run and has none. */
   get isWaiting (): boolean {
-    return !this.done && this.runs.size === 0
+    return !this.done && (this.runs.size === 0 || this.wantsCopy)
   }
 }
 
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -131,7 +131,7 @@
   let best: TrackedVm | undefined
   let bestScore = Infinity
   for (const vm of vms) {
-    if (!vm.hasRoom(spec.need, spec.fills) || !isAllowed(step, vm, tickets)) continue
+    if (!vm.hasRoom(spec.need, spec.fills) || !isAllowed(step, vm, tickets) || holds(vm, task)) continue
     if (spec.maxTasksPerVm !== undefined && vm.countRunsOf(step) >= spec.maxTasksPerVm) continue
     const score = scoreVm(step, task, vm)
     if (score < bestScore) {
@@ -142,6 +142,14 @@
   return best
 }
 
+/** A copy beside a run on the same VM would share its fate. */
+function holds (vm: TrackedVm, task: TrackedTask): boolean {
+  for (const run of task.runs) {
+    if (run.vmId === vm.id) return true
+  }
+  return false
+}
+
 /** Each weight exceeds what all smaller ones can add up to: a VM has at most some hundred thousand thousandths of a core. */
 const FAILED_HERE_WEIGHT = 1e9
 const OTHER_RACK_WEIGHT = 1e8
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -80,7 +80,7 @@
 /** A run is wanted if its task is open and nothing else runs it. */
 function isWanted (task: TrackedTask, run: TrackedRun): boolean {
   if (task.done || task.step.occurrence.job.isOver || !task.step.isReady) return false
-  return task.runs.size === 1 && task.runs.has(run)
+  return task.runs.has(run) && (task.runs.size === 1 || task.step.spec.speculative)
 }
 
 function applyMissing (state: SchedulerState, vm: TrackedVm, run: TrackedRun, sentAtMs: number, nowMs: number): void {
