--- /dev/null
+++ b/packages/daemon/src/lib/jobs/ShardFeeds.ts
@@ -0,0 +1,110 @@
+/**
+ * Follows what others write about a shard: jobs and cancels, and the VMs' registrations.
+ */
+import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { EventCode, type AcceptedJob } from '@vanillathread/model'
+import { StoreFailureKind, type FleetFeeds, type RowStore, type StoredRow, type VmChange } from '@vanillathread/ports'
+import { taskOptions } from './jobOptions.js'
+import { JOB_PREFIX, Table } from './rows.js'
+import { decodeJobChange, loadShard } from './ShardLoader.js'
+
+/** Options of {@link ShardFeeds.create}. */
+export interface ShardFeedsOptions {
+  readonly shard: string
+  readonly rows: RowStore
+  readonly feeds: FleetFeeds
+  readonly timers: TimerService
+  readonly log: EventLog
+  /** Versions up to which everything was read. */
+  readonly jobsVersion: number
+  readonly vmsVersion: number
+  onJob (job: AcceptedJob, version: number): void
+  onCancel (id: string): void
+  /** @param whole - true where VMs that are left out are registered no more. */
+  onVms (changes: readonly VmChange[], whole: boolean): void
+}
+
+/** Feeds of one shard. */
+export class ShardFeeds {
+  private readonly jobTimer: Subscription
+  private jobsVersion: number
+  private readingJobs = false
+  private disposed = false
+
+  private constructor (private readonly options: ShardFeedsOptions) {
+    this.jobsVersion = options.jobsVersion
+    this.jobTimer = options.timers.every(taskOptions.jobFeedPeriodMs, () => { this.readJobs() })
+    this.followVms()
+  }
+
+  static create (options: ShardFeedsOptions): ShardFeeds {
+    return new ShardFeeds(options)
+  }
+
+  dispose (): void {
+    this.disposed = true
+    this.jobTimer.dispose()
+  }
+
+  /** Reads one job. @returns false where the store has no such job, undefined where it does not answer. */
+  async readJob (id: string): Promise<boolean | undefined> {
+    const key = `${JOB_PREFIX}${id}`
+    const res = await this.options.rows.readRange({ table: Table.Jobs, part: this.options.shard, from: key, to: `${key}\0` })
+    if (this.disposed || !res.ok) return undefined
+    this.applyJobRows(res.value.rows)
+    return res.value.rows.length > 0
+  }
+
+  private async readJobs (): Promise<void> {
+    if (this.readingJobs || this.disposed) return
+    this.readingJobs = true
+    const res = await this.options.rows.readFeed(Table.Jobs, this.jobsVersion, 0)
+    if (!this.disposed && res.ok) {
+      this.jobsVersion = Math.max(this.jobsVersion, res.value.version)
+      this.applyJobRows(res.value.rows)
+    } else if (!this.disposed && !res.ok && res.error.kind === StoreFailureKind.HistoryGone) {
+      await this.readAllJobs()
+    }
+    this.readingJobs = false
+  }
+
+  private async readAllJobs (): Promise<void> {
+    const { rows, log, shard, onJob, onCancel } = this.options
+    log.write(EventCode.HistoryGone, { table: Table.Jobs, afterVersion: this.jobsVersion })
+    const content = await loadShard(rows, log, shard)
+    if (this.disposed || !content.ok) return
+    this.jobsVersion = Math.max(this.jobsVersion, content.value.jobsVersion)
+    for (const { job, version } of content.value.jobs) onJob(job, version)
+    for (const id of content.value.cancels) onCancel(id)
+  }
+
+  private applyJobRows (rows: readonly StoredRow[]): void {
+    for (const row of rows) {
+      if (row.part !== this.options.shard) continue
+      const change = decodeJobChange(row, this.options.log)
+      if (change?.job !== undefined) this.options.onJob(change.job, row.version)
+      else if (change !== undefined) this.options.onCancel(change.id)
+    }
+  }
+
+  private async followVms (): Promise<void> {
+    const { feeds, timers, log, onVms } = this.options
+    let version = this.options.vmsVersion
+    while (!this.disposed) {
+      const res = await feeds.watchVms(version, taskOptions.vmFeedWaitMs)
+      if (this.disposed) return
+      if (res.ok) {
+        version = res.value.version
+        if (res.value.values.length > 0) onVms(res.value.values, false)
+        continue
+      }
+      await delay(timers, taskOptions.storeRetryMs)
+      if (res.error.kind !== StoreFailureKind.HistoryGone) continue
+      log.write(EventCode.HistoryGone, { table: 'vms', afterVersion: version })
+      const all = await feeds.readVms()
+      if (this.disposed || !all.ok) continue
+      version = all.value.version
+      onVms(all.value.values, true)
+    }
+  }
+}
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -4,15 +4,15 @@
 import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
 import { JobScheduler, type Order, type TrackedVm } from '@vanillathread/policy'
-import { StoreFailureKind, type Advisor, type FleetFeeds, type MachineService, type RowCondition, type RowStore, type StoredRow, type VmChange, type VmClients } from '@vanillathread/ports'
+import type { Advisor, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
 import { AdviceBook } from './AdviceBook.js'
 import { CommitLoop } from './CommitLoop.js'
 import type { ConfigurationWatch } from './ConfigurationWatch.js'
 import { MachineKeeper } from './MachineKeeper.js'
 import { shardOptions, taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
-import { decodeJobChange, loadShard, type ShardContent } from './ShardLoader.js'
-import { JOB_PREFIX, Table } from './rows.js'
+import { ShardFeeds } from './ShardFeeds.js'
+import { loadShard, type ShardContent } from './ShardLoader.js'
 import { VmSession } from './VmSession.js'
 
 /** What an owner works with. */
@@ -48,8 +48,7 @@
   private keeper: MachineKeeper | undefined
   private readonly timers: Subscription[] = []
   private planWanted = false
-  private readingWanted = false
-  private jobsVersion = 0
+  private feeds: ShardFeeds | undefined
   private loaded = false
   private disposed = false
   private readonly startedAtMs: number
@@ -133,6 +132,7 @@
     this.sessions.clear()
     this.commits?.dispose()
     this.keeper?.dispose()
+    this.feeds?.dispose()
     this.advice.dispose()
   }
 
@@ -157,7 +157,6 @@
     })
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
-    this.jobsVersion = content.jobsVersion
     for (const entry of content.roster) {
       scheduler.setVm(entry, nowMs)
       const vm = scheduler.state.vms.get(entry.id)
@@ -177,11 +176,17 @@
       shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
     })
     this.timers.push(
-      options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan()),
-      options.timers.every(taskOptions.jobFeedPeriodMs, () => { this.readJobs() })
+      options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
     )
     this.openKeeper()
-    this.followVms(vmsVersion)
+    this.feeds = ShardFeeds.create({
+      ...options,
+      jobsVersion: content.jobsVersion,
+      vmsVersion,
+      onJob: (job, version) => this.addJob(job, version),
+      onCancel: (id) => this.cancelJob(id),
+      onVms: (changes, whole) => this.onVms(changes, whole),
+    })
     this.onChange()
   }
 
@@ -274,81 +279,22 @@
     this.onChange()
   }
 
-  private async followVms (firstVersion: number): Promise<void> {
-    const { feeds, timers, log } = this.options
-    let version = firstVersion
-    while (!this.disposed) {
-      const res = await feeds.watchVms(version, taskOptions.vmFeedWaitMs)
-      if (this.disposed) return
-      if (res.ok) {
-        version = res.value.version
-        if (res.value.values.length > 0) this.applyVms(res.value.values)
-        continue
-      }
-      await delay(timers, taskOptions.storeRetryMs)
-      if (res.error.kind !== StoreFailureKind.HistoryGone) continue
-      log.write(EventCode.HistoryGone, { table: 'vms', afterVersion: version })
-      const all = await feeds.readVms()
-      if (this.disposed || !all.ok) continue
-      version = all.value.version
-      this.applyAllVms(all.value.values)
-    }
-  }
-
-  /** Applies a list that is whole, so that VMs missing from it are registered no more. */
-  private applyAllVms (changes: readonly VmChange[]): void {
+  /** Applies changes of registrations; a list that is whole leaves out VMs that are registered no more. */
+  private onVms (changes: readonly VmChange[], whole: boolean): void {
     const listed = new Set(changes.map((change) => change.id))
-    for (const id of this.scheduler.state.vms.keys()) {
+    for (const id of whole ? this.scheduler.state.vms.keys() : []) {
       if (!listed.has(id)) this.scheduler.unregisterVm(id, this.options.timers.now())
     }
     this.applyVms(changes)
   }
 
-  private async readJobs (): Promise<void> {
-    if (this.readingWanted || this.disposed) return
-    this.readingWanted = true
-    const res = await this.options.rows.readFeed(Table.Jobs, this.jobsVersion, 0)
-    this.readingWanted = false
-    if (this.disposed) return
-    if (res.ok) {
-      this.jobsVersion = Math.max(this.jobsVersion, res.value.version)
-      this.applyJobRows(res.value.rows)
-    } else if (res.error.kind === StoreFailureKind.HistoryGone) {
-      await this.readAllJobs()
-    }
-  }
-
-  private async readAllJobs (): Promise<void> {
-    const { rows, log } = this.options
-    log.write(EventCode.HistoryGone, { table: Table.Jobs, afterVersion: this.jobsVersion })
-    const content = await loadShard(rows, log, this.shard)
-    if (this.disposed || !content.ok) return
-    this.jobsVersion = Math.max(this.jobsVersion, content.value.jobsVersion)
-    for (const { job, version } of content.value.jobs) this.addJob(job, version)
-    for (const id of content.value.cancels) this.cancelJob(id)
-  }
-
-  private applyJobRows (rows: readonly StoredRow[]): void {
-    for (const row of rows) {
-      if (row.part !== this.shard) continue
-      const change = decodeJobChange(row, this.options.log)
-      if (change?.job !== undefined) this.addJob(change.job, row.version)
-      else if (change !== undefined) this.cancelJob(change.id)
-    }
-  }
-
   /** Reads the jobs that VMs name and we do not know. */
   private async readWantedJobs (): Promise<void> {
     const { wantedJobs, absentJobs } = this.scheduler.state
     const ids = [...wantedJobs]
     wantedJobs.clear()
     for (const id of ids) {
-      const key = `${JOB_PREFIX}${id}`
-      const res = await this.options.rows.readRange({ table: Table.Jobs, part: this.shard, from: key, to: `${key}\0` })
-      if (this.disposed) return
-      if (!res.ok) continue
-      if (res.value.rows.length === 0) absentJobs.add(id)
-      this.applyJobRows(res.value.rows)
+      if (await this.feeds?.readJob(id) === false) absentJobs.add(id)
     }
   }
 }
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -4,6 +4,7 @@
 import { assert, describe } from '@vanillathread/testing'
 import { EventCode } from '@vanillathread/model'
 import { StoreFault, VmFault } from '@vanillathread/stand-ins'
+import { playRandomDay } from './lib/jobs/playRandomDay.js'
 import { createJob, createStep, JobLab, NaiveOwner, type JobLabOptions } from './lib/jobs/JobLab.js'
 
 const SEEDS = [1, 2, 3]
@@ -32,6 +33,16 @@
   }
 }
 
+describe('random days', ({ it }) => {
+  it('keep every promise on fixed seeds', async () => {
+    // Seed 26: a VM that fails its tasks uses up a sound job's attempts; the history takes that for what it is.
+    for (const seed of [1, 2, 3, 4, 5, 26]) {
+      const day = await playRandomDay(seed)
+      assert.equal({ seed, broken: day.violations, waves: day.incompleteWaves }, { seed, broken: [], waves: [] })
+    }
+  })
+})
+
 describe('jobs', ({ it, describe }) => {
   it('run once each on a calm day', async () => {
     const lab = await playWithFault({ seed: 1 }, () => {})
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -53,6 +53,7 @@
   readonly peers: MemoryPeers
   readonly history: JobHistory
   readonly daemons: LabDaemon[] = []
+  private readonly waves = new Map<number, readonly string[]>()
   private nextJob = 1
 
   private constructor (private readonly options: JobLabOptions) {
@@ -60,6 +61,7 @@
     this.store = StoreStandIn.create({ timers: this.timers, random: this.random })
     this.peers = MemoryPeers.create(this.timers)
     this.history = JobHistory.create({ now: () => this.timers.now(), maxAttempts: MAX_ATTEMPTS })
+    this.history.listUnmaintained = (wave) => (this.waves.get(wave) ?? []).filter((id) => this.fleet.machines.get(id)?.maintained.has(wave) === false)
     this.fleet = FleetStandIn.create({
       store: this.store,
       timers: this.timers,
@@ -141,6 +143,7 @@
     const job: SubmittedJob = { id, spec, poison: options.poison ?? false, accepted: false, refused: false, cancelled: false, submittedAtMs: this.timers.now() }
     this.history.jobs.set(id, job)
     const path = `${LAB_QUEUES[options.queue ?? 0]}${id}`
+    let unanswered = false
     for (let attempt = 0; attempt < 4; attempt++) {
       const api = this.pickApi()
       const answer = await api?.submit({ host: HOST, path, deadlineMs: CLIENT_DEADLINE_MS }, spec)
@@ -149,9 +152,11 @@
         return job
       }
       if (answer?.kind === IngressAnswerKind.Refused) {
-        job.refused = true
+        // An earlier attempt without an answer may have stored the job, which this daemon cannot know.
+        job.refused = !unanswered
         return job
       }
+      unanswered = true
       await this.wait(300)
     }
     return job
@@ -181,7 +186,7 @@
 
   requestWave (number: number, machines: readonly string[], cap: number): void {
     this.history.caps.set(number, cap)
-    this.history.listUnmaintained = (wave) => machines.filter((id) => this.fleet.machines.get(id)?.maintained.has(wave) === false)
+    this.waves.set(number, machines)
     writeWave(this.store, { number, machines, durationMs: 20_000, cap })
   }
 
--- /dev/null
+++ b/packages/integration/src/lib/jobs/playRandomDay.ts
@@ -0,0 +1,131 @@
+/**
+ * A day of random load and troubles on the lab, repeatable from its seed.
+ */
+import type { RandomSource } from '@vanillathread/policy'
+import { StoreFault, VmFault, type VmStandIn } from '@vanillathread/stand-ins'
+import type { Violation } from './JobHistory.js'
+import { createJob, createStep, JobLab } from './JobLab.js'
+
+const LOAD_MS = 14_000
+const JOB_EVERY_MS = 350
+const SETTLE_MS = 26_000
+const LONGEST_TROUBLE_MS = 5_000
+
+/** What a day showed. */
+export interface RandomDay {
+  readonly seed: number
+  readonly troubles: readonly string[]
+  readonly violations: readonly Violation[]
+  readonly accepted: number
+  readonly submitted: number
+  readonly starts: number
+  readonly incompleteWaves: readonly number[]
+}
+
+type Trouble = (lab: JobLab, random: RandomSource, forMs: number) => void
+
+const TROUBLES: Readonly<Record<string, Trouble>> = {
+  'owner killed': (lab, _random, forMs) => { lab.crashDaemon(lab.findOwner(), forMs) },
+  'daemon killed': (lab, random, forMs) => { lab.crashDaemon(random.nextBelow(lab.daemons.length), forMs) },
+  'all killed': (lab, _random, forMs) => { lab.daemons.forEach((_daemon, index) => { lab.crashDaemon(index, forMs) }) },
+  'daemon stopped and started': (lab, random, forMs) => {
+    const index = random.nextBelow(lab.daemons.length)
+    const { daemon } = lab.daemons[index] ?? {}
+    daemon?.stop().then(() => { lab.timers.after(forMs, () => { if (lab.daemons[index]?.daemon === daemon) lab.startDaemon(index) }) })
+  },
+  'store refuses': (lab, _random, forMs) => setStoreFault(lab, StoreFault.Refusing, forMs),
+  'store silent': (lab, _random, forMs) => setStoreFault(lab, StoreFault.Silent, forMs),
+  'store loses answers': (lab, _random, forMs) => setStoreFault(lab, StoreFault.LosingAnswers, forMs),
+  'store slow': (lab, _random, forMs) => setStoreFault(lab, StoreFault.Slow, forMs),
+  'store forgets': (lab) => lab.store.forgetHistory(),
+  'owner without store': (lab, _random, forMs) => {
+    const owner = lab.daemons[lab.findOwner()]
+    if (owner === undefined) return
+    owner.store.fault = StoreFault.Silent
+    lab.timers.after(forMs, () => { owner.store.fault = StoreFault.None })
+  },
+  'owner cut from peers': (lab, _random, forMs) => {
+    const { host, port } = lab.daemons[lab.findOwner()]?.address ?? { host: '', port: 0 }
+    lab.peers.cut.add(`${host}:${port}`)
+    lab.timers.after(forMs, () => lab.peers.cut.delete(`${host}:${port}`))
+  },
+  'VMs crash': (lab, random, forMs) => { for (const vm of random.sample(lab.fleet.vms, 2)) lab.fleet.crash(vm.entry.machine ?? '', forMs) },
+  'VMs cut': (lab, random, forMs) => { for (const vm of random.sample(lab.fleet.vms, 2)) cutVm(lab, vm, forMs) },
+  'orders late': (lab, _random, forMs) => setVmFault(lab, lab.fleet.vms, VmFault.LateOrders, forMs / 3),
+  'VM fails tasks': (lab, random, forMs) => setVmFault(lab, random.sample(lab.fleet.vms, 1), VmFault.FailsTasks, forMs),
+  'machine orders lost': (lab, _random, forMs) => {
+    lab.fleet.losesOrders = true
+    lab.timers.after(forMs, () => { lab.fleet.losesOrders = false })
+  },
+  wave: (lab, random) => {
+    const number = lab.history.caps.size + 1
+    lab.requestWave(number, random.sample([...lab.fleet.machines.keys()], 5), 2)
+  },
+}
+
+/** Plays a day. */
+export async function playRandomDay (seed: number): Promise<RandomDay> {
+  const lab = JobLab.create({ seed })
+  await lab.start()
+  const { random } = lab
+  const names: string[] = []
+  for (let count = 2 + random.nextBelow(3); count > 0; count--) {
+    const name = random.sample(Object.keys(TROUBLES), 1)[0] ?? ''
+    const atMs = random.nextBelow(LOAD_MS)
+    const forMs = 500 + random.nextBelow(LONGEST_TROUBLE_MS)
+    names.push(`${name} at ${atMs} for ${forMs} ms`)
+    lab.timers.after(atMs, () => TROUBLES[name]?.(lab, random, forMs))
+  }
+  for (let atMs = 0; atMs < LOAD_MS; atMs += JOB_EVERY_MS) {
+    submitRandomJob(lab, random)
+    await lab.run(JOB_EVERY_MS)
+  }
+  await lab.finish(SETTLE_MS)
+  const jobs = [...lab.history.jobs.values()]
+  return {
+    seed,
+    troubles: names,
+    violations: lab.history.violations,
+    accepted: jobs.filter((job) => job.accepted).length,
+    submitted: jobs.length,
+    starts: lab.history.starts,
+    incompleteWaves: [...lab.history.caps.keys()].filter((wave) => !lab.history.completeWaves.has(wave)),
+  }
+}
+
+function submitRandomJob (lab: JobLab, random: RandomSource): void {
+  const queue = random.nextBelow(2)
+  const kind = random.nextBelow(20)
+  const step = () => createStep({ taskCount: 1 + random.nextBelow(6), estimateMs: 200 + random.nextBelow(1_200) })
+  if (kind === 0) lab.submit(createJob(step()), { poison: true, queue })
+  else if (kind === 1) cancelLater(lab, random, queue)
+  else if (kind === 2) lab.submit(createJob(createStep({ taskCount: 2, longRunning: true, maxTasksPerVm: 1, mayMiss: 1 })), { queue })
+  else lab.submit(createJob(step(), { ...step(), after: [0] }), { queue })
+}
+
+function cancelLater (lab: JobLab, random: RandomSource, queue: number): void {
+  const delayMs = random.nextBelow(2_000)
+  lab.submit(createJob(createStep({ estimateMs: 2_000 })), { queue }).then((job) => {
+    lab.timers.after(delayMs, () => { lab.cancel(job, queue) })
+  })
+}
+
+function setStoreFault (lab: JobLab, fault: StoreFault, forMs: number): void {
+  lab.store.fault = fault
+  lab.timers.after(forMs, () => { lab.store.fault = StoreFault.None })
+}
+
+function setVmFault (lab: JobLab, vms: readonly VmStandIn[], fault: VmFault, forMs: number): void {
+  for (const vm of vms) vm.fault = fault
+  lab.timers.after(forMs, () => { for (const vm of vms) vm.fault = VmFault.None })
+}
+
+/** A VM that is cut loses its registration after a while, and has it back after the cut. */
+function cutVm (lab: JobLab, vm: VmStandIn, forMs: number): void {
+  vm.fault = VmFault.Cut
+  if (forMs > 4_500) lab.timers.after(4_500, () => lab.fleet.lapseRegistration(vm))
+  lab.timers.after(forMs, () => {
+    vm.fault = VmFault.None
+    if (vm.alive) lab.fleet.register(vm)
+  })
+}
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -1,9 +1,10 @@
 /**
  * The owner's view of one shard: takes in what happens, gives out orders.
  */
-import { EventCode, isFinalState, JobState, type AcceptedJob, type JobSpec, type VmEntry, type VmReport } from '@vanillathread/model'
+import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
 import { TrackedVm } from '../vms/TrackedVm.js'
 import { ArrivalMeter, getJobWork, measureDemand, type PoolLoad } from '../machines/PoolLoad.js'
+import { describeSteps } from './describeSteps.js'
 import { evacuateVm } from './evacuateVm.js'
 import type { JobProgress } from './JobProgress.js'
 import { OrderKind, StartOutcome, type Order } from './orders.js'
@@ -21,21 +22,6 @@
 /** Time after which an unanswered stop is sent again. */
 const STOP_RETRY_MS = 600
 
-/** Short form of a job's steps, as in `6x1800m2500MB after 0 apart 2`. */
-function describeSteps (spec: JobSpec): string {
-  return spec.steps.map((step) => [
-    `${step.taskCount}x${step.need.cpuMillis}m${step.need.memoryMb}MB`,
-    step.after.length > 0 ? `after ${step.after.join('+')}` : '',
-    step.maxTasksPerVm === undefined ? '' : `apart ${step.maxTasksPerVm}`,
-    step.longRunning ? `lasts miss ${step.mayMiss}` : '',
-    step.targetMs === undefined ? '' : `target ${step.targetMs}`,
-    step.fills ? 'fills' : '',
-    step.gang ? 'gang' : '',
-    step.checkpointing ? 'saves' : '',
-    step.speculative ? 'copies' : '',
-  ].filter((part) => part !== '').join(' ')).join(', ')
-}
-
 /** Time for which tasks stay on a draining VM; most end by themselves, and the VM leaves after two seconds at the earliest. */
 const DRAINING_TASK_GRACE_MS = 1_200
 
