--- /dev/null
+++ b/packages/cli/src/lib/logTimeline.ts
@@ -0,0 +1,62 @@
+/**
+ * The story of one id out of the structured logs of any number of daemons.
+ */
+import { EventCode, EVENTS } from '@vanillathread/model'
+
+/** A log line that concerns the id. @public */
+export interface TimelineEntry {
+  readonly time: string
+  readonly daemon: string
+  readonly event: number
+  readonly message: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
+/** Fields that hold ids of jobs, tasks, VMs, machines, shards and waves. */
+const ID_FIELDS = ['job', 'task', 'vm', 'machine', 'shard', 'wave', 'former', 'owner'] as const
+
+/** Fields of every line that are shown by themselves. */
+const OWN_FIELDS = new Set(['time', 'daemon', 'event', 'message', 'level'])
+
+/**
+ * Returns the lines about an id in the order of time. A job's id also finds its tasks. Text before a line's first brace is
+ * left out, so that lines prefixed by a collector are read too.
+ * @public
+ */
+export function buildTimeline (lines: Iterable<string>, id: string): TimelineEntry[] {
+  const entries: TimelineEntry[] = []
+  for (const line of lines) {
+    if (!line.includes(id)) continue
+    const entry = parseLine(line)
+    if (entry !== undefined && concerns(entry, id)) entries.push(entry)
+  }
+  return entries.sort((a, b) => (a.time < b.time ? -1 : a.time > b.time ? 1 : 0))
+}
+
+/** Formats one entry as a line. @public */
+export function formatEntry (entry: TimelineEntry): string {
+  const fields = Object.entries(entry.fields).map(([name, value]) => `${name}=${String(value)}`).join(' ')
+  return `${entry.time.slice(11, 23)} ${entry.daemon} [${entry.event}] ${entry.message}: ${fields}`
+}
+
+function parseLine (line: string): TimelineEntry | undefined {
+  const start = line.indexOf('{')
+  if (start < 0) return undefined
+  let content: Record<string, unknown>
+  try {
+    content = JSON.parse(line.slice(start)) as Record<string, unknown>
+  } catch {
+    return undefined
+  }
+  const { time, daemon, event } = content
+  if (typeof time !== 'string' || typeof event !== 'number') return undefined
+  const fields = Object.fromEntries(Object.entries(content).filter(([name]) => !OWN_FIELDS.has(name)))
+  return { time, daemon: String(daemon), event, message: EVENTS[event as EventCode]?.message ?? '', fields }
+}
+
+function concerns (entry: TimelineEntry, id: string): boolean {
+  return ID_FIELDS.some((name) => {
+    const value = entry.fields[name]
+    return value !== undefined && (String(value) === id || String(value).startsWith(`${id}.`))
+  })
+}
--- a/packages/cli/src/lib/runCli.ts
+++ b/packages/cli/src/lib/runCli.ts
@@ -8,6 +8,7 @@
 import { CliError } from './CliError.js'
 import { runApply } from './commands/apply.js'
 import { runCheck, runDiff, runExplain, runGet, runStatus } from './commands/inspect.js'
+import { runLog } from './commands/followLog.js'
 import { CliExit } from './exit.js'
 import { ExplainedKind, OperationsClient } from './OperationsClient.js'
 import { Output, OutputFormat, type OutputStreams } from './Output.js'
@@ -29,6 +30,7 @@
   vanillathread apply examples/lowicz --based-on 41 --platform http://10.20.0.5:8790 --wait --operations http://10.20.0.11:8701
   vanillathread status --operations http://10.20.0.11:8701 --output json
   vanillathread explain vm lowicz-07 --operations http://10.20.0.11:8701
+  vanillathread log 5c0e7a21d94b36f8 /var/log/vanillathread/*.log
 
 Exit status:
   0 done            1 failed           2 wrong arguments
@@ -59,6 +61,7 @@
   addGet(program, streams)
   addStatus(program, streams)
   addExplain(program, streams)
+  addLog(program, streams)
   return program
 }
 
@@ -110,6 +113,11 @@
     })
 }
 
+function addLog (program: Command, streams: OutputStreams): void {
+  addCommand(program, 'log <id> <files...>', 'follow a job, task, VM, machine, shard or wave through the daemons\' logs')
+    .action(async (id: string, files: string[], options: CommonOptions) => runLog(id, files, createOutput(options, streams)))
+}
+
 function addCommand (program: Command, usage: string, description: string): Command {
   const format = new Option('--output <format>', 'output format').choices(Object.values(OutputFormat)).default(OutputFormat.Text)
   return program.command(usage).description(description).addOption(format)
--- /dev/null
+++ b/packages/integration/src/explain.test.ts
@@ -0,0 +1,63 @@
+/**
+ * From the id of a failed request to its cause, out of log lines alone.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { buildTimeline, type TimelineEntry } from '@vanillathread/cli'
+import { EventCode } from '@vanillathread/model'
+import { StoreFault, VmFault } from '@vanillathread/stand-ins'
+import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+
+/** Lines as the daemons would have written them, in the order of the daemons. */
+function listLines (lab: JobLab): string[] {
+  return lab.daemons.flatMap(({ name, log }) => log.records.map((record, index) => JSON.stringify({
+    time: new Date(index).toISOString(), daemon: name, event: record.code, ...record.fields,
+  })))
+}
+
+function explain (lab: JobLab, id: string): TimelineEntry[] {
+  return buildTimeline(listLines(lab), id)
+}
+
+describe('a failed request is explained by its log lines', ({ it }) => {
+  it('refused, as the store took no write', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    lab.store.fault = StoreFault.Refusing
+    const job = lab.submit(createJob())
+    await lab.run(2_000)
+    const [entry] = explain(lab, (await job).id)
+    assert.is(entry?.event, EventCode.JobRefused)
+    assert.is(entry?.fields['reason'], 'store took no write')
+    for (const { daemon } of lab.daemons) await daemon?.crash()
+  })
+
+  it('shown as failed, as its attempts ended so', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    const job = await Promise.race([lab.submit(createJob(createStep({ taskCount: 1 })), { poison: true }), lab.run(4_000)])
+    const id = [...lab.history.jobs.keys()][0] ?? ''
+    assert.ok(job !== undefined || id !== '')
+    await lab.run(2_000)
+    const entries = explain(lab, id)
+    const ends = entries.filter((entry) => entry.event === EventCode.TaskEnded).map((entry) => entry.fields['end'])
+    assert.equal(ends, ['failed', 'failed'])
+    assert.is(entries.at(-1)?.event === EventCode.JobEnded || entries.some((entry) => entry.event === EventCode.JobEnded && entry.fields['state'] === 'failed'), true)
+    for (const { daemon } of lab.daemons) await daemon?.crash()
+  })
+
+  it('late, as its VM fell silent and the lease had to end', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    lab.submit(createJob(createStep({ taskCount: 1, estimateMs: 2_000 })))
+    await lab.run(500)
+    const vm = lab.fleet.vms.find((each) => each.runs.size > 0)
+    if (vm === undefined) throw new Error('nothing runs')
+    vm.fault = VmFault.Cut
+    await lab.run(10_000)
+    const id = [...lab.history.jobs.keys()][0] ?? ''
+    const lost = explain(lab, id).find((entry) => entry.event === EventCode.TaskLost)
+    assert.is(lost?.fields['reason'], 'lease is over and the VM does not answer')
+    assert.ok(explain(lab, String(lost?.fields['vm'])).some((entry) => entry.event === EventCode.VmSilent))
+    for (const { daemon } of lab.daemons) await daemon?.crash()
+  })
+})
