--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -127,7 +127,7 @@
 
   private findTarget (req: ClientRequest): { answer: IngressAnswer } | { answer?: undefined, queue: QueueRules, rest: string } {
     const { configuration } = this.options
-    if (configuration.current === undefined) return { answer: this.refuse(undefined, 'no configuration yet') }
+    if (configuration.current === undefined) return { answer: this.refuse(req.path.slice(req.path.lastIndexOf('/') + 1), 'no configuration yet') }
     const queue = configuration.findQueue(req.host, req.path)
     if (queue === undefined) return { answer: { kind: IngressAnswerKind.UnknownQueue } }
     return { queue, rest: req.path.slice(queue.pathPrefix.length) }
--- a/packages/daemon/src/lib/jobs/ShardWatch.ts
+++ b/packages/daemon/src/lib/jobs/ShardWatch.ts
@@ -143,7 +143,9 @@
       log.write(EventCode.OwnerDoubted, { shard: this.options.shard, owner: this.row?.value.owner, silentMs: Math.round(silentMs), ownerStoreSilentMs: this.ownerStoreSilentMs })
     }
     if (doubted && address !== undefined && await this.options.network.isRefused(address, shardOptions.probeTimeoutMs)) return this.take('owner process is gone')
-    if (!await this.readRow() || this.row?.value.owner === '' || this.stopping) return
+    const doubtedToken = this.knownToken
+    // A new owner has written no proof yet, so the old proof says nothing about it.
+    if (!await this.readRow() || this.knownToken !== doubtedToken || this.row?.value.owner === '' || this.stopping) return
     const res = await rows.readRange({ table: Table.Beats, part: this.options.shard })
     if (!res.ok) return
     const row = res.value.rows[0]
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -62,6 +62,16 @@
       owner.store.fault = StoreFault.Silent
       lab.timers.after(6_000, () => { owner.store.fault = StoreFault.None })
     }))
+    it('take over once from an owner without the store', async () => {
+      const lab = JobLab.create({ seed: 1, daemons: 7 })
+      await lab.start()
+      const owner = lab.daemons[lab.findOwner()]
+      if (owner !== undefined) owner.store.fault = StoreFault.Refusing
+      await lab.run(6_000)
+      const taken = lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.ShardTaken)
+      assert.is(taken.length, 2)
+      for (const { daemon } of lab.daemons) await daemon?.crash()
+    })
     it('survive an owner that its peers do not reach', () => expectKept((lab) => {
       const owner = lab.daemons[lab.findOwner()]
       if (owner === undefined) throw new Error('no owner')
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -42,6 +42,7 @@
 const STANDBY = 'spare'
 const MAX_ATTEMPTS = 2
 const HOST = 'lab'
+const START_GAP_MS = 11
 const CLIENT_DEADLINE_MS = 3_000
 
 /** Runs a whole system. */
@@ -84,9 +85,10 @@
     for (let index = 0; index < (this.options.daemons ?? 3); index++) {
       this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
       this.startDaemon(index)
+      // Processes do not start in step, so their periods are apart. The first timers are set once the start has got that far.
+      await this.timers.advance(0)
+      await this.timers.advance(START_GAP_MS)
     }
-    // The first timers are set only once the daemons' start has got that far.
-    await this.timers.advance(0)
     await this.timers.advance(3_000)
   }
 
