--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -136,6 +136,7 @@
       id,
       state: this.getWaveState(wave, id, record, task),
       pool: vm?.entry.pool ?? machine?.pool ?? '',
+      lastingTasks: [...vm?.runs.values() ?? []].filter((run) => run.task.step.spec.longRunning).length,
       usedCpuMillis: vm === undefined ? 0 : vm.entry.capacity.cpuMillis - vm.freeCpuMillis,
       occupied: (task !== undefined && task.wave !== wave.number) || machine?.state === MachineState.Moving,
     }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -139,7 +139,7 @@
   requestPlan (): void {
     if (this.planWanted || !this.loaded) return
     this.planWanted = true
-    this.options.timers.after(0, () => {
+    this.options.timers.after(taskOptions.planSpacingMs, () => {
       this.planWanted = false
       if (!this.disposed && this.loaded) this.plan()
     })
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -38,6 +38,8 @@
   silentRetryMs: 200,
   /** Period of planning beside the planning that events cause. */
   planPeriodMs: 100,
+  /** Delay by which planning gathers several events: small against the shortest task. */
+  planSpacingMs: 4,
   /** Shortest time between two commits: several ends share a transaction, and a client waits this little. */
   commitSpacingMs: 15,
   /** Pause after a failed commit. */
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -19,6 +19,9 @@
 /** Runs that one owner may number for a task; each generation of owners begins above the last one's. */
 const RUNS_PER_GENERATION = 1_000
 
+/** Accepted starts are logged from this duration on: their order has a line already, and an owner starts hundreds a second. */
+const SLOW_START_MS = 200
+
 /** Time after which an unanswered stop is sent again. */
 const STOP_RETRY_MS = 600
 
@@ -57,6 +60,7 @@
   private readonly retiredVms = new Map<string, number>()
   /** Times from which tasks that end by themselves are stopped on a VM that is evacuated. */
   private readonly evacuations = new Map<string, number>()
+  private readonly changedJobs = new Set<TrackedJob>()
   private readonly pendingCancels = new Set<string>()
   private readonly tried = new Set<string>()
 
@@ -77,6 +81,7 @@
       firstRun: isOlder ? this.options.generation * RUNS_PER_GENERATION : 0,
       mayHaveRuns: isOlder && this.options.generation > 0,
       progress,
+      changes: this.changedJobs,
     })
     this.state.openJob(job)
     if (!isOlder) this.arrivals.observe(accepted.pool, getJobWork(this.state, job), nowMs)
@@ -163,7 +168,8 @@
   }
 
   applyStart (run: TrackedRun, outcome: StartOutcome, nowMs: number, reason?: string): void {
-    this.state.observe(EventCode.TaskStartAnswered, { task: run.name, run: run.number, vm: run.vmId, outcome, reason, tookMs: Math.round(nowMs - run.orderedAtMs) })
+    const tookMs = nowMs - run.orderedAtMs
+    if (outcome !== StartOutcome.Accepted || tookMs >= SLOW_START_MS) this.state.observe(EventCode.TaskStartAnswered, { task: run.name, run: run.number, vm: run.vmId, outcome, reason, tookMs: Math.round(tookMs) })
     if (outcome === StartOutcome.Accepted) {
       run.confirmedAtMs ??= nowMs
       run.task.begun = true
@@ -219,7 +225,7 @@
 
   /** Jobs whose progress the store lacks. */
   listChanged (): TrackedJob[] {
-    return [...this.state.jobs.values()].filter((job) => job.changed)
+    return [...this.changedJobs]
   }
 
   /** Marks a job's progress as stored. */
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -97,6 +97,8 @@
   /** True where a former owner may have started tasks. */
   readonly mayHaveRuns: boolean
   readonly progress?: JobProgress
+  /** Set that holds the job while it has changes to store. */
+  readonly changes?: Set<TrackedJob>
 }
 
 /** A job and what has happened to it. @public */
@@ -105,17 +107,18 @@
   readonly finishedOccurrences = new Set<number>()
   cancelled = false
   failed = false
-  /** True where what happened since is not in the store yet. */
-  changed = false
+  private hasChanged = false
   /** State that the store holds. */
   storedState: JobState
   readonly mayHaveRuns: boolean
   readonly acceptedVersion: number
   private readonly firstRun: number
+  private readonly changes: Set<TrackedJob> | undefined
 
   private constructor (readonly accepted: AcceptedJob, options: TrackedJobOptions) {
     this.acceptedVersion = options.acceptedVersion
     this.firstRun = options.firstRun
+    this.changes = options.changes
     this.mayHaveRuns = options.mayHaveRuns
     this.storedState = options.progress?.state ?? JobState.Queued
     this.failed = this.storedState === JobState.Failed
@@ -133,6 +136,17 @@
     return this.accepted.id
   }
 
+  /** True where what happened since is not in the store yet. */
+  get changed (): boolean {
+    return this.hasChanged
+  }
+
+  set changed (changed: boolean) {
+    this.hasChanged = changed
+    if (changed) this.changes?.add(this)
+    else this.changes?.delete(this)
+  }
+
   get occurrenceCount (): number {
     return Math.max(1, this.accepted.spec.repeatCount)
   }
