One lost renewal is no silence

Change: two lost renewals in a row make a VM silent, the second does not wait; VMs with tasks that end are looked at every 0.4 s. Test failed first: VMs that lose every fourth renewal's answer.

--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -28,6 +28,8 @@
 /** Calls to one VM. */
 export class VmSession {
   private disposed = false
+  /** Renewals in a row that got no answer. */
+  private lostRenewals = 0
   /** Resolves the wait for a commit. */
   private wake: (() => void) | undefined
 
@@ -78,10 +80,11 @@
       // A lease that is given to a silent VM may have arrived, so giving more would put off the time at which it has surely ended.
       leaseUntilMs: vm.knowsClock && vm.silentSinceMs === undefined ? vm.extendLease(sentAtMs, leaseMs) : undefined,
       notedEnd: vm.notedEnd,
-      waitMs: this.getWaitMs(),
+      waitMs: this.lostRenewals > 0 ? 0 : this.getWaitMs(),
     })
     if (this.disposed) return
     if (answer.kind === VmAnswerKind.Done) {
+      this.lostRenewals = 0
       const { silentSinceMs } = vm
       scheduler.applyReport(vm, answer.value, sentAtMs, timers.now())
       if (silentSinceMs !== undefined) this.options.onAnswers(vm.id, timers.now() - silentSinceMs)
@@ -96,13 +99,15 @@
     if (!vm.heard) return 0
     let serves = false
     let fills = false
+    let ends = false
     for (const run of vm.runs.values()) {
       if (run.phase === RunPhase.Unsure || (run.phase === RunPhase.Stopping && run.confirmedAtMs === undefined)) return 0
       const { spec } = run.task.step
       serves ||= spec.targetMs !== undefined
       fills ||= spec.fills
+      ends ||= !spec.longRunning
     }
-    return serves && fills ? taskOptions.watchedRenewWaitMs : taskOptions.renewWaitMs
+    return ends || (serves && fills) ? taskOptions.watchedRenewWaitMs : taskOptions.renewWaitMs
   }
 
   private async waitForCommit (): Promise<void> {
@@ -158,7 +163,9 @@
 
   private applyFailure (answer: VmAnswer<unknown>): void {
     const { vm, scheduler, timers } = this.options
-    scheduler.noteSilence(vm, timers.now())
+    this.lostRenewals += 1
+    // One lost answer is no silence: the next look, which does not wait, tells within moments.
+    if (answer.kind === VmAnswerKind.Refused || this.lostRenewals >= taskOptions.lostRenewalsToSilence || !vm.heard) scheduler.noteSilence(vm, timers.now())
     if (answer.kind === VmAnswerKind.Refused) this.applyRefusal(answer.refusal)
     this.options.onChange()
   }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -32,8 +32,10 @@
   leaseMs: 5_000,
   /** Longest wait of a renewal for an end, so that a lease is renewed well before it ends. */
   renewWaitMs: 1_500,
-  /** Same on VMs whose tasks need their pace watched: half of the usage figure's window is lost at most. */
+  /** Same on VMs whose tasks end by themselves or need their pace watched: a lost answer hides ends for this long. */
   watchedRenewWaitMs: 400,
+  /** Renewals without an answer, one after another, that make a VM silent: a platform that loses one in twenty loses two in a row rarely. */
+  lostRenewalsToSilence: 2,
   /** Pause after a VM did not answer. */
   silentRetryMs: 200,
   /** Period of planning beside the planning that events cause. */
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -160,6 +160,21 @@
         assert.equal(lab.history.violations, [], `seed ${seed}`)
       }
     })
+    it('may lose the answers to some renewals, and count as silent for none', async () => {
+      const lab = JobLab.create({ seed: 1 })
+      await lab.start()
+      for (const vm of lab.fleet.vms) vm.losesRenewal = 4
+      for (let job = 0; job < 10; job++) {
+        lab.submit(createJob())
+        await lab.run(400)
+      }
+      await lab.finish(4_000)
+      assert.equal(lab.history.violations, [])
+      const silent = lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.VmSilent)
+      assert.equal(silent.map(({ fields }) => fields['runs']).filter((runs) => runs !== 0), [])
+      const slowest = Math.max(...[...lab.history.jobs.values()].map((job) => (job.completeAtMs ?? Infinity) - job.submittedAtMs))
+      assert.ok(slowest < 2_200, `the slowest job took ${slowest} ms`)
+    })
     it('may be cut while the owner crashes', () => expectKept(async (lab) => {
       const cut = lab.fleet.vms.slice(0, 2)
       for (const vm of cut) vm.fault = VmFault.Cut
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -65,10 +65,13 @@
 export class VmStandIn {
   fault = VmFault.None
   alive = true
+  /** Renewals whose answer is lost: each n-th, or none for 0. */
+  losesRenewal = 0
   entry: VmEntry
   readonly runs = new Map<string, StandInRun>()
   private ends: EndEntry[] = []
   private nextEnd = 1
+  private renewals = 0
   private fence = 0
   private leaseUntilMs = 0
   private readonly barred = new Map<string, number>()
@@ -161,6 +164,11 @@
 
   private async renew (call: RenewCall): Promise<VmAnswer<VmReport>> {
     const taken = await this.call(() => this.takeRenewal(call))
+    this.renewals += 1
+    if (this.losesRenewal > 0 && this.renewals % this.losesRenewal === 0) {
+      await delay(this.options.timers, call.waitMs)
+      return this.loseAnswer()
+    }
     if (taken.kind !== VmAnswerKind.Done) return taken
     if (this.ends.length === 0 && call.waitMs > 0) await this.waitForEnd(call.waitMs)
     if (!this.alive) return { kind: VmAnswerKind.Unknown, reason: 'connection reset' }
