--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -14,8 +14,9 @@
 /** Time after which the registration of a VM that fell silent goes. */
 const REGISTRATION_LAPSE_MS = 4_500
 
-const OPERATOR = 'op'
-const VMS = 'servers'
+const OPERATOR = 'operator'
+const VMS = 'vms'
+const WAVE_STATES = 'wave-states'
 
 /** Told of orders for machines. @public */
 export interface MachineObserver {
@@ -193,7 +194,7 @@
   }
 
   async writeWaveState (wave: number, complete: boolean): Promise<Result<void, StoreFailure>> {
-    const res = await this.rows.transact({ conditions: [], puts: [{ table: 'status', part: '', key: `wave/${wave}`, value: encode({ complete }) }], removes: [] })
+    const res = await this.rows.transact({ conditions: [], puts: [{ table: WAVE_STATES, part: '', key: `wave/${wave}`, value: encode({ complete }) }], removes: [] })
     if (!res.ok) return res
     if (complete) this.observer.onWaveComplete(wave)
     return Result.ok(undefined)
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -29,12 +29,9 @@
   return new Set(lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice('test: '.length).trim()))
 }
 
-function hasCompiledTests (name) {
-  return existsSync(join(root, 'packages', name, 'dist'))
-}
-
-const packages = readdirSync(join(root, 'packages')).filter(hasCompiledTests)
-const files = packages.flatMap((name) => findTestFiles(join(root, 'packages', name, 'dist'))).sort()
+const workspaces = [...readdirSync(join(root, 'packages')).map((name) => join(root, 'packages', name)), join(root, 'platform')]
+const compiled = workspaces.map((path) => join(path, 'dist')).filter((path) => existsSync(path))
+const files = compiled.flatMap((path) => findTestFiles(path)).sort()
 const selected = files.filter((file) => file.includes(filter))
 
 // uvu runs its queue on import unless it is told to wait for the runner.
