--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -193,6 +193,41 @@
     })
   })
 
+  describe('naive owners', ({ it }) => {
+    it('are caught where they note ends before they are stored', async () => {
+      const lab = await playWithFault({ seed: 1, naive: NaiveOwner.NotesEarly }, (each) => {
+        const owner = each.findOwner()
+        const former = each.daemons[owner]
+        if (former !== undefined) former.store.refusesWrites = true
+        each.timers.after(1_100, () => { each.crashDaemon(owner) })
+      })
+      assert.ok(lab.history.violations.some((violation) => violation.rule === 'TWICE'))
+    })
+
+    it('are caught where they order without a fence, and a fence keeps the same day whole', async () => {
+      const play = async (naive?: NaiveOwner): Promise<JobLab> => {
+        const lab = JobLab.create({ seed: 1, naive })
+        await lab.start()
+        const slow = () => createStep({ estimateMs: 3_500 })
+        for (let job = 0; job < 3; job++) lab.submit(createJob(slow(), { ...slow(), after: [0] }))
+        await lab.run(500)
+        const owner = lab.daemons[lab.findOwner()]
+        if (owner === undefined) throw new Error('no owner')
+        // Cut from the store and its peers, the owner goes on with the VMs that it still reaches.
+        owner.store.fault = StoreFault.Silent
+        lab.peers.cut.add(`${owner.address.host}:${owner.address.port}`)
+        await lab.run(12_000)
+        owner.store.fault = StoreFault.None
+        lab.peers.cut.clear()
+        await lab.finish(12_000)
+        return lab
+      }
+      const naive = await play(NaiveOwner.WithoutFence)
+      assert.ok(naive.history.violations.some((violation) => violation.rule === 'TWICE'), JSON.stringify(naive.history.violations))
+      assert.equal((await play()).history.violations, [])
+    })
+  })
+
   describe('clients', ({ it }) => {
     it('cancel, and nothing runs on', async () => {
       const lab = JobLab.create({ seed: 1 })
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -16,6 +16,8 @@
   RestartsOnSilence = 'restarts-on-silence',
   /** Orders without a fencing token. */
   WithoutFence = 'without-fence',
+  /** Lets VMs forget ends before they are in the store. */
+  NotesEarly = 'notes-early',
 }
 
 /** Options of {@link JobLab.create}. */
@@ -244,7 +246,9 @@
     },
     stop: (call) => client.stop({ ...call, fencingToken: token(call) }),
     pace: (call) => client.pace({ ...call, fencingToken: token(call) }),
-    renew: (call) => client.renew({ ...call, fencingToken: token(call) }),
+    renew: (call) => client.renew({
+      ...call, fencingToken: token(call), notedEnd: naive === NaiveOwner.NotesEarly ? Number.MAX_SAFE_INTEGER : call.notedEnd,
+    }),
     dispose: () => client.dispose(),
   }
 }
