One paged read of a table, one way to await peers' answers; unused members removed

Cause: reading the change once more. The loop over pages stood in ShardLoader and in the adapter's feeds, the numbering and time limit of requests to peers in OwnerQueries and JobWriter; a stop reason and a field of waves were never used. Change: readTable beside the store's port, PendingAnswers in the daemon. Behaviour stays as it was, no test changed.

--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -7,6 +7,7 @@
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { clientOptions } from './jobOptions.js'
 import type { Members } from './Members.js'
+import { PendingAnswers } from './PendingAnswers.js'
 import { CANCEL_PREFIX, decodeJobRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
 import type { ShardWatch } from './ShardWatch.js'
 
@@ -31,15 +32,15 @@
 
 /** Writes once each; a row has the same condition whoever writes it. */
 export class JobWriter {
-  private nextSeq = 1
   private nextPeer = 0
-  private readonly waiting = new Map<number, (result: WriteResult) => void>()
+  private readonly answers: PendingAnswers<WriteResult>
 
   private constructor (private readonly options: JobWriterOptions) {
+    this.answers = PendingAnswers.create(options.timers)
     options.network.on(PeerMessageKind.WriteRequest, ({ seq, job, cancel }, reply) => {
       this.writeFor({ job, cancel }).then((result) => reply({ kind: PeerMessageKind.WriteAnswer, seq, ...result }))
     })
-    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => { this.waiting.get(seq)?.({ outcome, version }) })
+    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => { this.answers.settle(seq, { outcome, version }) })
   }
 
   static create (options: JobWriterOptions): JobWriter {
@@ -94,18 +95,13 @@
   }
 
   private async relay (request: Relayed): Promise<WriteResult> {
-    const { timers, network, shard, members } = this.options
+    const { network, shard, members } = this.options
     const others = members.others
     const address = shard.remoteOwner?.address ?? others[this.nextPeer++ % Math.max(1, others.length)]
     if (address === undefined) return { outcome: WriteOutcome.NotDone }
-    const seq = this.nextSeq++
-    const answered = new Promise<WriteResult>((resolve) => { this.waiting.set(seq, resolve) })
-    const limit = timers.after(clientOptions.relayAnswerMs, () => this.waiting.get(seq)?.({ outcome: WriteOutcome.Unknown }))
-    network.send(address, { kind: PeerMessageKind.WriteRequest, seq, ...request })
-    const result = await answered
-    limit.dispose()
-    this.waiting.delete(seq)
-    return result
+    return this.answers.ask(
+      (seq) => network.send(address, { kind: PeerMessageKind.WriteRequest, seq, ...request }),
+      clientOptions.relayAnswerMs, { outcome: WriteOutcome.Unknown })
   }
 }
 
--- a/packages/daemon/src/lib/jobs/OwnerQueries.ts
+++ b/packages/daemon/src/lib/jobs/OwnerQueries.ts
@@ -6,6 +6,7 @@
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { clientOptions } from './jobOptions.js'
+import { PendingAnswers } from './PendingAnswers.js'
 import { decodeJobRow } from './rows.js'
 import type { ShardWatch } from './ShardWatch.js'
 
@@ -21,16 +22,16 @@
 
 /** Asks owners and answers where this daemon is one. */
 export class OwnerQueries {
-  private nextSeq = 1
-  private readonly waiting = new Map<number, (answer: Answer | undefined) => void>()
+  private readonly answers: PendingAnswers<Answer | undefined>
   private readonly pendingCounts = new Map<string, { count: number, atMs: number }>()
 
   private constructor (private readonly options: OwnerQueriesOptions) {
     const { network, shardName } = options
+    this.answers = PendingAnswers.create(options.timers)
     network.on(PeerMessageKind.JobQuery, (message, reply) => {
       if (message.shard === shardName) reply({ kind: PeerMessageKind.JobAnswer, seq: message.seq, ...this.answer(message) })
     })
-    network.on(PeerMessageKind.JobAnswer, ({ seq, state, pending }) => { this.waiting.get(seq)?.({ state, pending }) })
+    network.on(PeerMessageKind.JobAnswer, ({ seq, state, pending }) => { this.answers.settle(seq, { state, pending }) })
     network.on(PeerMessageKind.JobHint, ({ shard, row, version }) => {
       const job = decodeJobRow(row)
       if (shard === shardName && job !== undefined) options.shard.owner?.addJob(job, version)
@@ -69,17 +70,12 @@
   }
 
   private async ask (question: { readonly job?: string, readonly queue?: string }): Promise<Answer | undefined> {
-    const { shard, network, timers, shardName } = this.options
+    const { shard, network, shardName } = this.options
     if (shard.owner !== undefined) return this.answer(question)
     const remote = shard.remoteOwner
     if (remote === undefined) return undefined
-    const seq = this.nextSeq++
-    const answered = new Promise<Answer | undefined>((resolve) => { this.waiting.set(seq, resolve) })
-    const limit = timers.after(clientOptions.ownerAnswerMs, () => this.waiting.get(seq)?.(undefined))
-    network.send(remote.address, { kind: PeerMessageKind.JobQuery, shard: shardName, seq, ...question })
-    const answer = await answered
-    limit.dispose()
-    this.waiting.delete(seq)
-    return answer
+    return this.answers.ask(
+      (seq) => network.send(remote.address, { kind: PeerMessageKind.JobQuery, shard: shardName, seq, ...question }),
+      clientOptions.ownerAnswerMs, undefined)
   }
 }
--- a/packages/daemon/src/lib/jobs/ShardLoader.ts
+++ b/packages/daemon/src/lib/jobs/ShardLoader.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '@vanillathread/kernel'
 import { EventCode, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import type { JobProgress } from '@vanillathread/policy'
-import type { RowStore, StoredRow, StoreFailure } from '@vanillathread/ports'
+import { readTable, type RowStore, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 import { nameRow } from './CommitLoop.js'
 import { CANCEL_PREFIX, decodeJobRow, decodeProgressRow, decodeRosterRow, JOB_PREFIX, Table } from './rows.js'
 
@@ -67,18 +67,3 @@
   }
   return values
 }
-
-async function readTable (rows: RowStore, table: Table, part: string): Promise<Result<{ rows: StoredRow[], version: number }, StoreFailure>> {
-  const all: StoredRow[] = []
-  let version: number | undefined
-  for (let from = ''; ;) {
-    const res = await rows.readRange({ table, part, from })
-    if (!res.ok) return res
-    // The feed goes on from the first page's version and repeats what changed between the pages.
-    version ??= res.value.version
-    all.push(...res.value.rows)
-    const last = res.value.rows.at(-1)
-    if (!res.value.hasMore || last === undefined) return Result.ok({ rows: all, version })
-    from = `${last.key}\0`
-  }
-}
--- a/packages/daemon/src/lib/jobs/WaveBook.ts
+++ b/packages/daemon/src/lib/jobs/WaveBook.ts
@@ -36,7 +36,6 @@
   seenAtMs: number
   /** True while a write of this row is in flight. */
   writing: boolean
-  changed: boolean
   announced: boolean
 }
 
@@ -107,7 +106,6 @@
       version: row?.version ?? 0,
       seenAtMs: stored?.seenAtMs ?? Math.round(rows.nowMs()),
       writing: false,
-      changed: false,
       announced: false,
     })
   }
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -22,7 +22,6 @@
   Unwanted = 'unwanted',
   Evacuation = 'evacuation',
   NoAnswer = 'no answer',
-  Preempted = 'preempted',
   Stalled = 'stalled',
   GangBroken = 'gang broken',
 }
