--- a/packages/daemon/src/lib/jobs/AdviceBook.ts
+++ b/packages/daemon/src/lib/jobs/AdviceBook.ts
@@ -15,6 +15,9 @@
 /** Time before a ticket's end at which it is not used any more: a start's way to the VM. */
 const TICKET_RESERVE_MS = 300
 
+/** Answers kept before those that are not valid any more are dropped. */
+const MAX_ADVICES = 1_000
+
 /** Options of {@link AdviceBook.create}. */
 export interface AdviceBookOptions {
   readonly timers: TimerService
@@ -48,6 +51,7 @@
     const nowMs = this.options.timers.now()
     if (known !== undefined && (known.asking || nowMs < known.validUntilMs)) return known.tickets.size > 0 ? known.tickets : undefined
     const advice: Advice = { tickets: new Map(), validUntilMs: 0, asking: true }
+    if (this.advices.size >= MAX_ADVICES) this.dropExpired(nowMs)
     this.advices.set(name, advice)
     this.ask(name, advice, vms, job.accepted.advice?.validMs ?? 0)
     return undefined
@@ -57,6 +61,12 @@
     this.disposed = true
   }
 
+  private dropExpired (nowMs: number): void {
+    for (const [name, advice] of this.advices) {
+      if (!advice.asking && nowMs >= advice.validUntilMs) this.advices.delete(name)
+    }
+  }
+
   private async ask (name: string, advice: Advice, vms: readonly TrackedVm[], validMs: number): Promise<void> {
     const { advisor, timers, log } = this.options
     const askedAtMs = timers.now()
--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -3,7 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
-import { Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { PLAIN_STEP, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import { JobScheduler } from '@vanillathread/policy'
 import type { RowStore, RowTransaction } from '@vanillathread/ports'
 import { CommitLoop } from './CommitLoop.js'
@@ -12,19 +12,7 @@
 const MAX_ENTRIES = 100
 
 function createJob (index: number): AcceptedJob {
-  const step = {
-    taskCount: 1,
-    need: { cpuMillis: 1, memoryMb: 1, accelerators: 0 },
-    estimateMs: 1,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    speculative: false,
-    longRunning: false,
-    fills: false,
-    mayMiss: 0,
-  }
+  const step = { ...PLAIN_STEP, taskCount: 1, need: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, estimateMs: 1 }
   return {
     id: index.toString(16).padStart(16, '0'),
     queue: 'q',
@@ -49,6 +37,7 @@
     const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, formerOwnerMs: 0, startedAtMs: 0, observe: () => {} })
     const transactions: RowTransaction[] = []
     const rows = {
+      nowMs: () => timers.now(),
       transact: async (transaction: RowTransaction) => {
         transactions.push(transaction)
         return Result.ok({ version: transactions.length + 1 })
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -74,11 +74,11 @@
   }
 
   private takeBatch (): Batch {
-    const { scheduler } = this.options
+    const { scheduler, rows } = this.options
     const changed = scheduler.listChanged()
     const jobs = changed.slice(0, taskOptions.jobsPerCommit).map((job) => {
       job.changed = false
-      return { job, progress: job.toProgress() }
+      return { job, progress: job.toProgress(rows.nowMs()) }
     })
     const vms = [...scheduler.state.vms.values()]
     const roster = vms.filter((vm) => !vm.recorded).slice(0, MAX_ROSTER_ROWS)
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/JobCollector.ts
@@ -0,0 +1,75 @@
+/**
+ * Removes the rows of jobs that ended long ago.
+ */
+import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
+import { EventCode } from '@vanillathread/model'
+import type { JobScheduler, TrackedJob } from '@vanillathread/policy'
+import { StoreFailureKind, type RowCondition, type RowKey, type RowStore } from '@vanillathread/ports'
+import { nameRow } from './CommitLoop.js'
+import { taskOptions } from './jobOptions.js'
+import { CANCEL_PREFIX, JOB_PREFIX, Table } from './rows.js'
+
+/** Options of {@link JobCollector.create}. */
+export interface JobCollectorOptions {
+  readonly shard: string
+  readonly scheduler: JobScheduler
+  readonly rows: RowStore
+  readonly timers: TimerService
+  readonly log: EventLog
+  readonly ownerRow: RowCondition
+  /** Versions of the shard's rows, by table and key. */
+  readonly versions: Map<string, number>
+  /** Time for which an ended job is kept. */
+  readonly keepMs: number
+}
+
+/** Removes what nobody can ask for any more. The condition on the owner's row keeps a successor's reads whole. */
+export class JobCollector {
+  private readonly timer: Subscription
+  private running = false
+  private disposed = false
+
+  private constructor (private readonly options: JobCollectorOptions) {
+    this.timer = options.timers.every(taskOptions.collectPeriodMs, () => { this.collect() })
+  }
+
+  static create (options: JobCollectorOptions): JobCollector {
+    return new JobCollector(options)
+  }
+
+  dispose (): void {
+    this.disposed = true
+    this.timer.dispose()
+  }
+
+  private async collect (): Promise<void> {
+    if (this.running) return
+    this.running = true
+    const { scheduler, rows, keepMs } = this.options
+    for (;;) {
+      const jobs = scheduler.listExpired(rows.nowMs(), keepMs, taskOptions.jobsPerRemoval)
+      if (jobs.length === 0 || !await this.remove(jobs) || this.disposed) break
+    }
+    this.running = false
+  }
+
+  private async remove (jobs: readonly TrackedJob[]): Promise<boolean> {
+    const { shard, scheduler, rows, timers, log, ownerRow, versions } = this.options
+    const removes: RowKey[] = jobs.flatMap(({ id }) => [
+      { table: Table.Jobs, part: shard, key: `${JOB_PREFIX}${id}` },
+      { table: Table.Jobs, part: shard, key: `${CANCEL_PREFIX}${id}` },
+      { table: Table.Progress, part: shard, key: id },
+    ])
+    const res = await rows.transact({ conditions: [ownerRow], puts: [], removes })
+    if (this.disposed) return false
+    if (!res.ok) {
+      const reason = res.error.kind === StoreFailureKind.Conflict ? 'another daemon owns the shard' : res.error.reason
+      log.write(EventCode.StoreCallFailed, { call: 'remove ended jobs', outcome: res.error.kind, reason })
+      return false
+    }
+    for (const row of removes) versions.delete(nameRow(row))
+    for (const job of jobs) scheduler.dropJob(job, timers.now())
+    log.write(EventCode.JobsRemoved, { shard, jobs: jobs.length })
+    return true
+  }
+}
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -2,7 +2,7 @@
  * Serves clients: stores jobs and cancels, and tells what has become of jobs.
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
-import { EventCode, exhaustiveSwitchError, isFinalState, JobState, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
+import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
 import { IngressAnswerKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
@@ -101,7 +101,7 @@
     if (rest === '') return this.countPending(queue)
     if (!JOB_ID.test(rest)) return { kind: IngressAnswerKind.UnknownJob }
     const state = await this.findState(rest)
-    if (state === 'unavailable') return this.refuse(rest, 'store does not answer')
+    if (state === 'unavailable') return this.refuse(rest, ResultCode.JobStateUnavailable, 'store does not answer')
     return state === undefined ? { kind: IngressAnswerKind.UnknownJob } : { kind: IngressAnswerKind.State, state }
   }
 
@@ -120,14 +120,14 @@
       case WriteOutcome.Absent: return { kind: IngressAnswerKind.UnknownJob }
       case WriteOutcome.NotDone:
       case WriteOutcome.Unknown:
-        return this.refuse(id, 'cancel could not be stored')
+        return this.refuse(id, ResultCode.JobNotStored, 'cancel could not be stored')
       default: throw exhaustiveSwitchError(outcome)
     }
   }
 
   private findTarget (req: ClientRequest): { answer: IngressAnswer } | { answer?: undefined, queue: QueueRules, rest: string } {
     const { configuration } = this.options
-    if (configuration.current === undefined) return { answer: this.refuse(req.path.slice(req.path.lastIndexOf('/') + 1), 'no configuration yet') }
+    if (configuration.current === undefined) return { answer: this.refuse(req.path.slice(req.path.lastIndexOf('/') + 1), ResultCode.NoConfiguration, 'no configuration yet') }
     const queue = configuration.findQueue(req.host, req.path)
     if (queue === undefined) return { answer: { kind: IngressAnswerKind.UnknownQueue } }
     return { queue, rest: req.path.slice(queue.pathPrefix.length) }
@@ -164,7 +164,7 @@
         return { kind: IngressAnswerKind.Accepted }
       case WriteOutcome.NotDone:
       case WriteOutcome.Absent:
-        return this.refuse(job.id, 'store took no write')
+        return this.refuse(job.id, ResultCode.JobNotStored, 'store took no write')
       case WriteOutcome.Unknown:
         log.write(EventCode.JobOutcomeUnknown, { job: job.id, storeMs, storeSilentMs: Math.round(this.options.rows.silentForMs()) })
         return { kind: IngressAnswerKind.OutcomeUnknown }
@@ -199,7 +199,7 @@
 
   private async countPending (queue: QueueRules): Promise<IngressAnswer> {
     const count = await this.queries.countPending(queue.name)
-    if (count === undefined) return this.refuse(undefined, 'owner does not answer')
+    if (count === undefined) return this.refuse(undefined, ResultCode.JobStateUnavailable, 'owner does not answer')
     return { kind: IngressAnswerKind.Pending, count }
   }
 
@@ -232,8 +232,8 @@
     return job.value.rows.length > 0 ? JobState.Queued : undefined
   }
 
-  private refuse (job: string | undefined, reason: string): IngressAnswer {
-    this.options.log.write(EventCode.JobRefused, { job, reason, configuration: this.options.configuration.current?.version, storeSilentMs: Math.round(this.options.rows.silentForMs()) })
-    return { kind: IngressAnswerKind.Refused, retryAfterMs: clientOptions.retryAfterMs }
+  private refuse (job: string | undefined, code: ResultCode, reason: string): IngressAnswer {
+    this.options.log.write(EventCode.JobRefused, { job, code, reason, configuration: this.options.configuration.current?.version, storeSilentMs: Math.round(this.options.rows.silentForMs()) })
+    return { kind: IngressAnswerKind.Refused, code, retryAfterMs: clientOptions.retryAfterMs }
   }
 }
--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -16,17 +16,12 @@
   readonly orderLeaseMs: number
   /** True where the platform refuses orders for machines under a lower token than it has seen. */
   readonly fencingEnforced: boolean
-  /** Time after which a draining VM must get no new task. */
-  readonly drainMs: number
   /** Time between the signal to stop and the kill. */
   readonly graceMs: number
-  /** Time after which a task that does not work counts as unavailable. */
-  readonly noticeMs: number
   /** Time that a VM's maintenance takes. */
   readonly maintenanceMs: number
   /** Time that a VM's move to another pool takes. */
   readonly moveMs: number
   /** Time for which an ended job's state can be asked for. */
   readonly stateKeptMs: number
-  readonly maxRowBytes: number
 }
--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -228,6 +228,7 @@
       return
     }
     if (this.disposed) return
+    if (task.wave !== undefined) log.write(EventCode.MaintenanceOrdered, { machine: task.machine, wave: task.wave, formerVm: task.former.vmId, listAgeMs: Math.round(timers.now() - this.listedAtMs) })
     const orderer = { holder: settings.name, fencingToken: ownerRow.version }
     const sentAtMs = timers.now()
     const answer = task.wave !== undefined
--- a/packages/daemon/src/lib/jobs/Members.ts
+++ b/packages/daemon/src/lib/jobs/Members.ts
@@ -44,10 +44,6 @@
     return [...this.addresses].filter(([name]) => name !== this.options.settings.name).map(([, address]) => address)
   }
 
-  getAddress (name: string): Address | undefined {
-    return this.addresses.get(name)
-  }
-
   /** Writes this daemon's row and reads the others'; repeats until both succeed. */
   async join (): Promise<void> {
     while (!this.disposed && !await this.refresh()) await new Promise<void>((resolve) => { this.options.timers.after(watchOptions.retryMs, resolve) })
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -8,6 +8,7 @@
 import { AdviceBook } from './AdviceBook.js'
 import { CommitLoop } from './CommitLoop.js'
 import type { ConfigurationWatch } from './ConfigurationWatch.js'
+import { JobCollector } from './JobCollector.js'
 import { MachineKeeper } from './MachineKeeper.js'
 import { shardOptions, taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
@@ -49,6 +50,7 @@
   private readonly timers: Subscription[] = []
   private planWanted = false
   private feeds: ShardFeeds | undefined
+  private collector: JobCollector | undefined
   private loaded = false
   private disposed = false
   private readonly startedAtMs: number
@@ -133,6 +135,7 @@
     this.commits?.dispose()
     this.keeper?.dispose()
     this.feeds?.dispose()
+    this.collector?.dispose()
     this.advice.dispose()
   }
 
@@ -178,6 +181,7 @@
     this.timers.push(
       options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
     )
+    this.collector = JobCollector.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateKeptFactor })
     this.openKeeper()
     this.feeds = ShardFeeds.create({
       ...options,
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -54,6 +54,12 @@
   vmFeedWaitMs: 800,
   /** Pause after a failed call to the store. */
   storeRetryMs: 200,
+  /** Ended jobs are kept for this multiple of the time for which their state can be asked for, so that a late resend still finds its job. */
+  stateKeptFactor: 2,
+  /** Period of removing rows of jobs that ended long ago. */
+  collectPeriodMs: 5_000,
+  /** Jobs removed in one transaction: with four entries each and the owner's row that makes 81 of 100. */
+  jobsPerRemoval: 20,
 } as const
 
 /** Constants of moving and maintaining machines. */
@@ -92,8 +98,10 @@
   retryAfterMs: 1_000,
   /** Longest wait for the owner's answer before the store is read instead. */
   ownerAnswerMs: 250,
-  /** Time without the store after which the daemon wants no new clients. */
+  /** Time without the store after which the daemon wants no new clients, and logs the store as lost. */
   storeSilentMs: 2_000,
+  /** Period of looking whether the store is lost or back. */
+  storeWatchPeriodMs: 100,
   /** Time for which a count of pending jobs may be given again. */
   pendingKeptMs: 800,
 } as const
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -12,6 +12,7 @@
 import { MetricsServer } from './MetricsServer.js'
 import { Members } from './Members.js'
 import { ShardWatch } from './ShardWatch.js'
+import { StoreWatch } from './StoreWatch.js'
 
 enum JobPluginId {
   Peers = 'jobs-peers',
@@ -57,8 +58,10 @@
 
 class ConfigurationPlugin implements Plugin {
   private readonly watch: ConfigurationWatch
+  private readonly store: StoreWatch
 
   constructor (kernel: Kernel) {
+    this.store = StoreWatch.create({ rows: kernel.get(JOBS_PLATFORM).rows, timers: kernel.timers, log: kernel.log, metrics: kernel.metrics })
     this.watch = ConfigurationWatch.create({ feeds: kernel.get(JOBS_PLATFORM).feeds, timers: kernel.timers, log: kernel.log })
     kernel.provide(CONFIGURATION, this.watch)
   }
@@ -69,6 +72,7 @@
 
   dispose (): void {
     this.watch.dispose()
+    this.store.dispose()
   }
 }
 
--- /dev/null
+++ b/packages/integration/src/jobRows.test.ts
@@ -0,0 +1,57 @@
+/**
+ * What daemons say of the store, and what they leave in it.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { EventCode } from '@vanillathread/model'
+import { IngressAnswerKind } from '@vanillathread/ports'
+import { StoreFault } from '@vanillathread/stand-ins'
+import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+
+describe('the store', ({ it }) => {
+  it('is logged as lost once and as regained once, with the time it was away', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    lab.store.fault = StoreFault.Silent
+    await lab.run(5_000)
+    lab.store.fault = StoreFault.None
+    await lab.run(4_000)
+    for (const { name, log } of lab.daemons) {
+      const seen = log.records.filter(({ code }) => code === EventCode.StoreLost || code === EventCode.StoreRegained)
+      assert.equal(seen.map(({ code }) => code), [EventCode.StoreLost, EventCode.StoreRegained], name)
+      const awayMs = Number(seen[1]?.fields['awayMs'])
+      assert.ok(awayMs > 4_000 && awayMs < 8_000, `${name}: ${awayMs} ms`)
+    }
+    await lab.finish(1_000)
+  })
+
+  it('keeps no rows of jobs that ended long ago, and such a job is not run again', async () => {
+    const lab = JobLab.create({ seed: 1, settings: { stateKeptMs: 4_000 } })
+    await lab.start()
+    const countRows = () => [...lab.store.rows.values()].filter(({ table }) => table === 'jobs' || table === 'progress').length
+    const jobs = await submitAll(lab, 30)
+    await lab.run(6_000)
+    assert.ok(countRows() >= 60, 'rows went before their time')
+    const { starts } = lab.history
+    // A late resend finds its job.
+    const again = lab.daemons[0]?.api?.submit({ host: 'lab', path: `/checks/${jobs[0]?.id ?? ''}`, deadlineMs: 3_000 }, createJob())
+    await lab.run(1_000)
+    assert.is((await again)?.kind, IngressAnswerKind.Accepted)
+    await lab.run(12_000)
+    assert.is(countRows(), 0)
+    assert.is(lab.history.starts, starts)
+    const asked = lab.daemons[1]?.api?.look({ host: 'lab', path: '/checks/00000000000000ee', deadlineMs: 3_000 })
+    await lab.run(500)
+    assert.is((await asked)?.kind, IngressAnswerKind.UnknownJob)
+    await lab.crashDaemon(lab.findOwner(), 1_000)
+    await lab.run(6_000)
+    assert.is(lab.history.starts, starts)
+    for (const { daemon } of lab.daemons) await daemon?.crash()
+  })
+})
+
+async function submitAll (lab: JobLab, count: number): Promise<Array<{ id: string }>> {
+  const pending = []
+  for (let job = 0; job < count; job++) pending.push(lab.submit(createJob(createStep({ taskCount: 1, estimateMs: 300 }))))
+  await lab.run(2_000)
+  return Promise.all(pending)
+}
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -3,35 +3,10 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { EventCode } from '@vanillathread/model'
-import { StoreFault, VmFault } from '@vanillathread/stand-ins'
+import { StoreFault } from '@vanillathread/stand-ins'
 import { playRandomDay } from './lib/jobs/playRandomDay.js'
-import { createJob, createStep, JobLab, NaiveOwner, type JobLabOptions } from './lib/jobs/JobLab.js'
-
-const SEEDS = [1, 2, 3]
-
-/** Two steps, the second wider, so that faults meet both. */
-const twoSteps = () => createJob(createStep(), createStep({ taskCount: 6, after: [0] }))
-
-/** Runs a steady load with a fault and returns the lab once all is quiet. */
-async function playWithFault (options: JobLabOptions, disturb: (lab: JobLab) => Promise<void> | void): Promise<JobLab> {
-  const lab = JobLab.create(options)
-  await lab.start()
-  for (let job = 0; job < 12; job++) {
-    lab.submit(twoSteps())
-    if (job === 3) await disturb(lab)
-    await lab.run(400)
-  }
-  await lab.finish(20_000)
-  return lab
-}
-
-async function expectKept (disturb: (lab: JobLab) => Promise<void> | void, options: Partial<JobLabOptions> = {}): Promise<void> {
-  for (const seed of SEEDS) {
-    const lab = await playWithFault({ seed, ...options }, disturb)
-    assert.equal(lab.history.violations, [], `seed ${seed}`)
-    assert.ok([...lab.history.jobs.values()].some((job) => job.accepted), `seed ${seed} accepted nothing`)
-  }
-}
+import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+import { expectKept, playWithFault, SEEDS } from './lib/jobs/playWithFault.js'
 
 describe('random days', ({ it }) => {
   it('keep every promise on fixed seeds', async () => {
@@ -131,103 +106,6 @@
     }
   })
 
-  describe('VMs', ({ it }) => {
-    it('may crash and come back', () => expectKept((lab) => { for (const vm of lab.fleet.vms.slice(0, 3)) lab.fleet.crash(vm.entry.machine ?? '', 3_000) }))
-    it('may be cut and run on', () => expectKept((lab) => {
-      const cut = lab.fleet.vms.slice(0, 3)
-      for (const vm of cut) {
-        vm.fault = VmFault.Cut
-        lab.timers.after(4_500, () => lab.fleet.lapseRegistration(vm))
-        lab.timers.after(8_000, () => {
-          vm.fault = VmFault.None
-          if (vm.alive) lab.fleet.register(vm)
-        })
-      }
-    }))
-    it('may carry starts out late', () => expectKept((lab) => {
-      for (const vm of lab.fleet.vms) vm.fault = VmFault.LateOrders
-      lab.timers.after(1_500, () => { for (const vm of lab.fleet.vms) vm.fault = VmFault.None })
-    }))
-    it('may be gone for good, with long-running tasks on them', async () => {
-      for (const seed of SEEDS) {
-        const lab = JobLab.create({ seed })
-        await lab.start()
-        lab.submit(createJob(createStep({ longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
-        await lab.run(4_000)
-        const gone = lab.fleet.vms.find((vm) => vm.runs.size > 0)
-        lab.fleet.crash(gone?.entry.machine ?? '', 3_600_000)
-        await lab.finish(12_000)
-        assert.equal(lab.history.violations, [], `seed ${seed}`)
-      }
-    })
-    it('may lose the answers to some renewals, and count as silent for none', async () => {
-      const lab = JobLab.create({ seed: 1 })
-      await lab.start()
-      for (const vm of lab.fleet.vms) vm.losesRenewal = 4
-      for (let job = 0; job < 10; job++) {
-        lab.submit(createJob())
-        await lab.run(400)
-      }
-      await lab.finish(4_000)
-      assert.equal(lab.history.violations, [])
-      const silent = lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.VmSilent)
-      assert.equal(silent.map(({ fields }) => fields['runs']).filter((runs) => runs !== 0), [])
-      const slowest = Math.max(...[...lab.history.jobs.values()].map((job) => (job.completeAtMs ?? Infinity) - job.submittedAtMs))
-      assert.ok(slowest < 2_200, `the slowest job took ${slowest} ms`)
-    })
-    it('may be cut while the owner crashes', () => expectKept(async (lab) => {
-      const cut = lab.fleet.vms.slice(0, 2)
-      for (const vm of cut) vm.fault = VmFault.Cut
-      lab.timers.after(7_000, () => { for (const vm of cut) vm.fault = VmFault.None })
-      await lab.crashDaemon(lab.findOwner(), 2_000)
-    }))
-  })
-
-  describe('naive owners', ({ it }) => {
-    it('are caught where they restart on silence', async () => {
-      const lab = await playWithFault({ seed: 1, naive: NaiveOwner.RestartsOnSilence }, (each) => {
-        for (const vm of each.fleet.vms) vm.fault = VmFault.LateOrders
-        each.timers.after(1_500, () => { for (const vm of each.fleet.vms) vm.fault = VmFault.None })
-      })
-      assert.ok(lab.history.violations.some((violation) => violation.rule === 'TWICE'))
-    })
-  })
-
-  describe('naive owners', ({ it }) => {
-    it('are caught where they note ends before they are stored', async () => {
-      const lab = await playWithFault({ seed: 1, naive: NaiveOwner.NotesEarly }, (each) => {
-        const owner = each.findOwner()
-        const former = each.daemons[owner]
-        if (former !== undefined) former.store.refusesWrites = true
-        each.timers.after(1_100, () => { each.crashDaemon(owner) })
-      })
-      assert.ok(lab.history.violations.some((violation) => violation.rule === 'TWICE'))
-    })
-
-    it('are caught where they order without a fence, and a fence keeps the same day whole', async () => {
-      const play = async (naive?: NaiveOwner): Promise<JobLab> => {
-        const lab = JobLab.create({ seed: 1, naive })
-        await lab.start()
-        const slow = () => createStep({ estimateMs: 3_500 })
-        for (let job = 0; job < 3; job++) lab.submit(createJob(slow(), { ...slow(), after: [0] }))
-        await lab.run(500)
-        const owner = lab.daemons[lab.findOwner()]
-        if (owner === undefined) throw new Error('no owner')
-        // Cut from the store and its peers, the owner goes on with the VMs that it still reaches.
-        owner.store.fault = StoreFault.Silent
-        lab.peers.cut.add(`${owner.address.host}:${owner.address.port}`)
-        await lab.run(12_000)
-        owner.store.fault = StoreFault.None
-        lab.peers.cut.clear()
-        await lab.finish(12_000)
-        return lab
-      }
-      const naive = await play(NaiveOwner.WithoutFence)
-      assert.ok(naive.history.violations.some((violation) => violation.rule === 'TWICE'), JSON.stringify(naive.history.violations))
-      assert.equal((await play()).history.violations, [])
-    })
-  })
-
   describe('clients', ({ it }) => {
     it('cancel, and nothing runs on', async () => {
       const lab = JobLab.create({ seed: 1 })
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -2,7 +2,7 @@
  * A whole system in one process on a fake clock: daemons, store, machines, clients and faults.
  */
 import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
-import { JobState, parseTaskName, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
+import { JobState, parseTaskName, PLAIN_STEP, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
 import { IngressAnswerKind, VmAnswerKind, type ClientApi, type VmClient, type VmClients } from '@vanillathread/ports'
 import { RandomSource } from '@vanillathread/policy'
@@ -256,17 +256,10 @@
 /** A step of tasks that are alike; what is left out is plain. */
 export function createStep (step: Partial<StepSpec> = {}): StepSpec {
   return {
+    ...PLAIN_STEP,
     taskCount: 4,
     need: { cpuMillis: 2_000, memoryMb: 1_024, accelerators: 0 },
     estimateMs: 600,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    speculative: false,
-    longRunning: false,
-    fills: false,
-    mayMiss: 0,
     ...step,
   }
 }
@@ -296,12 +289,9 @@
     maxLeaseMs: 6_000,
     orderLeaseMs: 3_000,
     fencingEnforced: true,
-    drainMs: 2_000,
     graceMs: 6_000,
-    noticeMs: 4_500,
     maintenanceMs: 2_000,
     moveMs: 1_500,
     stateKeptMs: 120_000,
-    maxRowBytes: 65_536,
   }
 }
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -21,7 +21,7 @@
 } from './lib/configuration/ConfigurationBundle.js'
 export { assembleBundle, type AssembledBundle, type ObjectFetch } from './lib/configuration/assembleBundle.js'
 export {
-  isFinalState, JobState,
+  isFinalState, PLAIN_STEP, JobState,
   type AcceptedJob, type AdviceRules, type Capacity, type JobSpec, type OperatorConfiguration, type PoolRules, type QueueRules, type StepSpec,
 } from './lib/jobs/JobSpec.js'
 export { OrderRefusal, RunEnd, type EndEntry, type RunningEntry, type VmEntry, type VmReport } from './lib/jobs/Vm.js'
--- a/packages/model/src/lib/jobs/JobSpec.ts
+++ b/packages/model/src/lib/jobs/JobSpec.ts
@@ -40,6 +40,11 @@
   readonly mayMiss: number
 }
 
+/** Values of a step that asks for nothing special. @public */
+export const PLAIN_STEP = {
+  after: [], checkpointing: false, gang: false, sameRack: false, speculative: false, longRunning: false, fills: false, mayMiss: 0,
+} as const satisfies Partial<StepSpec>
+
 /** A job as submitted. @public */
 export interface JobSpec {
   /** Opaque text for the tasks. */
--- a/packages/policy/src/lib/jobs/JobProgress.ts
+++ b/packages/policy/src/lib/jobs/JobProgress.ts
@@ -18,4 +18,6 @@
   readonly occurrences: readonly OccurrenceProgress[]
   /** Indexes of the occurrences that have ended. */
   readonly finished: readonly number[]
+  /** Store clock in milliseconds at which the job was first found over; left out until then. */
+  readonly endedAtMs?: number
 }
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -28,6 +28,9 @@
 /** Time for which tasks stay on a draining VM; most end by themselves, and the VM leaves after two seconds at the earliest. */
 const DRAINING_TASK_GRACE_MS = 1_200
 
+/** Time for which a forgotten job is not taken in again: far above the longest read of a whole table. */
+const DROPPED_JOB_MEMORY_MS = 60_000
+
 /** Options of {@link JobScheduler.create}. @public */
 export interface JobSchedulerOptions {
   /** Number of owners that the shard had before. */
@@ -63,6 +66,8 @@
   private readonly changedJobs = new Set<TrackedJob>()
   private readonly pendingCancels = new Set<string>()
   private readonly tried = new Set<string>()
+  /** Times at which ended jobs were forgotten. */
+  private readonly droppedJobs = new Map<string, number>()
 
   private constructor (private readonly options: JobSchedulerOptions) {
     this.state = SchedulerState.create(options.observe)
@@ -74,7 +79,7 @@
 
   /** Takes in a job. @returns false where it is known already. */
   addJob (accepted: AcceptedJob, acceptedVersion: number, nowMs: number, progress?: JobProgress): boolean {
-    if (this.state.jobs.has(accepted.id)) return false
+    if (this.state.jobs.has(accepted.id) || this.droppedJobs.has(accepted.id)) return false
     const isOlder = acceptedVersion < this.options.fencingToken
     const job = TrackedJob.create(accepted, {
       acceptedVersion,
@@ -228,6 +233,26 @@
     return [...this.changedJobs]
   }
 
+  /** Jobs whose final state has been in the store for `keepMs`. */
+  listExpired (storeNowMs: number, keepMs: number, limit: number): TrackedJob[] {
+    const expired: TrackedJob[] = []
+    for (const job of this.state.jobs.values()) {
+      if (expired.length >= limit) break
+      if (isFinalState(job.storedState) && job.endedAtMs !== undefined && storeNowMs - job.endedAtMs >= keepMs) expired.push(job)
+    }
+    return expired
+  }
+
+  /** Forgets a job whose rows were removed. A read that began before may still bring it for a while. */
+  dropJob (job: TrackedJob, nowMs: number): void {
+    this.state.jobs.delete(job.id)
+    for (const [id, droppedAtMs] of this.droppedJobs) {
+      if (nowMs - droppedAtMs < DROPPED_JOB_MEMORY_MS) break
+      this.droppedJobs.delete(id)
+    }
+    this.droppedJobs.set(job.id, nowMs)
+  }
+
   /** Marks a job's progress as stored. */
   markStored (job: TrackedJob, progress: JobProgress): void {
     job.storedState = progress.state
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -110,6 +110,8 @@
   private hasChanged = false
   /** State that the store holds. */
   storedState: JobState
+  /** Store clock at which the job was first found over. */
+  endedAtMs: number | undefined
   readonly mayHaveRuns: boolean
   readonly acceptedVersion: number
   private readonly firstRun: number
@@ -121,6 +123,7 @@
     this.changes = options.changes
     this.mayHaveRuns = options.mayHaveRuns
     this.storedState = options.progress?.state ?? JobState.Queued
+    this.endedAtMs = options.progress?.endedAtMs
     this.failed = this.storedState === JobState.Failed
     this.cancelled = this.storedState === JobState.Cancelled
     for (const saved of options.progress?.occurrences ?? []) this.restore(saved)
@@ -217,9 +220,12 @@
   }
 
   /** What the store keeps of this job. */
-  toProgress (): JobProgress {
+  toProgress (storeNowMs: number): JobProgress {
     const state = this.state
-    if (isFinalState(state)) return { state, occurrences: [], finished: [] }
+    if (isFinalState(state)) {
+      this.endedAtMs ??= Math.round(storeNowMs)
+      return { state, occurrences: [], finished: [], endedAtMs: this.endedAtMs }
+    }
     const occurrences: OccurrenceProgress[] = []
     for (const occurrence of this.occurrences.values()) {
       if (!this.finishedOccurrences.has(occurrence.index)) occurrences.push(toOccurrenceProgress(occurrence))
--- a/packages/policy/src/lib/jobs/testSupport.ts
+++ b/packages/policy/src/lib/jobs/testSupport.ts
@@ -1,7 +1,7 @@
 /**
  * Builders for tests of the scheduler.
  */
-import type { AcceptedJob, JobSpec, StepSpec, VmEntry } from '@vanillathread/model'
+import { PLAIN_STEP, type AcceptedJob, type JobSpec, type StepSpec, type VmEntry } from '@vanillathread/model'
 import { JobScheduler } from './JobScheduler.js'
 import { OrderKind, StartOutcome, type Order } from './orders.js'
 import { RunPhase } from './TrackedRun.js'
@@ -11,17 +11,10 @@
 /** A step of four small tasks; what is left out is plain. */
 export function createTestStep (step: Partial<StepSpec> = {}): StepSpec {
   return {
+    ...PLAIN_STEP,
     taskCount: 4,
     need: { cpuMillis: 1_000, memoryMb: 100, accelerators: 0 },
     estimateMs: 500,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    speculative: false,
-    longRunning: false,
-    fills: false,
-    mayMiss: 0,
     ...step,
   }
 }
--- a/packages/ports/src/lib/jobs/Ingress.ts
+++ b/packages/ports/src/lib/jobs/Ingress.ts
@@ -1,7 +1,7 @@
 /**
  * What serves clients, as the ingress sees it.
  */
-import type { JobSpec, JobState } from '@vanillathread/model'
+import type { JobSpec, JobState, ResultCode } from '@vanillathread/model'
 
 /** Kinds of {@link IngressAnswer}. @public */
 export enum IngressAnswerKind {
@@ -20,7 +20,7 @@
 /** What a client is answered. @public */
 export type IngressAnswer =
   | { readonly kind: IngressAnswerKind.Accepted | IngressAnswerKind.Cancelled | IngressAnswerKind.UnknownQueue | IngressAnswerKind.UnknownJob | IngressAnswerKind.OutcomeUnknown }
-  | { readonly kind: IngressAnswerKind.Refused, readonly retryAfterMs: number }
+  | { readonly kind: IngressAnswerKind.Refused, readonly code: ResultCode, readonly retryAfterMs: number }
   | { readonly kind: IngressAnswerKind.State, readonly state: JobState }
   | { readonly kind: IngressAnswerKind.Pending, readonly count: number }
 
--- a/scripts/writeTables.js
+++ b/scripts/writeTables.js
@@ -14,7 +14,7 @@
 })
 writeFileSync('docs/RESULT-CODES.md', `# Result codes
 
-1xxx: declarations and settings. 2xxx: requests, with the HTTP status and whether the request ran.
+1xxx: declarations and settings. 2xxx: requests, with the HTTP status and whether the request ran (21xx: jobs).
 3xxx: configuration. 4xxx: platform. Written by \`node scripts/writeTables.js\`; a test keeps this table and the code equal.
 
 | code | name | meaning | status | execution |
