--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -175,7 +175,8 @@
 
   private planMoves (nowMs: number): void {
     if (nowMs < this.options.ordersFromMs) return
-    const pools = this.options.getPools().map((pool) => ({ standby: pool.standby, demand: this.options.scheduler.getDemand(pool.name, nowMs) }))
+    const moment = { nowMs, storeNowMs: this.options.rows.nowMs() }
+    const pools = this.options.getPools().map((pool) => ({ standby: pool.standby, demand: this.options.scheduler.getDemand(pool.name, moment) }))
     const machines = [...this.listed.values()].map((machine) => this.viewMachine(machine, nowMs)).filter((machine) => machine !== undefined)
     for (const move of this.planner.plan(nowMs, pools, machines)) {
       this.options.log.write(EventCode.MoveOrdered, { machine: move.machine, fromPool: move.fromPool, toPool: move.toPool, reason: move.reason })
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -154,8 +154,8 @@
   }
 
   /** What a pool's queues ask for. */
-  getDemand (pool: string, nowMs: number): PoolLoad {
-    return measureDemand(this.state, pool, this.arrivals, nowMs)
+  getDemand (pool: string, moment: { readonly nowMs: number, readonly storeNowMs: number }): PoolLoad {
+    return measureDemand(this.state, pool, this.arrivals, moment)
   }
 
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
--- a/packages/policy/src/lib/machines/CapacityPlanner.test.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.test.ts
@@ -9,7 +9,7 @@
 const OPTIONS = { moveMs: 1_500, keepMs: 1_000, spareMachines: 1 }
 
 function load (pool: string, machines: number): PoolLoad {
-  return { pool, busyCpuMillis: machines * 0.9 * CAPACITY.cpuMillis, lastingCpuMillis: 0, memoryMb: 0, fewestVms: 0, arrivingCpuMillis: 0, trendCpuMillisPerSecond: 0 }
+  return { pool, busyCpuMillis: machines * 0.9 * CAPACITY.cpuMillis, lateCpuMillis: 0, lastingCpuMillis: 0, memoryMb: 0, lateMemoryMb: 0, fewestVms: 0, arrivingCpuMillis: 0, trendCpuMillisPerSecond: 0 }
 }
 
 function machine (id: string, pool: string, usedCpuMillis = 0): PlannedMachine {
--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -54,15 +54,24 @@
 interface PoolBalance {
   readonly pool: string
   readonly machines: PlannedMachine[]
-  /** Machines that the demand of this moment takes. */
+  /** Machines that the demand of this moment takes, without jobs that can only be late. */
   readonly wanted: number
-  /** Highest recent target; what exceeds it may go. */
+  /** Highest recent value of it; idle machines above it may go to another pool. */
   readonly kept: number
+  /** Same with the late jobs. */
+  readonly wantedWithLate: number
+  readonly keptWithLate: number
 }
 
-/** Plans moves. @public */
+interface Target {
+  readonly atMs: number
+  readonly wanted: number
+  readonly withLate: number
+}
+
+/** Plans moves. Late jobs earn a fraction of what jobs in time do, so they get the machines that those leave. @public */
 export class CapacityPlanner {
-  private readonly targets = new Map<string, Array<{ readonly atMs: number, readonly target: number }>>()
+  private readonly targets = new Map<string, Target[]>()
 
   private constructor (private readonly options: CapacityPlannerOptions) {}
 
@@ -76,17 +85,28 @@
     const reserve = machines.filter((machine) => machine.pool === standby && machine.movable)
     const moves = coverDeficits(balances, reserve)
     if (moves.length < countMissing(balances)) moves.push(...shareOut(balances, moves))
+    else moves.push(...coverLate(balances, reserve, moves))
     if (standby !== undefined) moves.push(...returnSurplus(balances, standby, new Set(moves.map((move) => move.machine))))
     return moves
   }
 
   private balance (nowMs: number, { demand }: PlannedPool, machines: readonly PlannedMachine[]): PoolBalance {
     const own = machines.filter((machine) => machine.pool === demand.pool)
-    const wanted = countMachines(demand, own.length > 0 ? own : machines, this.options)
+    const sized = own.length > 0 ? own : machines
+    const wanted = countMachines(demand, sized, this.options)
+    const { busyCpuMillis, lateCpuMillis, memoryMb, lateMemoryMb } = demand
+    const withLate = countMachines({ ...demand, busyCpuMillis: busyCpuMillis + lateCpuMillis, memoryMb: memoryMb + lateMemoryMb }, sized, this.options)
     const history = (this.targets.get(demand.pool) ?? []).filter((entry) => nowMs - entry.atMs <= this.options.keepMs)
-    history.push({ atMs: nowMs, target: wanted })
+    history.push({ atMs: nowMs, wanted, withLate })
     this.targets.set(demand.pool, history)
-    return { pool: demand.pool, machines: own, wanted, kept: Math.max(...history.map((entry) => entry.target)) }
+    return {
+      pool: demand.pool,
+      machines: own,
+      wanted,
+      kept: Math.max(...history.map((entry) => entry.wanted)),
+      wantedWithLate: withLate,
+      keptWithLate: Math.max(...history.map((entry) => entry.withLate)),
+    }
   }
 }
 
@@ -104,8 +124,10 @@
 /** Gives each pool in need machines of others that need them less, then standby machines, the largest need first. */
 function coverDeficits (balances: readonly PoolBalance[], reserve: PlannedMachine[]): PlannedMove[] {
   const moves: PlannedMove[] = []
-  const surplus = balances.flatMap((balance) => listSurplus(balance))
-  const sources = [...surplus, ...reserve]
+  const surplus = balances.flatMap((balance) => listSurplus(balance, balance.kept))
+  // Machines that late jobs would use go last.
+  const [idle, wantedByLate] = splitBy(surplus, new Set(balances.flatMap((balance) => listSurplus(balance, balance.keptWithLate)).map(({ id }) => id)))
+  const sources = [...idle, ...reserve, ...wantedByLate]
   const needy = balances.filter((balance) => balance.wanted > balance.machines.length)
     .sort((a, b) => (b.wanted - b.machines.length) - (a.wanted - a.machines.length))
   for (const balance of needy) {
@@ -118,6 +140,25 @@
   return moves
 }
 
+function splitBy (machines: readonly PlannedMachine[], ids: ReadonlySet<string>): [PlannedMachine[], PlannedMachine[]] {
+  return [machines.filter(({ id }) => ids.has(id)), machines.filter(({ id }) => !ids.has(id))]
+}
+
+/** Gives what is left to pools whose late jobs want more. */
+function coverLate (balances: readonly PoolBalance[], reserve: readonly PlannedMachine[], moves: readonly PlannedMove[]): PlannedMove[] {
+  const taken = new Set(moves.map((move) => move.machine))
+  const gained = (pool: string): number => moves.filter((move) => move.toPool === pool).length
+  const sources = [...balances.flatMap((balance) => listSurplus(balance, balance.keptWithLate)), ...reserve].filter(({ id }) => !taken.has(id))
+  const covered: PlannedMove[] = []
+  for (const balance of [...balances].sort((a, b) => (b.wantedWithLate - b.machines.length) - (a.wantedWithLate - a.machines.length))) {
+    const missing = balance.wantedWithLate - balance.machines.length - gained(balance.pool)
+    for (const machine of sources.splice(0, Math.max(0, missing))) {
+      covered.push({ machine: machine.id, fromPool: machine.pool, toPool: balance.pool, reason: `wants ${balance.wantedWithLate} with late jobs, has ${balance.machines.length}` })
+    }
+  }
+  return covered
+}
+
 function countMissing (balances: readonly PoolBalance[]): number {
   return balances.reduce((sum, balance) => sum + Math.max(0, balance.wanted - balance.machines.length), 0)
 }
@@ -148,12 +189,13 @@
 }
 
 function returnSurplus (balances: readonly PoolBalance[], standby: string, taken: ReadonlySet<string>): PlannedMove[] {
-  return balances.flatMap((balance) => listSurplus(balance)
+  return balances.flatMap((balance) => listSurplus(balance, balance.keptWithLate)
     .filter((machine) => !taken.has(machine.id))
-    .map((machine) => ({ machine: machine.id, fromPool: balance.pool, toPool: standby, reason: `keeps ${balance.kept}, has ${balance.machines.length}` })))
+    .map((machine) => ({ machine: machine.id, fromPool: balance.pool, toPool: standby, reason: `keeps ${balance.keptWithLate}, has ${balance.machines.length}` })))
 }
 
-function listSurplus (balance: PoolBalance): PlannedMachine[] {
-  const excess = balance.machines.length - balance.kept
+/** Idle machines of a pool above a number that it keeps. */
+function listSurplus (balance: PoolBalance, kept: number): PlannedMachine[] {
+  const excess = balance.machines.length - kept
   return excess <= 0 ? [] : balance.machines.filter((machine) => machine.movable).slice(0, excess)
 }
--- a/packages/policy/src/lib/machines/PoolLoad.ts
+++ b/packages/policy/src/lib/machines/PoolLoad.ts
@@ -1,18 +1,22 @@
 /**
  * What a pool's queues ask for, measured where the jobs are.
  */
+import { rankJob, Urgency } from '../jobs/rankJobs.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
 import type { TrackedJob, TrackedStep } from '../jobs/TrackedJob.js'
 
 /** Demand of one pool. @public */
 export interface PoolLoad {
   readonly pool: string
-  /** Processor that tasks of limited duration occupy or wait for, in thousandths of a core. */
+  /** Processor that tasks of limited duration occupy or wait for, of jobs that can still be in time, in thousandths of a core. */
   readonly busyCpuMillis: number
+  /** Same of jobs that can only be late. */
+  readonly lateCpuMillis: number
   /** Processor that long-running tasks occupy or wait for. */
   readonly lastingCpuMillis: number
-  /** Memory that all tasks occupy or wait for. */
+  /** Memory that tasks occupy or wait for, without those of late jobs. */
   readonly memoryMb: number
+  readonly lateMemoryMb: number
   /** Fewest VMs on which the pool's tasks can be spread as they ask. */
   readonly fewestVms: number
   /** Processor that recent arrivals would occupy if they went on at this rate, in thousandths of a core. */
@@ -71,25 +75,35 @@
 }
 
 /** Sums up a pool's demand. */
-export function measureDemand (state: SchedulerState, pool: string, arrivals: ArrivalMeter, nowMs: number): PoolLoad {
-  const sum = { busyCpuMillis: 0, lastingCpuMillis: 0, memoryMb: 0, fewestVms: 0 }
+export function measureDemand (state: SchedulerState, pool: string, arrivals: ArrivalMeter, moment: { readonly nowMs: number, readonly storeNowMs: number }): PoolLoad {
+  const sum = { busyCpuMillis: 0, lateCpuMillis: 0, lastingCpuMillis: 0, memoryMb: 0, lateMemoryMb: 0, fewestVms: 0 }
   for (const job of state.openJobs.get(pool) ?? []) {
+    const isLate = rankJob(job, state.estimates, moment.storeNowMs).urgency > Urgency.InTime
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps) {
-        if (!step.isDone && step.isReady) addStep(sum, step)
+        if (!step.isDone && step.isReady) addStep(sum, step, isLate)
       }
     }
   }
-  const { rate, trend } = arrivals.getRate(pool, nowMs)
+  const { rate, trend } = arrivals.getRate(pool, moment.nowMs)
   return { pool, ...sum, arrivingCpuMillis: rate, trendCpuMillisPerSecond: trend }
 }
 
-function addStep (sum: { busyCpuMillis: number, lastingCpuMillis: number, memoryMb: number, fewestVms: number }, step: TrackedStep): void {
+interface DemandSum {
+  busyCpuMillis: number
+  lateCpuMillis: number
+  lastingCpuMillis: number
+  memoryMb: number
+  lateMemoryMb: number
+  fewestVms: number
+}
+
+function addStep (sum: DemandSum, step: TrackedStep, isLate: boolean): void {
   const { need, fills, longRunning, maxTasksPerVm } = step.spec
   const open = step.tasks.length - step.doneCount
   if (!fills && longRunning) sum.lastingCpuMillis += open * need.cpuMillis
-  else if (!fills) sum.busyCpuMillis += open * need.cpuMillis
-  sum.memoryMb += open * need.memoryMb
+  else if (!fills) sum[isLate ? 'lateCpuMillis' : 'busyCpuMillis'] += open * need.cpuMillis
+  sum[isLate ? 'lateMemoryMb' : 'memoryMb'] += open * need.memoryMb
   const fewest = maxTasksPerVm === undefined ? 1 : Math.ceil(open / maxTasksPerVm)
   sum.fewestVms = Math.max(sum.fewestVms, fewest)
 }
