--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -58,6 +58,7 @@
     this.waves = WaveBook.create(options)
     this.planner = CapacityPlanner.create({ moveMs: options.settings.moveMs, ...machineOptions.capacity })
     this.timer = options.timers.every(machineOptions.periodMs, () => { this.work() })
+    this.readList(options.timers.now())
   }
 
   static create (options: MachineKeeperOptions): MachineKeeper {
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -41,9 +41,9 @@
   /** Period of planning beside the planning that events cause. */
   planPeriodMs: 100,
   /** Delay by which planning gathers several events: small against the shortest task. */
-  planSpacingMs: 4,
+  planSpacingMs: 8,
   /** Shortest time between two commits: several ends share a transaction, and a client waits this little. */
-  commitSpacingMs: 15,
+  commitSpacingMs: 25,
   /** Pause after a failed commit. */
   commitRetryMs: 150,
   /** Jobs in one transaction: the platform takes 100 entries, and each job needs two beside the owner's row. */
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -91,7 +91,8 @@
     this.state.openJob(job)
     if (!isOlder) this.arrivals.observe(accepted.pool, getJobWork(this.state, job), nowMs)
     this.state.wantedJobs.delete(accepted.id)
-    this.state.observe(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state, steps: describeSteps(accepted.spec) })
+    // Jobs that a former owner saw end have its lines already.
+    if (!job.isOver) this.state.observe(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state, steps: describeSteps(accepted.spec) })
     if (this.pendingCancels.delete(accepted.id)) this.state.cancelJob(job, nowMs)
     return true
   }
