Fast daemons own the shard, and a new owner gets time to begin

A new owner's first proof came only with its first beat. Change: daemons tell their speed (members' rows, greetings); rankSuccessors puts those of at least half the highest speed first; a slow owner hands over to a much faster daemon; the proof is written with the take-over; doubts about a new owner wait 2.5 times as long for 4 s.

--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -7,6 +7,8 @@
 export interface JobsSettings {
   readonly name: string
   readonly zone: string
+  /** Share of a core that the daemon has, times the core's speed. */
+  readonly speed: number
   /** Where other daemons reach this one. */
   readonly peer: Address
   readonly metrics: Address
--- a/packages/daemon/src/lib/jobs/Members.ts
+++ b/packages/daemon/src/lib/jobs/Members.ts
@@ -3,12 +3,13 @@
  */
 import type { Subscription, TimerService } from '@vanillathread/kernel'
 import type { Address } from '@vanillathread/model'
+import type { OwnerCandidate } from '@vanillathread/policy'
 import type { RowStore } from '@vanillathread/ports'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { PeerMessageKind } from '../peer/messages.js'
 import { watchOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
-import { decodeMemberRow, encodeRow, Table } from './rows.js'
+import { decodeMemberRow, encodeRow, Table, type MemberRow } from './rows.js'
 
 /** Options of {@link Members.create}. */
 export interface MembersOptions {
@@ -20,13 +21,13 @@
 
 /** Addresses of the other daemons. */
 export class Members {
-  private readonly addresses = new Map<string, Address>()
+  private readonly members = new Map<string, MemberRow>()
   private readonly timer: Subscription
   private written = false
   private disposed = false
 
   private constructor (private readonly options: MembersOptions) {
-    options.network.on(PeerMessageKind.Hello, ({ name, address }) => { this.addresses.set(name, address) })
+    options.network.on(PeerMessageKind.Hello, ({ name, address, speed }) => { this.members.set(name, { ...address, speed }) })
     this.timer = options.timers.every(watchOptions.memberPeriodMs, () => { this.refresh() })
   }
 
@@ -34,14 +35,24 @@
     return new Members(options)
   }
 
+  /** All daemons, this one included. */
+  get candidates (): OwnerCandidate[] {
+    return [...this.byName].map(([name, { speed }]) => ({ name, speed }))
+  }
+
   /** Names of all daemons, this one included. */
   get names (): string[] {
-    return [...new Set([this.options.settings.name, ...this.addresses.keys()])]
+    return [...this.byName.keys()]
   }
 
   /** Addresses of the other daemons. */
   get others (): Address[] {
-    return [...this.addresses].filter(([name]) => name !== this.options.settings.name).map(([, address]) => address)
+    return [...this.members].filter(([name]) => name !== this.options.settings.name).map(([, { host, port }]) => ({ host, port }))
+  }
+
+  private get byName (): Map<string, MemberRow> {
+    const { name, peer, speed } = this.options.settings
+    return new Map([...this.members, [name, { ...peer, speed }]])
   }
 
   /** Writes this daemon's row and reads the others'; repeats until both succeed. */
@@ -58,21 +69,21 @@
   private async refresh (): Promise<boolean> {
     const { rows, settings } = this.options
     if (!this.written) {
-      const res = await rows.transact({ conditions: [], puts: [{ table: Table.Members, part: '', key: settings.name, value: encodeRow(settings.peer) }], removes: [] })
+      const res = await rows.transact({ conditions: [], puts: [{ table: Table.Members, part: '', key: settings.name, value: encodeRow({ ...settings.peer, speed: settings.speed }) }], removes: [] })
       if (!res.ok) return false
       this.written = true
     }
     const page = await rows.readRange({ table: Table.Members, part: '' })
     if (!page.ok) return false
     for (const row of page.value.rows) {
-      const address = decodeMemberRow(row.value)
-      if (address !== undefined) this.addresses.set(row.key, address)
+      const member = decodeMemberRow(row.value)
+      if (member !== undefined) this.members.set(row.key, member)
     }
     return true
   }
 
   private greet (): void {
     const { settings, network } = this.options
-    for (const address of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer } })
+    for (const address of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer }, speed: settings.speed })
   }
 }
--- a/packages/daemon/src/lib/jobs/ShardWatch.ts
+++ b/packages/daemon/src/lib/jobs/ShardWatch.ts
@@ -3,8 +3,8 @@
  */
 import type { Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
-import { rankByRendezvous } from '@vanillathread/policy'
-import { StoreFailureKind } from '@vanillathread/ports'
+import { rankSuccessors, shouldHandOver } from '@vanillathread/policy'
+import { StoreFailureKind, type RowPut } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { shardOptions } from './jobOptions.js'
@@ -37,6 +37,11 @@
   private vacantSinceMs: number | undefined
   private storeBeat: { version: number, sinceMs: number } | undefined
   private lastLookMs = 0
+  private takenAtMs = 0
+  /** Time at which the owner of now was first known. */
+  private ownerSinceMs = -Infinity
+  /** Times at which peers that reach the store last answered a beat. */
+  private readonly heardPeers = new Map<string, number>()
   private busy = false
   private stopping = false
   private readonly subscriptions: Subscription[]
@@ -46,9 +51,10 @@
     this.heardAtMs = context.timers.now()
     network.on(PeerMessageKind.ShardBeat, (message, reply) => {
       this.applyBeat(message)
-      reply({ kind: PeerMessageKind.ShardBeatAck, shard: options.shard, fencingToken: this.knownToken, storeSilentMs: Math.round(context.rows.silentForMs()) })
+      reply({ kind: PeerMessageKind.ShardBeatAck, name: this.name, shard: options.shard, fencingToken: this.knownToken, storeSilentMs: Math.round(context.rows.silentForMs()) })
     })
-    network.on(PeerMessageKind.ShardBeatAck, ({ fencingToken }) => {
+    network.on(PeerMessageKind.ShardBeatAck, ({ name, fencingToken, storeSilentMs }) => {
+      if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.heardPeers.set(name, context.timers.now())
       if (this.owned !== undefined && fencingToken > this.owned.fencingToken) this.stepDown('a peer knows a newer owner')
     })
     network.on(PeerMessageKind.ShardReleased, ({ fencingToken }) => {
@@ -104,10 +110,11 @@
   }
 
   private async watch (): Promise<void> {
-    if (this.busy || this.stopping || this.owned !== undefined) return
+    if (this.busy || this.stopping) return
     this.busy = true
     try {
-      await this.decide()
+      if (this.owned === undefined) await this.decide()
+      else await this.considerHandOver(this.owned)
     } finally {
       this.busy = false
     }
@@ -125,8 +132,8 @@
     }
     this.vacantSinceMs = undefined
     const silentMs = nowMs - this.heardAtMs
-    const doubted = silentMs > shardOptions.doubtAfterMs + this.getRankDelayMs()
-    if (!doubted && this.ownerStoreSilentMs < shardOptions.ownerStoreSilentMs) {
+    const doubted = silentMs > shardOptions.doubtAfterMs && silentMs > shardOptions.doubtAfterMs + this.getRankDelayMs()
+    if (!doubted && this.ownerStoreSilentMs < shardOptions.ownerStoreSilentMs * this.patience) {
       this.storeBeat = undefined
       return
     }
@@ -154,7 +161,7 @@
     const ageMs = rows.nowMs() - ((row === undefined ? undefined : decodeBeatRow(row.value)) ?? 0)
     this.storeBeat ??= { version: row?.version ?? 0, sinceMs: nowMs }
     if (this.storeBeat.version !== (row?.version ?? 0)) this.storeBeat = { version: row?.version ?? 0, sinceMs: nowMs }
-    if (Math.max(ageMs, nowMs - this.storeBeat.sinceMs) >= shardOptions.standStillMs) await this.take('owner does not reach the store')
+    if (Math.max(ageMs, nowMs - this.storeBeat.sinceMs) >= shardOptions.standStillMs * this.patience) await this.take('owner does not reach the store')
   }
 
   private async take (reason: string): Promise<void> {
@@ -165,7 +172,7 @@
     const value: OwnerRow = { owner: this.name, host: settings.peer.host, port: settings.peer.port, generation }
     const key = { table: Table.Shards, part: shard, key: OWNER_KEY }
     const former = this.row?.value.owner
-    const res = await rows.transact({ conditions: [{ ...key, version: this.knownToken }], puts: [{ ...key, value: encodeRow(value) }], removes: [] })
+    const res = await rows.transact({ conditions: [{ ...key, version: this.knownToken }], puts: [{ ...key, value: encodeRow(value) }, this.createBeat()], removes: [] })
     if (!res.ok) {
       // Whether it was carried out shows when the row is read again.
       log.write(EventCode.StoreCallFailed, { call: 'take shard', shard, outcome: res.error.kind })
@@ -173,6 +180,7 @@
       return
     }
     this.row = { value, version: res.value.version }
+    this.takenAtMs = context.timers.now()
     log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former, reason })
     if (this.stopping) return
     this.owned = ShardOwner.create({
@@ -234,6 +242,7 @@
 
   private learn (value: OwnerRow, version: number): void {
     this.row = { value, version }
+    this.ownerSinceMs = this.options.context.timers.now()
     this.heardAtMs = this.options.context.timers.now()
     this.ownerStoreSilentMs = 0
     this.storeBeat = undefined
@@ -261,14 +270,38 @@
     const { owned } = this
     if (owned === undefined) return
     const ownerKey = { table: Table.Shards, part: shard, key: OWNER_KEY }
-    const beat = { table: Table.Beats, part: shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(context.rows.nowMs()) }) }
-    const res = await context.rows.transact({ conditions: [{ ...ownerKey, version: owned.fencingToken }], puts: [beat], removes: [] })
+    const res = await context.rows.transact({ conditions: [{ ...ownerKey, version: owned.fencingToken }], puts: [this.createBeat()], removes: [] })
     if (!res.ok && res.error.kind === StoreFailureKind.Conflict && this.owned === owned) this.stepDown('the store names another owner')
   }
 
-  /** Daemons try one after another, in an order that differs from owner to owner. */
+  /** An owner that has just begun reads the whole shard, which may keep it from proving that it is there. */
+  private get patience (): number {
+    return this.options.context.timers.now() - this.ownerSinceMs < shardOptions.newOwnerMs ? shardOptions.newOwnerPatience : 1
+  }
+
+  private createBeat (): RowPut {
+    return { table: Table.Beats, part: this.options.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.options.context.rows.nowMs()) }) }
+  }
+
+  /** Hands the shard to a much faster daemon that answers and reaches the store. */
+  private async considerHandOver (owned: ShardOwner): Promise<void> {
+    const { context, members } = this.options
+    const { timers, settings, log } = context
+    const nowMs = timers.now()
+    if (!owned.isLoaded || nowMs - this.takenAtMs < shardOptions.handOverAfterMs) return
+    const others = members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.heardPeers.get(name) ?? -Infinity) < shardOptions.doubtAfterMs)
+    if (!shouldHandOver({ name: this.name, speed: settings.speed }, others)) return
+    log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: owned.fencingToken, speed: settings.speed, reason: 'a much faster daemon is there' })
+    await owned.finish(shardOptions.handOverLimitMs)
+    if (this.owned !== owned) return
+    this.owned = undefined
+    this.rowRead = false
+    await this.release(owned)
+  }
+
+  /** Daemons try one after another, fast ones first, in an order that differs from owner to owner. */
   private getRankDelayMs (): number {
-    const ranked = rankByRendezvous(`${this.options.shard}/${this.knownToken}`, this.options.members.names.filter((name) => name !== this.row?.value.owner))
+    const ranked = rankSuccessors(`${this.options.shard}/${this.knownToken}`, this.options.members.candidates.filter(({ name }) => name !== this.row?.value.owner))
     return Math.max(0, ranked.indexOf(this.name)) * shardOptions.rankDelayMs
   }
 }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -16,6 +16,14 @@
   standStillMs: 1_300,
   /** Time without the store after which an owner is doubted though its peers hear it. */
   ownerStoreSilentMs: 1_200,
+  /** Time for which an owner counts as new: reading a large shard and hearing its VMs takes seconds on a slow VM. */
+  newOwnerMs: 4_000,
+  /** Factor on the times after which a new owner is doubted for its silence towards the store. */
+  newOwnerPatience: 2.5,
+  /** Time after a take-over before the shard is handed to a faster daemon. */
+  handOverAfterMs: 1_000,
+  /** Time in which an owner that hands over writes what is left. */
+  handOverLimitMs: 500,
   /** Period of looking after ownership. */
   watchPeriodMs: 100,
   /** Shortest time between two looks at a doubted owner's row. */
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -3,7 +3,7 @@
  */
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
-import type { AcceptedJob, Address, VmEntry } from '@vanillathread/model'
+import type { AcceptedJob, VmEntry } from '@vanillathread/model'
 import type { JobProgress } from '@vanillathread/policy'
 
 /** Tables. Rows of one shard share its name as their part. */
@@ -39,10 +39,13 @@
 /** Owner of a shard; the empty name stands for none. */
 export type OwnerRow = z.infer<typeof ownerRowSchema>
 
-const memberRowSchema = z.object({ host: z.string(), port: z.number() })
+const memberRowSchema = z.object({ host: z.string(), port: z.number(), speed: z.number() })
+
+/** A daemon's address, and its share of a core times the core's speed. */
+export type MemberRow = z.infer<typeof memberRowSchema>
 
 /** Encodes a row's value. */
-export function encodeRow (value: OwnerRow | Address | AcceptedJob | JobProgress | VmEntry | WaveRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | VmEntry | WaveRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -58,7 +61,7 @@
 }
 
 /** Decodes the row of a daemon. */
-export function decodeMemberRow (bytes: Uint8Array): Address | undefined {
+export function decodeMemberRow (bytes: Uint8Array): MemberRow | undefined {
   return memberRowSchema.safeParse(decode(bytes)).data
 }
 
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -78,7 +78,7 @@
 
 /** Messages about jobs and the owners of shards. */
 const jobMessageSchemas = [
-  z.strictObject({ kind: z.literal(PeerMessageKind.Hello), name: z.string(), address: addressSchema }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.Hello), name: z.string(), address: addressSchema, speed: z.number() }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.ShardBeat),
     shard: z.string(),
@@ -88,7 +88,7 @@
     /** Time since the store last answered the owner. */
     storeSilentMs: z.number(),
   }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.ShardBeatAck), shard: z.string(), fencingToken: count, storeSilentMs: z.number() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardBeatAck), name: z.string(), shard: z.string(), fencingToken: count, storeSilentMs: z.number() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: count }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobHint), shard: z.string(), row: z.instanceof(Uint8Array), version: count }),
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -6,7 +6,7 @@
 import { StoreFault } from '@vanillathread/stand-ins'
 import { playRandomDay } from './lib/jobs/playRandomDay.js'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
-import { expectKept, playWithFault, SEEDS } from './lib/jobs/playWithFault.js'
+import { expectKept, playWithFault, SEEDS, twoSteps } from './lib/jobs/playWithFault.js'
 
 describe('random days', ({ it }) => {
   it('keep every promise on fixed seeds', async () => {
@@ -54,6 +54,27 @@
       lab.peers.cut.add(name)
       lab.timers.after(5_000, () => lab.peers.cut.delete(name))
     }))
+    it('leave the shard to one that is much faster, and take it while that one is away', async () => {
+      for (const seed of SEEDS) {
+        const lab = JobLab.create({ seed, daemons: 4, speeds: [0.324, 0.324, 1.35, 0.324] })
+        await lab.start()
+        assert.is(lab.findOwner(), 2, `seed ${seed}: after the start`)
+        for (let job = 0; job < 6; job++) {
+          lab.submit(twoSteps())
+          await lab.run(300)
+        }
+        await lab.crashDaemon(2, 4_000)
+        await lab.run(3_000)
+        assert.is.not(lab.findOwner(), 2, `seed ${seed}: while it is away`)
+        for (let job = 0; job < 10; job++) {
+          lab.submit(twoSteps())
+          await lab.run(400)
+        }
+        await lab.finish(12_000)
+        assert.is(lab.findOwner(), 2, `seed ${seed}: at the end`)
+        assert.equal(lab.history.violations, [], `seed ${seed}`)
+      }
+    })
     it('hand over on a planned stop', () => expectKept((lab) => { lab.daemons[lab.findOwner()]?.daemon?.stop() }))
   })
 
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -25,6 +25,8 @@
   readonly seed: number
   readonly daemons?: number
   readonly naive?: NaiveOwner
+  /** Speeds of the daemons, in their order; 1 where left out. */
+  readonly speeds?: readonly number[]
   /** Settings that differ from the lab's. */
   readonly settings?: Partial<JobsSettings>
 }
@@ -100,7 +102,7 @@
     const { timers, store, fleet, history, peers } = this
     lab.store = store.connect()
     lab.daemon = JobsDaemon.create({
-      settings: { ...createSettings(lab), ...this.options.settings },
+      settings: { ...createSettings(lab), speed: this.options.speeds?.[index] ?? 1, ...this.options.settings },
       timers,
       log: lab.log,
       platform: {
@@ -284,6 +286,7 @@
   return {
     name: lab.name,
     zone: 'a',
+    speed: 1,
     peer: lab.address,
     metrics: lab.address,
     maxLeaseMs: 6_000,
--- a/packages/integration/src/lib/jobs/playWithFault.ts
+++ b/packages/integration/src/lib/jobs/playWithFault.ts
@@ -8,7 +8,7 @@
 export const SEEDS = [1, 2, 3]
 
 /** Two steps, the second wider, so that faults meet both. */
-const twoSteps = () => createJob(createStep(), createStep({ taskCount: 6, after: [0] }))
+export const twoSteps = () => createJob(createStep(), createStep({ taskCount: 6, after: [0] }))
 
 /** Runs a steady load with a fault and returns the lab once all is quiet. */
 export async function playWithFault (options: JobLabOptions, disturb: (lab: JobLab) => Promise<void> | void): Promise<JobLab> {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 export { RandomSource } from './lib/random/RandomSource.js'
+export { rankSuccessors, shouldHandOver, type OwnerCandidate } from './lib/membership/rankSuccessors.js'
 export { getRendezvousOwner, rankByRendezvous } from './lib/routing/rendezvous.js'
 export { shareByDemand, type SlotDemand } from './lib/routing/shareByDemand.js'
 export type { CreditGrant, CreditReport, LentEndpoint, SlotCounts } from './lib/routing/credits.js'
