A VM that starts on a machine due for maintenance is emptied before the order is given again

Change: MachineKeeper.noteVms, called with every change of registrations, turns a planned machine's task to its new VM and empties it. The stand-in's crashed machines are busy, as the platform's; the history checks AVAIL.

--- a/packages/daemon/src/lib/jobs/MachineKeeper.ts
+++ b/packages/daemon/src/lib/jobs/MachineKeeper.ts
@@ -35,8 +35,8 @@
   readonly wave?: number
   /** Pool of a move, or undefined for a maintenance. */
   readonly toPool?: string
-  readonly vmId?: string
-  readonly former: FormerVm
+  vmId?: string
+  former: FormerVm
   phase: 'evacuating' | 'ordering' | 'underway'
   orderedAtMs: number
 }
@@ -70,6 +70,21 @@
     this.timer.dispose()
   }
 
+  /** Empties VMs that have started on machines about to be taken down: an order ends whatever runs there by then. */
+  noteVms (): void {
+    const nowMs = this.options.timers.now()
+    for (const task of this.tasks.values()) {
+      const vm = this.findVm(task.machine)
+      if (vm === undefined || vm.id === task.vmId || task.phase === 'underway') continue
+      // An order that is under way may have been carried out before this VM began; its answer tells.
+      if (task.phase === 'evacuating') {
+        task.vmId = vm.id
+        task.former = { vmId: vm.id, bornMs: vm.entry.bornMs }
+      }
+      this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.shortTaskGraceMs)
+    }
+  }
+
   private work (): void {
     const nowMs = this.options.timers.now()
     this.readList(nowMs)
@@ -77,6 +92,7 @@
     if (this.options.rows.silentForMs() > machineOptions.storeSilentMs) return
     this.planWaves(nowMs)
     this.planMoves(nowMs)
+    this.noteVms()
     for (const task of [...this.tasks.values()]) this.advance(task, nowMs)
   }
 
@@ -282,6 +298,8 @@
 
   private finish (task: MachineTask): void {
     this.tasks.delete(task.machine)
+    const vm = this.findVm(task.machine)
+    if (vm !== undefined) this.options.scheduler.endEvacuation(vm.id)
     if (task.vmId !== undefined) this.options.scheduler.endEvacuation(task.vmId)
     this.options.onChange()
   }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -280,6 +280,7 @@
     for (const vm of this.scheduler.state.vms.values()) {
       if (!this.sessions.has(vm.id)) this.openSession(vm)
     }
+    this.keeper?.noteVms()
     this.onChange()
   }
 
--- a/packages/daemon/src/lib/jobs/ShardWatch.ts
+++ b/packages/daemon/src/lib/jobs/ShardWatch.ts
@@ -3,7 +3,7 @@
  */
 import type { Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
-import { rankSuccessors, shouldHandOver } from '@vanillathread/policy'
+import { rankSuccessors, shouldHandOver, type OwnerCandidate } from '@vanillathread/policy'
 import { StoreFailureKind, type RowPut } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
@@ -90,7 +90,7 @@
     if (owned !== undefined) {
       await owned.finish(limitMs)
       this.owned = undefined
-      await this.release(owned)
+      await this.release(owned.fencingToken)
     }
     this.dispose()
   }
@@ -124,7 +124,7 @@
     if (!this.rowRead && !await this.readRow()) return
     const nowMs = this.options.context.timers.now()
     const owner = this.row?.value.owner ?? ''
-    if (owner === this.name) return this.take('this daemon held it before it started again')
+    if (owner === this.name) return this.isSlow(this.options.members.candidates) ? this.release(this.knownToken) : this.take('this daemon held it before it started again')
     if (owner === '') {
       this.vacantSinceMs ??= nowMs
       if (nowMs - this.vacantSinceMs >= this.getRankDelayMs()) await this.take('no owner')
@@ -161,7 +161,7 @@
     const ageMs = rows.nowMs() - ((row === undefined ? undefined : decodeBeatRow(row.value)) ?? 0)
     this.storeBeat ??= { version: row?.version ?? 0, sinceMs: nowMs }
     if (this.storeBeat.version !== (row?.version ?? 0)) this.storeBeat = { version: row?.version ?? 0, sinceMs: nowMs }
-    if (Math.max(ageMs, nowMs - this.storeBeat.sinceMs) >= shardOptions.standStillMs * this.patience) await this.take('owner does not reach the store')
+    if (Math.max(ageMs, nowMs - this.storeBeat.sinceMs) >= shardOptions.standStillMs * this.patience + this.getRankDelayMs()) await this.take('owner does not reach the store')
   }
 
   private async take (reason: string): Promise<void> {
@@ -204,13 +204,15 @@
     this.options.context.log.write(EventCode.ShardLost, { shard: this.options.shard, fencingToken: owned.fencingToken, reason })
   }
 
-  private async release (owned: ShardOwner): Promise<void> {
+  /** Names no owner any more, so that others need not doubt this one first. */
+  private async release (fencingToken: number): Promise<void> {
     const { context, shard, network, members } = this.options
     const generation = this.row?.value.generation ?? 0
     const key = { table: Table.Shards, part: shard, key: OWNER_KEY }
     const value: OwnerRow = { owner: '', host: '', port: 0, generation }
-    const res = await context.rows.transact({ conditions: [{ ...key, version: owned.fencingToken }], puts: [{ ...key, value: encodeRow(value) }], removes: [] })
-    context.log.write(EventCode.ShardReleased, { shard, fencingToken: owned.fencingToken, outcome: res.ok ? 'done' : res.error.kind })
+    const res = await context.rows.transact({ conditions: [{ ...key, version: fencingToken }], puts: [{ ...key, value: encodeRow(value) }], removes: [] })
+    this.rowRead = false
+    context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
     for (const address of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version })
   }
@@ -288,15 +290,19 @@
     const { context, members } = this.options
     const { timers, settings, log } = context
     const nowMs = timers.now()
-    if (!owned.isLoaded || nowMs - this.takenAtMs < shardOptions.handOverAfterMs) return
+    if (nowMs - this.takenAtMs < shardOptions.handOverAfterMs) return
     const others = members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.heardPeers.get(name) ?? -Infinity) < shardOptions.doubtAfterMs)
-    if (!shouldHandOver({ name: this.name, speed: settings.speed }, others)) return
+    if (!this.isSlow(others)) return
     log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: owned.fencingToken, speed: settings.speed, reason: 'a much faster daemon is there' })
     await owned.finish(shardOptions.handOverLimitMs)
     if (this.owned !== owned) return
     this.owned = undefined
     this.rowRead = false
-    await this.release(owned)
+    await this.release(owned.fencingToken)
+  }
+
+  private isSlow (others: readonly OwnerCandidate[]): boolean {
+    return shouldHandOver({ name: this.name, speed: this.options.context.settings.speed }, others)
   }
 
   /** Daemons try one after another, fast ones first, in an order that differs from owner to owner. */
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -202,6 +202,25 @@
       }
     })
 
+    it('does not take down a VM that started on a crashed machine and has got tasks meanwhile', async () => {
+      for (const seed of SEEDS) {
+        const lab = JobLab.create({ seed })
+        await lab.start()
+        // One task fills a VM, so that a VM that comes back gets one at once.
+        const need = { cpuMillis: 12_000, memoryMb: 1_024, accelerators: 0 }
+        for (let job = 0; job < 2; job++) lab.submit(createJob(createStep({ taskCount: 4, longRunning: true, mayMiss: 1, need })), { queue: job })
+        await lab.run(6_000)
+        const machines = lab.fleet.vms.filter((vm) => vm.runs.size > 0).map((vm) => vm.entry.machine ?? '')
+        for (const id of machines) lab.fleet.crash(id, 8_300)
+        await lab.run(200)
+        lab.requestWave(1, machines, 6)
+        await lab.run(40_000)
+        await lab.finish(20_000)
+        assert.equal(lab.history.violations, [], `seed ${seed}`)
+        assert.ok(lab.history.completeWaves.has(1), `seed ${seed}`)
+      }
+    })
+
     it('keeps the cap and ends, over a crash of the owner', async () => {
       for (const seed of SEEDS) {
         const lab = await playWithFault({ seed }, async (each) => {
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -80,6 +80,19 @@
     if (downBefore >= cap) this.report('LIMIT', `${machine} goes down for wave ${wave} beside ${downBefore} others, cap ${cap}`)
   }
 
+  onTakenDown (machine: string, runs: readonly StandInRun[]): void {
+    const taken = new Set<string>()
+    for (const { task } of runs) {
+      const name = parseTaskName(task)
+      const job = this.jobs.get(name?.jobId ?? '')
+      const step = job?.spec.steps[name?.step ?? 0]
+      if (job === undefined || job.cancelled || step === undefined || !step.longRunning || step.mayMiss === 0) continue
+      const away = listTasks(job).filter((other) => other !== task && (taken.has(other) || ![...this.live.get(other)?.keys() ?? []].some((vm) => vm.alive))).length
+      taken.add(task)
+      if (away >= step.mayMiss) this.report('AVAIL', `an order for ${machine} ends ${task} while ${away} others of its step are away`)
+    }
+  }
+
   onWaveComplete (wave: number): void {
     this.completeWaves.add(wave)
     const open = this.listUnmaintained(wave)
--- a/packages/ports/src/lib/jobs/RowStore.ts
+++ b/packages/ports/src/lib/jobs/RowStore.ts
@@ -76,6 +76,8 @@
   /** First key after the range. */
   readonly to?: string
   readonly limit?: number
+  /** True for pages of a whole table, which may take seconds on a slow link. */
+  readonly bulk?: boolean
 }
 
 /** Port to the rows. @public */
--- a/packages/ports/src/lib/jobs/readTable.ts
+++ b/packages/ports/src/lib/jobs/readTable.ts
@@ -9,7 +9,7 @@
   const all: StoredRow[] = []
   let version: number | undefined
   for (let from = ''; ;) {
-    const res = await rows.readRange({ table, part, from })
+    const res = await rows.readRange({ bulk: true, table, part, from })
     if (!res.ok) return res
     version ??= res.value.version
     all.push(...res.value.rows)
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -5,7 +5,7 @@
 import { Result, type OperatorConfiguration, type VmEntry } from '@vanillathread/model'
 import { MachineRefusal, MachineState, VmAnswerKind, type Changes, type FleetFeeds, type Machine, type MachineAnswer, type MachineOrderer, type MachineService, type OperatorChange, type RowStore, type StoredRow, type StoreFailure, type VmChange, type VmClient, type VmClients, type Wave } from '@vanillathread/ports'
 import type { StoreStandIn } from './StoreStandIn.js'
-import { VmStandIn, type VmObserver, type VmStandInOptions } from './VmStandIn.js'
+import { VmStandIn, type VmObserver, type VmStandInOptions, type StandInRun } from './VmStandIn.js'
 
 /** Time that a move takes, and maintenance. */
 const MOVE_MS = 1_500
@@ -22,6 +22,8 @@
 export interface MachineObserver {
   onMaintenance (machine: string, wave: number, downBefore: number): void
   onWaveComplete (wave: number): void
+  /** Called before an order ends what runs on a machine. */
+  onTakenDown (machine: string, runs: readonly StandInRun[]): void
 }
 
 /** Options of {@link FleetStandIn.create}. @public */
@@ -123,11 +125,14 @@
     if (entry === undefined) return MachineRefusal.Unknown
     if (orderer.fencingToken < entry.fence) return MachineRefusal.Fenced
     entry.fence = orderer.fencingToken
-    return entry.machine.state === MachineState.Up ? undefined : MachineRefusal.Busy
+    // A machine that has crashed takes no order until it is back; one in standby is off and takes them.
+    const crashed = entry.vm === undefined && entry.machine.pool !== this.options.standbyPool
+    return entry.machine.state === MachineState.Up && !crashed ? undefined : MachineRefusal.Busy
   }
 
   private takeDown (entry: StandInMachine, state: MachineState, forMs: number): void {
     const { vm } = entry
+    this.options.machineObserver.onTakenDown(entry.machine.id, [...vm?.runs.values() ?? []])
     vm?.kill()
     if (vm !== undefined) this.unregister(vm)
     entry.vm = undefined
