--- /dev/null
+++ b/packages/cli/src/lib/jobs/plotDay.ts
@@ -0,0 +1,100 @@
+/**
+ * Draws a day out of the daemons' log lines: jobs that are open, VMs by pool, refusals.
+ */
+import { EventCode } from '@vanillathread/model'
+import type { TimelineEntry } from '../logTimeline.js'
+
+/** A curve: pairs of milliseconds since the first line, and a value. */
+type Curve = ReadonlyArray<readonly [atMs: number, value: number]>
+
+const WIDTH = 900
+const PANEL_HEIGHT = 180
+const MARGIN = 50
+const COLOURS = ['#1b6ca8', '#c8553d', '#3c896d', '#8a5a9e', '#b8860b', '#555555']
+const REFUSAL_WINDOW_MS = 1_000
+
+/** Returns an SVG document. @public */
+export function plotDay (entries: readonly TimelineEntry[]): string {
+  const startMs = Date.parse(entries[0]?.time ?? '')
+  const endMs = Date.parse(entries.at(-1)?.time ?? '') - startMs
+  const at = (entry: TimelineEntry): number => Date.parse(entry.time) - startMs
+  const panels = [
+    { title: 'open jobs by queue', curves: countOpenJobs(entries, at) },
+    { title: 'VMs by pool', curves: countVms(entries, at) },
+    { title: 'refusals a second', curves: new Map([['refusals', countRefusals(entries, at, endMs)]]) },
+  ]
+  const body = panels.map((panel, index) => drawPanel(panel.title, panel.curves, endMs, index * (PANEL_HEIGHT + MARGIN)))
+  const height = panels.length * (PANEL_HEIGHT + MARGIN)
+  return `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${height}" font-family="sans-serif" font-size="11">\n${body.join('\n')}\n</svg>\n`
+}
+
+function countOpenJobs (entries: readonly TimelineEntry[], at: (entry: TimelineEntry) => number): Map<string, Curve> {
+  const queues = new Map<string, string>()
+  return countChanges(entries, at, ({ event, fields }) => {
+    const job = String(fields['job'])
+    if (event === EventCode.JobOwned && !queues.has(job)) {
+      queues.set(job, String(fields['queue']))
+      return [String(fields['queue']), 1]
+    }
+    const queue = queues.get(job)
+    return event === EventCode.JobEnded && queue !== undefined ? [queue, -1] : undefined
+  })
+}
+
+function countVms (entries: readonly TimelineEntry[], at: (entry: TimelineEntry) => number): Map<string, Curve> {
+  const pools = new Map<string, string>()
+  return countChanges(entries, at, ({ event, fields }) => {
+    const vm = String(fields['vm'])
+    const pool = pools.get(vm)
+    if (event === EventCode.VmSeen && pool === undefined) {
+      pools.set(vm, String(fields['pool']))
+      return [String(fields['pool']), 1]
+    }
+    if (event !== EventCode.VmForgotten || pool === undefined) return undefined
+    pools.delete(vm)
+    return [pool, -1]
+  })
+}
+
+function countChanges (
+  entries: readonly TimelineEntry[], at: (entry: TimelineEntry) => number, change: (entry: TimelineEntry) => readonly [string, number] | undefined
+): Map<string, Curve> {
+  const curves = new Map<string, Array<readonly [number, number]>>()
+  for (const entry of entries) {
+    const [name, step] = change(entry) ?? []
+    if (name === undefined || step === undefined) continue
+    const curve = curves.get(name) ?? [[0, 0]]
+    const value = curve.at(-1)?.[1] ?? 0
+    curve.push([at(entry), value], [at(entry), value + step])
+    curves.set(name, curve)
+  }
+  return curves
+}
+
+function countRefusals (entries: readonly TimelineEntry[], at: (entry: TimelineEntry) => number, endMs: number): Curve {
+  const windows = Array.from({ length: Math.ceil((endMs + 1) / REFUSAL_WINDOW_MS) }, () => 0)
+  for (const entry of entries) {
+    const window = Math.floor(at(entry) / REFUSAL_WINDOW_MS)
+    if (entry.event === EventCode.JobRefused) windows[window] = (windows[window] ?? 0) + 1
+  }
+  return windows.map((value, index) => [index * REFUSAL_WINDOW_MS, value])
+}
+
+function drawPanel (title: string, curves: ReadonlyMap<string, Curve>, endMs: number, top: number): string {
+  const highest = Math.max(1, ...[...curves.values()].flatMap((curve) => curve.map(([, value]) => value)))
+  const x = (atMs: number): string => (MARGIN + (WIDTH - 2 * MARGIN) * atMs / Math.max(1, endMs)).toFixed(1)
+  const y = (value: number): string => (top + MARGIN / 2 + PANEL_HEIGHT * (1 - value / highest)).toFixed(1)
+  const lines = [...curves].map(([name, curve], index) => {
+    const colour = COLOURS[index % COLOURS.length] ?? ''
+    const points = curve.map(([atMs, value]) => `${x(atMs)},${y(value)}`).join(' ')
+    const label = `<text x="${WIDTH - MARGIN + 4}" y="${top + MARGIN / 2 + 12 * (index + 1)}" fill="${colour}">${escapeText(name)}</text>`
+    return `<polyline fill="none" stroke="${colour}" points="${points}"/>${label}`
+  })
+  const axis = `<line x1="${MARGIN}" x2="${WIDTH - MARGIN}" y1="${y(0)}" y2="${y(0)}" stroke="black"/>`
+  const scale = `<text x="4" y="${y(highest)}">${highest}</text><text x="${WIDTH - MARGIN - 30}" y="${Number(y(0)) + 14}">${(endMs / 1_000).toFixed(0)} s</text>`
+  return `<text x="${MARGIN}" y="${top + MARGIN / 2 - 6}">${title}</text>${axis}${scale}${lines.join('')}`
+}
+
+function escapeText (text: string): string {
+  return text.replace(/[<>&]/g, (character) => `&#${character.charCodeAt(0)};`)
+}
--- a/packages/cli/src/lib/logTimeline.ts
+++ b/packages/cli/src/lib/logTimeline.ts
@@ -30,6 +30,11 @@
     const entry = parseLine(line)
     if (entry !== undefined && concerns(entry, id)) entries.push(entry)
   }
+  return sortByTime(entries)
+}
+
+/** Sorts entries by time; those of one moment stay in their order. @public */
+export function sortByTime (entries: TimelineEntry[]): TimelineEntry[] {
   return entries.sort((a, b) => (a.time < b.time ? -1 : a.time > b.time ? 1 : 0))
 }
 
@@ -39,7 +44,8 @@
   return `${entry.time.slice(11, 23)} ${entry.daemon} [${entry.event}] ${entry.message}: ${fields}`
 }
 
-function parseLine (line: string): TimelineEntry | undefined {
+/** Parses a line, or returns undefined where it is no line of a daemon. @public */
+export function parseLine (line: string): TimelineEntry | undefined {
   const start = line.indexOf('{')
   if (start < 0) return undefined
   let content: Record<string, unknown>
@@ -54,7 +60,8 @@
   return { time, daemon: String(daemon), event, message: EVENTS[event as EventCode]?.message ?? '', fields }
 }
 
-function concerns (entry: TimelineEntry, id: string): boolean {
+/** True where an entry names the id, or a task of the job with this id. @public */
+export function concerns (entry: TimelineEntry, id: string): boolean {
   return ID_FIELDS.some((name) => {
     const value = entry.fields[name]
     return value !== undefined && (String(value) === id || String(value).startsWith(`${id}.`))
--- a/packages/cli/src/lib/runCli.ts
+++ b/packages/cli/src/lib/runCli.ts
@@ -9,8 +9,10 @@
 import { runApply } from './commands/apply.js'
 import { runCheck, runDiff, runExplain, runGet, runStatus } from './commands/inspect.js'
 import { runLog } from './commands/followLog.js'
+import { runJobsExplain, runJobsPlot, runJobsStatus } from './commands/jobs.js'
 import { CliExit } from './exit.js'
 import { ExplainedKind, OperationsClient } from './OperationsClient.js'
+import { LoggedKind } from './jobs/explainLogs.js'
 import { Output, OutputFormat, type OutputStreams } from './Output.js'
 
 interface CommonOptions {
@@ -31,6 +33,9 @@
   vanillathread status --operations http://10.20.0.11:8701 --output json
   vanillathread explain vm lowicz-07 --operations http://10.20.0.11:8701
   vanillathread log 5c0e7a21d94b36f8 /var/log/vanillathread/*.log
+  vanillathread jobs explain job 5c0e7a21d94b36f8 /var/log/vanillathread/*.log
+  vanillathread jobs status 10.1.0.9:7061 10.2.0.23:7061
+  vanillathread jobs plot /var/log/vanillathread/*.log --out day.svg
 
 Exit status:
   0 done            1 failed           2 wrong arguments
@@ -62,6 +67,7 @@
   addStatus(program, streams)
   addExplain(program, streams)
   addLog(program, streams)
+  addJobs(program, streams)
   return program
 }
 
@@ -118,6 +124,21 @@
     .action(async (id: string, files: string[], options: CommonOptions) => runLog(id, files, createOutput(options, streams)))
 }
 
+function addJobs (program: Command, streams: OutputStreams): void {
+  const jobs = program.command('jobs').description('read the logs and metrics of daemons that serve jobs')
+  addCommand(jobs, 'status <addresses...>', 'print how daemons are; an address is the host and port of their metrics')
+    .action(async (addresses: string[], options: CommonOptions) => runJobsStatus(addresses, createOutput(options, streams)))
+  addCommand(jobs, 'explain <kind> <id> <files...>', `say what became of an object and why; kind is one of ${Object.values(LoggedKind).join(', ')}`)
+    .action(async (kind: string, id: string, files: string[], options: CommonOptions) => {
+      const known = Object.values(LoggedKind).find((each) => each === kind)
+      if (known === undefined) throw new InvalidArgumentError(`unknown kind "${kind}"; allowed: ${Object.values(LoggedKind).join(', ')}`)
+      await runJobsExplain(known, id, files, createOutput(options, streams))
+    })
+  addCommand(jobs, 'plot <files...>', 'draw open jobs, VMs by pool and refusals of a day as SVG')
+    .requiredOption('--out <file>', 'file to write')
+    .action(async (files: string[], options: CommonOptions & { out: string }) => runJobsPlot(files, options.out, createOutput(options, streams)))
+}
+
 function addCommand (program: Command, usage: string, description: string): Command {
   const format = new Option('--output <format>', 'output format').choices(Object.values(OutputFormat)).default(OutputFormat.Text)
   return program.command(usage).description(description).addOption(format)
--- a/packages/kernel/src/lib/observe/JsonEventLog.ts
+++ b/packages/kernel/src/lib/observe/JsonEventLog.ts
@@ -6,7 +6,10 @@
 import type { EventFields, EventLog } from './EventLog.js'
 
 /** Bytes gathered before a write. */
-const MIN_WRITE_BYTES = 4_096
+const MIN_WRITE_BYTES = 2_048
+
+/** Largest write: a pipe takes this much whole, so that no reader sees part of a line. */
+const MAX_WRITE_BYTES = 4_096
 
 /** Bytes that may wait for a reader of standard output; lines beyond them are dropped. */
 const MAX_WAITING_BYTES = 1_048_576
@@ -33,7 +36,7 @@
 
   private constructor (options: JsonEventLogOptions) {
     this.destination = pino.destination({
-      dest: options.fd ?? STDOUT, sync: false, minLength: MIN_WRITE_BYTES, maxLength: MAX_WAITING_BYTES, periodicFlush: FLUSH_PERIOD_MS,
+      dest: options.fd ?? STDOUT, sync: false, minLength: MIN_WRITE_BYTES, maxWrite: MAX_WRITE_BYTES, maxLength: MAX_WAITING_BYTES, periodicFlush: FLUSH_PERIOD_MS,
     })
     this.destination.on('drop', () => { this.droppedLines += 1 })
     this.logger = pino({ base: options.fields, timestamp: pino.stdTimeFunctions.isoTime, messageKey: 'message' }, this.destination)
@@ -49,8 +52,9 @@
   }
 
   /** Resolves once what was written has left the process. */
-  flush (): Promise<void> {
-    return new Promise((resolve) => { this.destination.flush(() => resolve()) })
+  async flush (): Promise<void> {
+    // The first call ends once less than the smallest write is left.
+    for (let call = 0; call < 2; call++) await new Promise<void>((resolve) => { this.destination.flush(() => resolve()) })
   }
 }
 
