--- a/packages/integration/src/explain.test.ts
+++ b/packages/integration/src/explain.test.ts
@@ -2,7 +2,7 @@
  * From the id of a failed request to its cause, out of log lines alone.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { buildTimeline, type TimelineEntry } from '@vanillathread/cli'
+import { buildTimeline, explainLogs, LoggedKind, parseLine, type Explanation, type TimelineEntry } from '@vanillathread/cli'
 import { EventCode } from '@vanillathread/model'
 import { StoreFault, VmFault } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
@@ -18,6 +18,10 @@
   return buildTimeline(listLines(lab), id)
 }
 
+function findCause (lab: JobLab, id: string): Explanation | undefined {
+  return explainLogs(LoggedKind.Job, id, listLines(lab).map((line) => parseLine(line)).filter((entry) => entry !== undefined))
+}
+
 describe('a failed request is explained by its log lines', ({ it }) => {
   it('refused, as the store took no write', async () => {
     const lab = JobLab.create({ seed: 1 })
@@ -28,6 +32,7 @@
     const [entry] = explain(lab, (await job).id)
     assert.is(entry?.event, EventCode.JobRefused)
     assert.is(entry?.fields['reason'], 'store took no write')
+    assert.is(findCause(lab, (await job).id)?.cause, 'store took no write')
     for (const { daemon } of lab.daemons) await daemon?.crash()
   })
 
@@ -41,6 +46,7 @@
     const entries = explain(lab, id)
     const ends = entries.filter((entry) => entry.event === EventCode.TaskEnded).map((entry) => entry.fields['end'])
     assert.equal(ends, ['failed', 'failed'])
+    assert.is(findCause(lab, id)?.outcome, 'failed')
     assert.is(entries.at(-1)?.event === EventCode.JobEnded || entries.some((entry) => entry.event === EventCode.JobEnded && entry.fields['state'] === 'failed'), true)
     for (const { daemon } of lab.daemons) await daemon?.crash()
   })
@@ -57,6 +63,7 @@
     const id = [...lab.history.jobs.keys()][0] ?? ''
     const lost = explain(lab, id).find((entry) => entry.event === EventCode.TaskLost)
     assert.is(lost?.fields['reason'], 'lease is over and the VM does not answer')
+    assert.match(findCause(lab, id)?.cause ?? '', 'lease is over and the VM does not answer')
     assert.ok(explain(lab, String(lost?.fields['vm'])).some((entry) => entry.event === EventCode.VmSilent))
     for (const { daemon } of lab.daemons) await daemon?.crash()
   })
