--- /dev/null
+++ b/packages/integration/src/architecture.test.ts
@@ -0,0 +1,67 @@
+/**
+ * The packages use each other as docs/ARCHITECTURE.md says, and modules load in no circle.
+ */
+import { readdirSync, readFileSync } from 'node:fs'
+import { dirname, join, relative, sep } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { assert, describe } from '@vanillathread/testing'
+
+const ROOT = fileURLToPath(new URL('../../../', import.meta.url))
+const PAGE = readFileSync(join(ROOT, 'docs/ARCHITECTURE.md'), 'utf8')
+
+function listSources (folder: string): string[] {
+  return readdirSync(folder, { withFileTypes: true, recursive: true })
+    .filter((entry) => entry.isFile() && entry.name.endsWith('.ts') && !entry.name.endsWith('.test.ts'))
+    .map((entry) => join(entry.parentPath, entry.name))
+}
+
+const packages = [...readdirSync(join(ROOT, 'packages')).map((name) => ({ name, folder: join(ROOT, 'packages', name, 'src') })), { name: 'platform', folder: join(ROOT, 'platform/src') }]
+
+/** Modules that a file loads; imports of types alone are gone at run time. */
+function listLoads (file: string): string[] {
+  const text = readFileSync(file, 'utf8')
+  const imports = [...text.matchAll(/^(?:import|export)\s+(?!type\s)([^;'\n]*?\{[^}]*\}|[^'\n]*?)\s*from\s+'([^']+)'/gm)]
+  return imports
+    .filter(([, names = '']) => {
+      const braces = /\{([^}]*)\}/.exec(names)?.[1]
+      return braces === undefined || braces.split(',').some((name) => name.trim() !== '' && !name.trim().startsWith('type '))
+    })
+    .map(([, , target = '']) => target)
+}
+
+describe('architecture', ({ it }) => {
+  it('is the one on the page', () => {
+    const rows = [...PAGE.matchAll(/^\| ([a-z-]+) \| ?([a-z, -]*)\|$/gm)].filter(([, name]) => name !== 'package')
+    const allowed = Object.fromEntries(rows.map(([, name = '', uses = '']) => [name, uses.split(',').map((use) => use.trim()).filter((use) => use !== '')]))
+    const found = Object.fromEntries(packages.map(({ name, folder }) => {
+      const uses = listSources(folder).flatMap((file) => [...readFileSync(file, 'utf8').matchAll(/from '@vanillathread\/([a-z-]+)'/g)].map(([, use = '']) => use))
+      return [name, [...new Set(uses)].sort()]
+    }))
+    assert.equal(Object.fromEntries(Object.entries(allowed).sort()), Object.fromEntries(Object.entries(found).sort()))
+  })
+
+  it('loads no modules in a circle but those on the page', () => {
+    const circles = packages.flatMap(({ folder }) => findCircles(folder))
+    const named = [...(/Modules that load each other today: (.*)/.exec(PAGE)?.[1] ?? '').matchAll(/`(\w+)` and `(\w+)`/g)].map(([, a = '', b = '']) => [a, b].sort())
+    assert.equal(circles.map((circle) => circle.map((file) => file.split('/').at(-1)?.replace('.ts', '') ?? '').sort()), named)
+  })
+})
+
+/** Circles of loads within a package, each as its files. */
+function findCircles (folder: string): string[][] {
+  const files = listSources(folder)
+  const loads = new Map(files.map((file) => [file, listLoads(file).filter((target) => target.startsWith('.')).map((target) => join(dirname(file), target.replace(/\.js$/, '.ts')))]))
+  const done = new Set<string>()
+  const path: string[] = []
+  const circles: string[][] = []
+  const visit = (file: string): void => {
+    if (path.includes(file)) circles.push(path.slice(path.indexOf(file)).map((each) => relative(folder, each).split(sep).join('/')))
+    if (path.includes(file) || done.has(file)) return
+    path.push(file)
+    for (const target of loads.get(file) ?? []) visit(target)
+    path.pop()
+    done.add(file)
+  }
+  for (const file of files) visit(file)
+  return circles
+}
