--- a/packages/policy/src/lib/machines/CapacityPlanner.test.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.test.ts
@@ -54,6 +54,16 @@
     assert.is(countTo(moves, 'a'), 0)
   })
 
+  it('gives late jobs the machines that jobs in time leave, and takes them back for these', () => {
+    const planner = CapacityPlanner.create(OPTIONS)
+    const backlog = { ...load('a', 1), lateCpuMillis: 30 * CAPACITY.cpuMillis }
+    const pools = (wantedByB: number) => [{ demand: backlog, standby: false }, { demand: load('b', wantedByB), standby: false }, standby()]
+    const spare = planner.plan(0, pools(0), [...machines('a', 4, 30_000), ...machines('b', 1), ...machines('spare', 6)])
+    assert.is(countTo(spare, 'a'), 6)
+    const taken = planner.plan(2_000, pools(10), [...machines('a', 10, 30_000), ...machines('b', 1, 30_000)])
+    assert.is(taken.filter((move) => move.fromPool === 'a' && move.toPool === 'b').length, 9)
+  })
+
   it('never takes a machine on which a long-running task works', () => {
     const planner = CapacityPlanner.create(OPTIONS)
     const pools = [{ demand: load('a', 30), standby: false }, { demand: load('b', 10), standby: false }, standby()]
@@ -89,6 +99,36 @@
       return sum
     }
 
+    /** Plays a turn of pool b beside a backlog of pool a that can only be late. Returns unserved seconds of b, and when the backlog ends. */
+    function playBacklog (isToldApart: boolean) {
+      const planner = CapacityPlanner.create(OPTIONS)
+      const state = new Map<string, { pool: string, readyAtMs: number }>()
+      for (let index = 0; index < 20; index++) state.set(`m-${index}`, { pool: index < 19 ? 'a' : 'b', readyAtMs: 0 })
+      const sum = { unserved: 0, backlogEndMs: Infinity }
+      let backlog = 100
+      for (let nowMs = 0; nowMs < 30_000; nowMs += STEP_MS) {
+        const wantedByB = nowMs < TURN_MS ? 14 : 1
+        const late = Math.min(40, backlog) * 0.9 * CAPACITY.cpuMillis
+        const a = isToldApart ? { ...load('a', 0), lateCpuMillis: late } : { ...load('a', 0), busyCpuMillis: late }
+        const view = [...state].map(([id, { pool, readyAtMs }]) => ({ ...machine(id, pool), movable: nowMs >= readyAtMs && pool !== 'a', drainable: nowMs >= readyAtMs }))
+        for (const move of planner.plan(nowMs, [{ demand: a, standby: false }, { demand: load('b', wantedByB), standby: false }, standby()], view)) {
+          state.set(move.machine, { pool: move.toPool, readyAtMs: nowMs + OPTIONS.moveMs })
+        }
+        const ready = (pool: string): number => [...state.values()].filter((each) => each.pool === pool && nowMs >= each.readyAtMs).length
+        sum.unserved += Math.max(0, wantedByB - ready('b')) * STEP_MS / 1_000
+        backlog = Math.max(0, backlog - ready('a') * STEP_MS / 1_000)
+        if (backlog === 0) sum.backlogEndMs = Math.min(sum.backlogEndMs, nowMs)
+      }
+      return sum
+    }
+
+    it('leaves less of a turn unserved beside a late backlog than where all work counts alike, and still ends the backlog', () => {
+      const apart = playBacklog(true)
+      const alike = playBacklog(false)
+      assert.ok(apart.unserved < alike.unserved / 2, `${apart.unserved} against ${alike.unserved}`)
+      assert.ok(apart.backlogEndMs < 30_000, `backlog ends at ${apart.backlogEndMs}`)
+    })
+
     const follow = () => {
       const planner = CapacityPlanner.create(OPTIONS)
       return play((nowMs, view, wanted) => planner.plan(nowMs, [...POOLS.map((pool) => ({ demand: load(pool, wanted(pool)), standby: false })), standby()], view))
