One way to read a row, to hand a shard over, to share machines out, to read log files

Cause: reading the whole diff once more. One row was read over a range of one key in five places; ShardWatch ended an ownership twice in the same steps; coverDeficits and coverLate gave machines out in twin loops; log files were read in twin loops of two commands; Members and JobLab wrote the kernel's delay again; Members.names had no caller; ShardOwner kept one timer in a list. Change: readRow in ports, ShardWatch.handOver, assign in CapacityPlanner, readLogLines in the CLI, delay where it stands; the rest gone. No behaviour is meant to change, no test was touched.

--- a/packages/cli/src/lib/commands/jobs.ts
+++ b/packages/cli/src/lib/commands/jobs.ts
@@ -1,9 +1,7 @@
 /**
  * Commands below `jobs`: what daemons' logs and metrics tell of the jobs system.
  */
-import { createReadStream } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
-import { createInterface } from 'node:readline'
 import { ResultCode } from '@vanillathread/model'
 import { CliError } from '../CliError.js'
 import { explainLogs, type LoggedKind } from '../jobs/explainLogs.js'
@@ -11,19 +9,14 @@
 import { formatStatus, readStatus } from '../jobs/readStatus.js'
 import { parseLine, sortByTime, type TimelineEntry } from '../logTimeline.js'
 import type { Output } from '../Output.js'
+import { readLogLines } from '../readLogLines.js'
 
 /** Reads every line of the files that a daemon wrote, in the order of time. */
 export async function readEntries (files: readonly string[]): Promise<TimelineEntry[]> {
   const entries: TimelineEntry[] = []
-  for (const file of files) {
-    try {
-      for await (const line of createInterface({ input: createReadStream(file) })) {
-        const entry = parseLine(line)
-        if (entry !== undefined) entries.push(entry)
-      }
-    } catch (err) {
-      throw CliError.create(ResultCode.FileUnreadable, `${file}: ${err instanceof Error ? err.message : String(err)}`)
-    }
+  for await (const line of readLogLines(files)) {
+    const entry = parseLine(line)
+    if (entry !== undefined) entries.push(entry)
   }
   return sortByTime(entries)
 }
--- a/packages/cli/src/lib/jobs/explainLogs.ts
+++ b/packages/cli/src/lib/jobs/explainLogs.ts
@@ -94,13 +94,13 @@
 }
 
 function outcomeOf (own: readonly TimelineEntry[]): string {
-  const has = (code: EventCode): TimelineEntry | undefined => own.find(({ event }) => event === code)
-  const ended = has(EventCode.JobEnded)
+  const has = (code: EventCode): boolean => own.some(({ event }) => event === code)
+  const [ended] = select(own, EventCode.JobEnded)
   if (ended !== undefined) return String(ended.fields['state'])
-  if (has(EventCode.JobCancelled) !== undefined) return 'cancelled'
-  if (has(EventCode.JobOwned) !== undefined || has(EventCode.JobAccepted) !== undefined) return 'not ended'
-  if (has(EventCode.JobOutcomeUnknown) !== undefined) return 'outcome unknown'
-  return has(EventCode.JobRefused) === undefined ? 'not accepted' : 'refused'
+  if (has(EventCode.JobCancelled)) return 'cancelled'
+  if (has(EventCode.JobOwned) || has(EventCode.JobAccepted)) return 'not ended'
+  if (has(EventCode.JobOutcomeUnknown)) return 'outcome unknown'
+  return has(EventCode.JobRefused) ? 'refused' : 'not accepted'
 }
 
 function explainVm (id: string, own: readonly TimelineEntry[]): Explanation {
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
-import { IngressAnswerKind, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
+import { IngressAnswerKind, readRow, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import type { ConfigurationWatch } from './ConfigurationWatch.js'
@@ -221,15 +221,13 @@
 
   private async readState (id: string): Promise<JobState | 'unavailable' | undefined> {
     const { rows, shardName } = this.options
-    const progress = await rows.readRange({ table: Table.Progress, part: shardName, from: id, to: `${id}\0` })
+    const progress = await readRow(rows, { table: Table.Progress, part: shardName, key: id })
     if (!progress.ok) return 'unavailable'
-    const row = progress.value.rows[0]
-    const state = row === undefined ? undefined : decodeProgressRow(row.value)?.state
+    const state = progress.value === undefined ? undefined : decodeProgressRow(progress.value.value)?.state
     if (state !== undefined) return state
-    const key = `${JOB_PREFIX}${id}`
-    const job = await rows.readRange({ table: Table.Jobs, part: shardName, from: key, to: `${key}\0` })
+    const job = await readRow(rows, { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` })
     if (!job.ok) return 'unavailable'
-    return job.value.rows.length > 0 ? JobState.Queued : undefined
+    return job.value === undefined ? undefined : JobState.Queued
   }
 
   private refuse (job: string | undefined, code: ResultCode, reason: string): IngressAnswer {
--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -2,7 +2,7 @@
  * Writes jobs and cancels to the store: from here, and over another daemon where the store does not answer this one.
  */
 import type { TimerService } from '@vanillathread/kernel'
-import { StoreFailureKind, type RowStore, type StoreFailure } from '@vanillathread/ports'
+import { readRow, StoreFailureKind, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { clientOptions } from './jobOptions.js'
@@ -86,9 +86,9 @@
 
   private async writeCancelHere (id: string): Promise<WriteResult> {
     const { rows, shardName } = this.options
-    const job = await rows.readRange({ table: Table.Jobs, part: shardName, from: `${JOB_PREFIX}${id}`, to: `${JOB_PREFIX}${id}\0` })
+    const job = await readRow(rows, { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` })
     if (!job.ok) return { outcome: WriteOutcome.NotDone }
-    if (job.value.rows.length === 0) return { outcome: WriteOutcome.Absent }
+    if (job.value === undefined) return { outcome: WriteOutcome.Absent }
     const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
     const res = await rows.transact({ conditions: [], puts: [{ ...key, value: encodeRow({ atMs: Math.round(rows.nowMs()) }) }], removes: [] })
     return res.ok ? { outcome: WriteOutcome.Stored, version: res.value.version } : { outcome: toOutcome(res.error) }
--- a/packages/daemon/src/lib/jobs/Members.ts
+++ b/packages/daemon/src/lib/jobs/Members.ts
@@ -1,7 +1,7 @@
 /**
  * The daemons, as they have written themselves to the store and greeted each other.
  */
-import type { Subscription, TimerService } from '@vanillathread/kernel'
+import { delay, type Subscription, type TimerService } from '@vanillathread/kernel'
 import type { Address } from '@vanillathread/model'
 import type { OwnerCandidate } from '@vanillathread/policy'
 import type { RowStore } from '@vanillathread/ports'
@@ -37,12 +37,8 @@
 
   /** All daemons, this one included. */
   get candidates (): OwnerCandidate[] {
-    return [...this.byName].map(([name, { speed }]) => ({ name, speed }))
-  }
-
-  /** Names of all daemons, this one included. */
-  get names (): string[] {
-    return [...this.byName.keys()]
+    const { name: own, speed: ownSpeed } = this.options.settings
+    return [...[...this.members].filter(([name]) => name !== own).map(([name, { speed }]) => ({ name, speed })), { name: own, speed: ownSpeed }]
   }
 
   /** Addresses of the other daemons. */
@@ -50,14 +46,9 @@
     return [...this.members].filter(([name]) => name !== this.options.settings.name).map(([, { host, port }]) => ({ host, port }))
   }
 
-  private get byName (): Map<string, MemberRow> {
-    const { name, peer, speed } = this.options.settings
-    return new Map([...this.members, [name, { ...peer, speed }]])
-  }
-
   /** Writes this daemon's row and reads the others'; repeats until both succeed. */
   async join (): Promise<void> {
-    while (!this.disposed && !await this.refresh()) await new Promise<void>((resolve) => { this.options.timers.after(watchOptions.retryMs, resolve) })
+    while (!this.disposed && !await this.refresh()) await delay(this.options.timers, watchOptions.retryMs)
     this.greet()
   }
 
--- a/packages/daemon/src/lib/jobs/ShardFeeds.ts
+++ b/packages/daemon/src/lib/jobs/ShardFeeds.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
-import { StoreFailureKind, type FleetFeeds, type RowStore, type StoredRow, type VmChange } from '@vanillathread/ports'
+import { readRow, StoreFailureKind, type FleetFeeds, type RowStore, type StoredRow, type VmChange } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { JOB_PREFIX, Table } from './rows.js'
 import { decodeJobChange, loadShard } from './ShardLoader.js'
@@ -48,11 +48,11 @@
 
   /** Reads one job. @returns false where the store has no such job, undefined where it does not answer. */
   async readJob (id: string): Promise<boolean | undefined> {
-    const key = `${JOB_PREFIX}${id}`
-    const res = await this.options.rows.readRange({ table: Table.Jobs, part: this.options.shard, from: key, to: `${key}\0` })
+    const res = await readRow(this.options.rows, { table: Table.Jobs, part: this.options.shard, key: `${JOB_PREFIX}${id}` })
     if (this.disposed || !res.ok) return undefined
-    this.applyJobRows(res.value.rows)
-    return res.value.rows.length > 0
+    if (res.value === undefined) return false
+    this.applyJobRows([res.value])
+    return true
   }
 
   private async readJobs (): Promise<void> {
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -47,7 +47,7 @@
   private readonly advice: AdviceBook
   private commits: CommitLoop | undefined
   private keeper: MachineKeeper | undefined
-  private readonly timers: Subscription[] = []
+  private planTimer: Subscription | undefined
   private planWanted = false
   private feeds: ShardFeeds | undefined
   private collector: JobCollector | undefined
@@ -120,7 +120,7 @@
   /** Stops starting tasks, writes what is left and lets a successor begin. */
   async finish (limitMs: number): Promise<void> {
     this.keeper?.dispose()
-    for (const timer of this.timers) timer.dispose()
+    this.planTimer?.dispose()
     this.loaded = false
     await this.commits?.flush(limitMs)
     this.dispose()
@@ -129,7 +129,7 @@
   dispose (): void {
     this.disposed = true
     this.loaded = false
-    for (const timer of this.timers) timer.dispose()
+    this.planTimer?.dispose()
     for (const session of this.sessions.values()) session.dispose()
     this.sessions.clear()
     this.commits?.dispose()
@@ -178,9 +178,7 @@
     options.log.write(EventCode.ShardReady, {
       shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
     })
-    this.timers.push(
-      options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
-    )
+    this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
     this.collector = JobCollector.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateKeptFactor })
     this.openKeeper()
     this.feeds = ShardFeeds.create({
--- a/packages/daemon/src/lib/jobs/ShardWatch.ts
+++ b/packages/daemon/src/lib/jobs/ShardWatch.ts
@@ -87,11 +87,7 @@
   async stop (limitMs: number): Promise<void> {
     this.stopping = true
     const { owned } = this
-    if (owned !== undefined) {
-      await owned.finish(limitMs)
-      this.owned = undefined
-      await this.release(owned.fencingToken)
-    }
+    if (owned !== undefined) await this.handOver(owned, limitMs)
     this.dispose()
   }
 
@@ -294,10 +290,14 @@
     const others = members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.heardPeers.get(name) ?? -Infinity) < shardOptions.doubtAfterMs)
     if (!this.isSlow(others)) return
     log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: owned.fencingToken, speed: settings.speed, reason: 'a much faster daemon is there' })
-    await owned.finish(shardOptions.handOverLimitMs)
+    await this.handOver(owned, shardOptions.handOverLimitMs)
+  }
+
+  /** Ends this daemon's ownership, where nobody has superseded it meanwhile. */
+  private async handOver (owned: ShardOwner, limitMs: number): Promise<void> {
+    await owned.finish(limitMs)
     if (this.owned !== owned) return
     this.owned = undefined
-    this.rowRead = false
     await this.release(owned.fencingToken)
   }
 
--- a/packages/daemon/src/lib/jobs/WaveBook.ts
+++ b/packages/daemon/src/lib/jobs/WaveBook.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import { StoreFailureKind, type FleetFeeds, type RowCondition, type RowStore, type Wave } from '@vanillathread/ports'
+import { readRow, StoreFailureKind, type FleetFeeds, type RowCondition, type RowStore, type Wave } from '@vanillathread/ports'
 import { decodeWaveRow, encodeRow, Table } from './rows.js'
 
 /** Options of {@link WaveBook.create}. */
@@ -93,11 +93,10 @@
     if (this.reading.has(wave)) return
     this.reading.add(wave)
     const { rows, shard } = this.options
-    const key = String(wave)
-    const res = await rows.readRange({ table: Table.Waves, part: shard, from: key, to: `${key}\0` })
+    const res = await readRow(rows, { table: Table.Waves, part: shard, key: String(wave) })
     this.reading.delete(wave)
     if (!res.ok) return
-    const row = res.value.rows[0]
+    const row = res.value
     const stored = row === undefined ? undefined : decodeWaveRow(row.value)
     this.waves.set(wave, {
       ordered: new Map(stored?.ordered.map(([machine, vmId, bornMs]) => [machine, { vmId, bornMs }])),
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -1,7 +1,7 @@
 /**
  * A whole system in one process on a fake clock: daemons, store, machines, clients and faults.
  */
-import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
+import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { JobState, parseTaskName, PLAIN_STEP, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
 import { IngressAnswerKind, VmAnswerKind, type ClientApi, type VmClient, type VmClients } from '@vanillathread/ports'
@@ -49,6 +49,9 @@
 const START_GAP_MS = 11
 const CLIENT_DEADLINE_MS = 3_000
 
+/** Pause of a client whose attempt got no answer. */
+const CLIENT_RETRY_MS = 300
+
 /** Runs a whole system. */
 export class JobLab {
   readonly timers = FakeTimerService.create({ wallClockStartMs: 1_700_000_000_000 })
@@ -163,7 +166,7 @@
         return job
       }
       unanswered = true
-      await this.wait(300)
+      await delay(this.timers, CLIENT_RETRY_MS)
     }
     return job
   }
@@ -211,10 +214,6 @@
     for (const { daemon } of this.daemons) await daemon?.crash()
   }
 
-  private wait (forMs: number): Promise<void> {
-    return new Promise((resolve) => { this.timers.after(forMs, resolve) })
-  }
-
   private pickApi (): ClientApi | undefined {
     const up = this.daemons.filter(({ api }) => api !== undefined)
     return up.length === 0 ? undefined : up[this.random.nextBelow(up.length)]?.api
--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -123,21 +123,25 @@
 
 /** Gives each pool in need machines of others that need them less, then standby machines, the largest need first. */
 function coverDeficits (balances: readonly PoolBalance[], reserve: PlannedMachine[]): PlannedMove[] {
-  const moves: PlannedMove[] = []
   const surplus = balances.flatMap((balance) => listSurplus(balance, balance.kept))
   // Machines that late jobs would use go last.
   const [idle, wantedByLate] = splitBy(surplus, new Set(balances.flatMap((balance) => listSurplus(balance, balance.keptWithLate)).map(({ id }) => id)))
   const sources = [...idle, ...reserve, ...wantedByLate]
-  const needy = balances.filter((balance) => balance.wanted > balance.machines.length)
-    .sort((a, b) => (b.wanted - b.machines.length) - (a.wanted - a.machines.length))
-  for (const balance of needy) {
-    for (let missing = balance.wanted - balance.machines.length; missing > 0; missing--) {
-      const machine = sources.shift()
-      if (machine === undefined) return moves
-      moves.push({ machine: machine.id, fromPool: machine.pool, toPool: balance.pool, reason: `wants ${balance.wanted}, has ${balance.machines.length}` })
-    }
-  }
-  return moves
+  const needs = balances.map(({ pool, wanted, machines: { length } }) => ({ pool, missing: wanted - length, reason: `wants ${wanted}, has ${length}` }))
+  return assign(needs.sort((a, b) => b.missing - a.missing), sources)
+}
+
+interface Need {
+  readonly pool: string
+  readonly missing: number
+  readonly reason: string
+}
+
+/** Gives each pool in turn the machines that it misses, as long as there are any. */
+function assign (needs: readonly Need[], machines: readonly PlannedMachine[]): PlannedMove[] {
+  const left = [...machines]
+  return needs.flatMap(({ pool, missing, reason }) =>
+    left.splice(0, Math.max(0, missing)).map((machine) => ({ machine: machine.id, fromPool: machine.pool, toPool: pool, reason })))
 }
 
 function splitBy (machines: readonly PlannedMachine[], ids: ReadonlySet<string>): [PlannedMachine[], PlannedMachine[]] {
@@ -149,14 +153,10 @@
   const taken = new Set(moves.map((move) => move.machine))
   const gained = (pool: string): number => moves.filter((move) => move.toPool === pool).length
   const sources = [...balances.flatMap((balance) => listSurplus(balance, balance.keptWithLate)), ...reserve].filter(({ id }) => !taken.has(id))
-  const covered: PlannedMove[] = []
-  for (const balance of [...balances].sort((a, b) => (b.wantedWithLate - b.machines.length) - (a.wantedWithLate - a.machines.length))) {
-    const missing = balance.wantedWithLate - balance.machines.length - gained(balance.pool)
-    for (const machine of sources.splice(0, Math.max(0, missing))) {
-      covered.push({ machine: machine.id, fromPool: machine.pool, toPool: balance.pool, reason: `wants ${balance.wantedWithLate} with late jobs, has ${balance.machines.length}` })
-    }
-  }
-  return covered
+  const sorted = [...balances].sort((a, b) => (b.wantedWithLate - b.machines.length) - (a.wantedWithLate - a.machines.length))
+  const needs = sorted.map(({ pool, wantedWithLate, machines: { length } }) =>
+    ({ pool, missing: wantedWithLate - length - gained(pool), reason: `wants ${wantedWithLate} with late jobs, has ${length}` }))
+  return assign(needs, sources)
 }
 
 function countMissing (balances: readonly PoolBalance[]): number {
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -18,6 +18,7 @@
 export { loadDeclarations, type AcceptedConfiguration } from './lib/loadDeclarations.js'
 export { applyDeclarations, readConfigurationHead, type ApplyError, type ApplyRequest } from './lib/applyDeclarations.js'
 export { StoreFailureKind, type RowCommit, type RowCondition, type RowKey, type RowPage, type RowPut, type RowRange, type RowStore, type RowTransaction, type StoredRow, type StoreFailure } from './lib/jobs/RowStore.js'
+export { readRow } from './lib/jobs/readRow.js'
 export { readTable } from './lib/jobs/readTable.js'
 export { VmAnswerKind, type RenewCall, type RunReference, type StartCall, type VmAnswer, type VmClient, type VmClients } from './lib/jobs/VmClient.js'
 export { MachineRefusal, MachineState, type Advisor, type Changes, type FleetFeeds, type Machine, type MachineAnswer, type MachineOrderer, type MachineService, type OperatorChange, type VmChange, type Wave } from './lib/jobs/FleetService.js'
