Predict task durations from the clients' estimates, per queue

Cause: every task of a queue was predicted to take the queue's mean, and every step of several tasks 1.6 times that. Jobs with long tasks were put into the class of late jobs while they could still be in time, and short ones stayed in front after they could not.

Change: the estimate times a learned ratio predicts a task, unless the queue's mean has predicted better so far; the spread of a step's tasks is learned per queue. LoadDay plays load through the scheduler and the capacity planner without processes.

--- /dev/null
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -0,0 +1,409 @@
+/**
+ * Plays a day of load through the scheduler and the capacity planner on a simulated clock, without processes or a network.
+ * It answers what callers get: jobs in time, late and missed, by queue and by window.
+ */
+import type { Capacity, EndEntry, VmEntry } from '@vanillathread/model'
+import { RunEnd } from '@vanillathread/model'
+import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type TrackedRun } from '@vanillathread/policy'
+import { createLongRunningJobs, generateJobs, getObjectiveMs, type LoadJob, type LoadSite } from './LoadSite.js'
+
+/** Decides on moves of machines. */
+export interface MovePlanner {
+  plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[]
+}
+
+/** A period in which some machines serve nobody. Times are counted from the first arrival. */
+export interface Absence {
+  readonly fromMs: number
+  readonly toMs: number
+  readonly machines: number
+}
+
+/** Options of {@link LoadDay.create}. */
+export interface LoadDayOptions {
+  readonly site: LoadSite
+  readonly seed: number
+  readonly planner: MovePlanner
+  /** Periods in which machines are evacuated and then away, as for maintenance. */
+  readonly absences?: readonly Absence[]
+  /** Processor time that the owner needs for each start, in milliseconds; 0 if not given. */
+  readonly startCostMs?: number
+}
+
+/** What the callers of one queue got. */
+export interface QueueOutcome {
+  jobs: number
+  inTime: number
+  late: number
+  worth: number
+  earned: number
+}
+
+/** Result of a day. */
+export interface LoadDayResult {
+  readonly byQueue: ReadonlyMap<string, QueueOutcome>
+  /** Earned share of the worth of the jobs that arrived in each window, in order. */
+  readonly windows: readonly number[]
+  /** Earned share of the worth of all jobs. */
+  readonly served: number
+  readonly machineSeconds: number
+  readonly moves: number
+  /** Earned share less the cost of machines and moves, with the weights of the users' goal. */
+  readonly net: number
+}
+
+/** Times of the platform and of the owner's calls, in milliseconds. */
+const CALL_MS = 2
+const REPORT_MS = 4
+const COMMIT_MS = 30
+const PLAN_SPACING_MS = 8
+const MACHINE_PERIOD_MS = 200
+const MOVE_MS = 1_500
+/** Time from the start of a VM until its owner may place tasks on it: its registration, its first report and its roster row. */
+const VM_READY_MS = 150
+const FINITE_TASK_GRACE_MS = 2_000
+const STOP_MS = 200
+const WARM_UP_MS = 8_000
+const DRAIN_MS = 16_000
+const WINDOW_MS = 2_000
+const LEASE_MS = 5_000
+
+/** A job that ends within this multiple of its objective earns `LATE_SHARE` of its worth. */
+const LATE_FACTOR = 3
+const LATE_SHARE = 0.07
+
+/** Weights of the whole day, the two worst windows and the worst queue in the users' goal. */
+const GOAL = { day: 0.7, windows: 0.15, queue: 0.15 } as const
+
+interface SimulatedMachine {
+  readonly id: string
+  pool: string
+  vmId: string | undefined
+  /** Pool of a move in progress. */
+  toPool: string | undefined
+  /** True from the order of a move until its VM is up. */
+  down: boolean
+  bootNumber: number
+  /** Time until which the machine is away; 0 if it is not. */
+  awayUntilMs: number
+}
+
+interface SimulatedVm {
+  readonly runs: Map<TrackedRun, number>
+  readonly ends: EndEntry[]
+  nextEnd: number
+  reportDue: boolean
+}
+
+interface TimedEvent {
+  readonly atMs: number
+  readonly order: number
+  readonly run: () => void
+}
+
+/** A day in progress. */
+export class LoadDay {
+  private nowMs = 0
+  private nextOrder = 0
+  private readonly heap: TimedEvent[] = []
+  private readonly scheduler: JobScheduler
+  private readonly machines: SimulatedMachine[] = []
+  private readonly vms = new Map<string, SimulatedVm>()
+  private readonly jobs = new Map<string, LoadJob>()
+  private readonly completedAtMs = new Map<string, number>()
+  private planScheduled = false
+  private commitScheduled = false
+  private ownerFreeAtMs = 0
+  private machineSeconds = 0
+  private moves = 0
+  private readonly random: RandomSource
+
+  private constructor (private readonly options: LoadDayOptions) {
+    this.random = RandomSource.create(options.seed)
+    this.scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: LEASE_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
+  }
+
+  static create (options: LoadDayOptions): LoadDay {
+    return new LoadDay(options)
+  }
+
+  /** Plays the day and returns what callers got. */
+  run (): LoadDayResult {
+    const { site } = this.options
+    for (const pool of site.pools) {
+      for (let index = 0; index < pool.machines; index++) this.addMachine(`${pool.name}-${index}`, pool.name)
+    }
+    for (const accepted of createLongRunningJobs(site)) this.at(1_000, () => this.accept(accepted))
+    for (const job of generateJobs(site, this.random)) {
+      const accepted = { ...job.accepted, acceptedAtMs: job.accepted.acceptedAtMs + WARM_UP_MS }
+      this.jobs.set(accepted.id, { ...job, accepted })
+      this.at(accepted.acceptedAtMs, () => this.accept(accepted))
+    }
+    for (const absence of this.options.absences ?? []) this.at(WARM_UP_MS + absence.fromMs, () => this.beginAbsence(absence))
+    const endMs = WARM_UP_MS + site.lengthMs + DRAIN_MS
+    for (let atMs = 100; atMs < endMs; atMs += MACHINE_PERIOD_MS) this.at(atMs, () => this.planMachines())
+    for (let atMs = 100; atMs < endMs; atMs += 100) this.at(atMs, () => this.requestPlan())
+    for (let event = this.pop(); event !== undefined && event.atMs < endMs; event = this.pop()) {
+      this.nowMs = event.atMs
+      event.run()
+    }
+    return this.summarize()
+  }
+
+  private accept (accepted: LoadJob['accepted']): void {
+    this.scheduler.addJob(accepted, 2, this.nowMs)
+    this.requestPlan()
+  }
+
+  private requestPlan (): void {
+    if (this.planScheduled) return
+    this.planScheduled = true
+    this.at(Math.max(this.nowMs + PLAN_SPACING_MS, this.ownerFreeAtMs), () => this.plan())
+  }
+
+  private plan (): void {
+    this.planScheduled = false
+    const orders = this.scheduler.plan({ nowMs: this.nowMs, storeNowMs: this.nowMs, wallClockMs: this.nowMs }, () => undefined)
+    this.ownerFreeAtMs = Math.max(this.ownerFreeAtMs, this.nowMs)
+    for (const order of orders) {
+      if (order.kind === OrderKind.Start) {
+        this.ownerFreeAtMs += this.options.startCostMs ?? 0
+        this.at(this.ownerFreeAtMs + CALL_MS, () => this.start(order.run))
+      } else if (order.kind === OrderKind.Stop) {
+        this.at(this.nowMs + CALL_MS, () => this.stop(order.run))
+      }
+    }
+  }
+
+  private start (run: TrackedRun): void {
+    const vm = this.vms.get(run.vmId)
+    if (vm === undefined) return
+    this.scheduler.applyStart(run, StartOutcome.Accepted, this.nowMs)
+    const { step } = run.task
+    const durationMs = this.jobs.get(step.occurrence.job.id)?.durationsMs[step.index]?.[run.task.index]
+    vm.runs.set(run, this.nowMs)
+    if (durationMs === undefined) this.report(run.vmId, 300)
+    else this.at(this.nowMs + durationMs, () => this.end(run, RunEnd.Done))
+  }
+
+  private stop (run: TrackedRun): void {
+    this.scheduler.applyStop(run, true, this.nowMs)
+    this.at(this.nowMs + STOP_MS, () => this.end(run, RunEnd.Stopped))
+  }
+
+  private end (run: TrackedRun, end: RunEnd): void {
+    const vm = this.vms.get(run.vmId)
+    if (vm === undefined || !vm.runs.delete(run)) return
+    vm.ends.push({ number: vm.nextEnd++, task: run.name, run: run.number, end, checkpoint: '' })
+    this.report(run.vmId, REPORT_MS)
+  }
+
+  /** Delivers a VM's report to the owner after a delay, unless one is under way already. */
+  private report (vmId: string, delayMs: number): void {
+    const vm = this.vms.get(vmId)
+    if (vm === undefined || vm.reportDue) return
+    vm.reportDue = true
+    this.at(this.nowMs + delayMs, () => {
+      vm.reportDue = false
+      const tracked = this.scheduler.state.vms.get(vmId)
+      if (tracked === undefined) return
+      const running = [...vm.runs].map(([run, startedAtMs]) => ({ task: run.name, run: run.number, checkpoint: '', percent: this.nowMs - startedAtMs < 250 ? 0 : 100 }))
+      this.scheduler.applyReport(tracked, { clockMs: this.nowMs, bornMs: tracked.entry.bornMs, running, ends: vm.ends.splice(0) }, this.nowMs, this.nowMs)
+      this.requestPlan()
+      this.requestCommit()
+    })
+  }
+
+  private requestCommit (): void {
+    if (this.commitScheduled) return
+    this.commitScheduled = true
+    this.at(this.nowMs + COMMIT_MS, () => {
+      this.commitScheduled = false
+      for (const job of this.scheduler.listJobsToStore()) {
+        job.changed = false
+        const progress = job.toProgress(this.nowMs)
+        this.scheduler.markStored(job, progress)
+        if (job.isComplete && !this.completedAtMs.has(job.id)) this.completedAtMs.set(job.id, this.nowMs)
+      }
+    })
+  }
+
+  private addMachine (id: string, pool: string): void {
+    const machine: SimulatedMachine = { id, pool, vmId: undefined, toPool: undefined, down: false, bootNumber: 0, awayUntilMs: 0 }
+    this.machines.push(machine)
+    this.boot(machine)
+  }
+
+  /** Starts a VM on a machine, unless the machine is in standby. */
+  private boot (machine: SimulatedMachine): void {
+    const { site } = this.options
+    machine.down = false
+    if (site.pools.some((pool) => pool.standby && pool.name === machine.pool)) return
+    const id = `${machine.id}-vm-${machine.bootNumber++}`
+    this.at(this.nowMs + VM_READY_MS, () => {
+      machine.vmId = id
+      this.vms.set(id, { runs: new Map(), ends: [], nextEnd: 1, reportDue: false })
+      this.scheduler.applyRegistration(createEntry(id, machine, site.machine, this.nowMs), this.nowMs)
+      const tracked = this.scheduler.state.vms.get(id)
+      if (tracked === undefined) return
+      tracked.recorded = true
+      this.scheduler.applyReport(tracked, { clockMs: this.nowMs, bornMs: tracked.entry.bornMs, running: [], ends: [] }, this.nowMs, this.nowMs)
+      tracked.extendLease(this.nowMs, 1e9)
+      this.requestPlan()
+    })
+  }
+
+  /** Takes random machines away; those with the fewest long-running tasks, so that no step loses two at once. */
+  private beginAbsence ({ toMs, machines }: Absence): void {
+    const free = this.machines.filter((machine) => machine.awayUntilMs === 0 && machine.toPool === undefined && !machine.down)
+    const chosen = this.random.sample(free, free.length).filter((machine) => !this.hasLongRunningTask(machine)).slice(0, machines)
+    for (const machine of chosen) {
+      machine.awayUntilMs = WARM_UP_MS + toMs
+      if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, this.nowMs + FINITE_TASK_GRACE_MS)
+      this.at(machine.awayUntilMs, () => {
+        machine.awayUntilMs = 0
+        if (machine.vmId !== undefined) this.retire(machine)
+        this.boot(machine)
+      })
+    }
+  }
+
+  private hasLongRunningTask (machine: SimulatedMachine): boolean {
+    const vm = machine.vmId === undefined ? undefined : this.scheduler.state.vms.get(machine.vmId)
+    return [...vm?.runs.values() ?? []].some((run) => run.task.step.spec.longRunning)
+  }
+
+  /** Forgets the VM of a machine, which has no runs any more. */
+  private retire (machine: SimulatedMachine): void {
+    if (machine.vmId === undefined) return
+    this.scheduler.retireVm(machine.vmId, 'its machine was taken down')
+    this.vms.delete(machine.vmId)
+    machine.vmId = undefined
+  }
+
+  private planMachines (): void {
+    const { site, planner } = this.options
+    if (this.nowMs >= WARM_UP_MS) this.machineSeconds += this.machines.filter((machine) => !isStandby(site, machine.toPool ?? machine.pool)).length * MACHINE_PERIOD_MS / 1_000
+    const clocks = { nowMs: this.nowMs, storeNowMs: this.nowMs }
+    const pools = site.pools.map((pool) => ({ standby: pool.standby, demand: this.scheduler.getDemand(pool.name, clocks) }))
+    for (const move of planner.plan(this.nowMs, pools, this.machines.filter((machine) => machine.awayUntilMs === 0).map((machine) => this.describe(machine)))) {
+      const machine = this.machines.find(({ id }) => id === move.machine)
+      if (machine === undefined || machine.toPool !== undefined) continue
+      machine.toPool = move.toPool
+      if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, this.nowMs + FINITE_TASK_GRACE_MS)
+    }
+    for (const machine of this.machines) {
+      if (machine.toPool === undefined || machine.down || (machine.vmId !== undefined && !this.scheduler.isEvacuated(machine.vmId))) continue
+      this.order(machine)
+    }
+  }
+
+  /** Orders the move of an evacuated machine. */
+  private order (machine: SimulatedMachine): void {
+    if (this.nowMs >= WARM_UP_MS) this.moves += 1
+    this.retire(machine)
+    machine.down = true
+    this.at(this.nowMs + 15 + MOVE_MS, () => {
+      machine.pool = machine.toPool ?? machine.pool
+      machine.toPool = undefined
+      this.boot(machine)
+    })
+  }
+
+  private describe (machine: SimulatedMachine): PlannedMachine {
+    const { capacity } = { capacity: this.options.site.machine }
+    const idle = { id: machine.id, capacity, drainable: false, usedCpuMillis: 0 }
+    if (machine.toPool !== undefined) return { ...idle, pool: machine.toPool, movable: false }
+    const vm = machine.vmId === undefined ? undefined : this.scheduler.state.vms.get(machine.vmId)
+    if (vm === undefined) return { ...idle, pool: machine.pool, movable: isStandby(this.options.site, machine.pool) }
+    const drainable = vm.isUsable(this.nowMs) && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
+    return { id: machine.id, capacity, pool: machine.pool, movable: vm.isUsable(this.nowMs) && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
+  }
+
+  private summarize (): LoadDayResult {
+    const byQueue = new Map<string, QueueOutcome>()
+    const windows: Array<{ worth: number, earned: number, jobs: number }> = []
+    let worth = 0
+    let earned = 0
+    for (const job of this.jobs.values()) {
+      const share = this.getEarnedShare(job)
+      const outcome = byQueue.get(job.queue.name) ?? { jobs: 0, inTime: 0, late: 0, worth: 0, earned: 0 }
+      byQueue.set(job.queue.name, outcome)
+      const window = windows[Math.floor((job.accepted.acceptedAtMs - WARM_UP_MS) / WINDOW_MS)] ??= { worth: 0, earned: 0, jobs: 0 }
+      outcome.jobs += 1
+      if (share === 1) outcome.inTime += 1
+      else if (share > 0) outcome.late += 1
+      for (const sum of [outcome, window]) {
+        sum.worth += job.worth
+        sum.earned += share * job.worth
+      }
+      worth += job.worth
+      earned += share * job.worth
+    }
+    const { site } = this.options
+    const shares = windows.filter((window) => window !== undefined).map((window) => window.earned / window.worth)
+    const worst = [...shares].sort((a, b) => a - b).slice(0, 2)
+    const worstQueue = Math.min(...[...byQueue.values()].map((queue) => queue.earned / queue.worth))
+    const gross = GOAL.day * earned / worth + GOAL.windows * worst.reduce((sum, share) => sum + share, 0) / worst.length + GOAL.queue * worstQueue
+    const cost = this.machineSeconds * site.machineSecondCost + this.moves * site.moveCost
+    return { byQueue, windows: shares, served: earned / worth, machineSeconds: this.machineSeconds, moves: this.moves, net: gross - cost / worth }
+  }
+
+  private getEarnedShare (job: LoadJob): number {
+    const endMs = this.completedAtMs.get(job.accepted.id)
+    if (endMs === undefined) return 0
+    const tookMs = endMs - job.accepted.acceptedAtMs
+    if (tookMs <= getObjectiveMs(job)) return 1
+    return tookMs <= LATE_FACTOR * getObjectiveMs(job) ? LATE_SHARE : 0
+  }
+
+  private at (atMs: number, run: () => void): void {
+    const event = { atMs, order: this.nextOrder++, run }
+    const { heap } = this
+    heap.push(event)
+    for (let index = heap.length - 1; index > 0;) {
+      const parent = (index - 1) >> 1
+      if (!isBefore(heap[index], heap[parent])) break
+      swap(heap, index, parent)
+      index = parent
+    }
+  }
+
+  private pop (): TimedEvent | undefined {
+    const { heap } = this
+    const first = heap[0]
+    const last = heap.pop()
+    if (last === undefined || heap.length === 0) return first
+    heap[0] = last
+    for (let index = 0; ;) {
+      let least = index
+      for (const child of [2 * index + 1, 2 * index + 2]) {
+        if (child < heap.length && isBefore(heap[child], heap[least])) least = child
+      }
+      if (least === index) break
+      swap(heap, index, least)
+      index = least
+    }
+    return first
+  }
+}
+
+function isBefore (a: TimedEvent | undefined, b: TimedEvent | undefined): boolean {
+  if (a === undefined || b === undefined) return false
+  return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order)
+}
+
+function swap (heap: TimedEvent[], a: number, b: number): void {
+  const [first, second] = [heap[a], heap[b]]
+  if (first === undefined || second === undefined) return
+  heap[a] = second
+  heap[b] = first
+}
+
+function isStandby (site: LoadSite, pool: string): boolean {
+  return site.pools.some((each) => each.standby && each.name === pool)
+}
+
+function createEntry (id: string, machine: SimulatedMachine, capacity: Capacity, nowMs: number): VmEntry {
+  return { id, machine: machine.id, pool: machine.pool, address: { host: 'h', port: 1 }, zone: 'z', labels: ['k', `rack-${machine.id.length}`], draining: false, bornMs: Math.round(nowMs) + 1, capacity }
+}
--- a/packages/policy/src/lib/jobs/DurationEstimates.ts
+++ b/packages/policy/src/lib/jobs/DurationEstimates.ts
@@ -1,21 +1,34 @@
 /**
- * Mean durations of tasks, learned per queue from the runs that ended as done.
+ * Durations of tasks, predicted per queue from the clients' estimates and from the runs that ended as done.
  */
 
-/** Weight of a new sample in the exponential moving average, which reflects about the last twenty samples. */
+/** Weight of a new sample in the exponential moving averages, which reflect about the last twenty samples. */
 const SAMPLE_WEIGHT = 0.05
 
+/** Spread of the durations of a step's parallel tasks, as a share of their mean, until steps of the queue have ended. */
+const DEFAULT_TASK_SPREAD = 0.4
+
+/** What is learned about one queue. Averages are exponential and move by `SAMPLE_WEIGHT`. */
+interface QueueDurations {
+  samples: number
+  meanMs: number
+  /** Mean of duration to estimate, over the runs with an estimate. */
+  estimateRatio: number
+  /** Mean relative error of the prediction by the queue's mean duration. */
+  meanError: number
+  /** Mean relative error of the prediction by the client's estimate times `estimateRatio`. */
+  estimateError: number
+  /** Spread of the durations of one step's tasks, as a share of their mean. */
+  taskSpread: number
+}
+
 /**
- * Expected duration of the longest of a step's parallel tasks, as a multiple of their mean. It holds for six to eight tasks
- * whose durations are normally distributed with a standard deviation of half the mean.
+ * Predicts durations of tasks. A client's estimate is rough and may be biased, but often tells more about a task than the mean
+ * of its queue; whichever of the two has predicted better so far is used.
+ * @public
  */
-const PARALLEL_STEP_FACTOR = 1.6
-
-/** Moving averages of task durations by queue, in milliseconds. @public */
 export class DurationEstimates {
-  private readonly meanMs = new Map<string, number>()
-  /** Number of samples by queue. */
-  private readonly samples = new Map<string, number>()
+  private readonly queues = new Map<string, QueueDurations>()
 
   private constructor () {}
 
@@ -23,26 +36,57 @@
     return new DurationEstimates()
   }
 
-  /** Adds the duration of one run as a sample. */
-  addSample (queue: string, durationMs: number): void {
-    this.samples.set(queue, (this.samples.get(queue) ?? 0) + 1)
-    const mean = this.meanMs.get(queue)
-    this.meanMs.set(queue, mean === undefined ? durationMs : mean + SAMPLE_WEIGHT * (durationMs - mean))
+  /** Adds the duration of one run as a sample. `estimateMs` is the client's estimate, 0 if there is none. */
+  addSample (queue: string, estimateMs: number, durationMs: number): void {
+    const known = this.queues.get(queue)
+    if (known === undefined) {
+      this.queues.set(queue, { samples: 1, meanMs: durationMs, estimateRatio: 1, meanError: 0, estimateError: 0, taskSpread: DEFAULT_TASK_SPREAD })
+      return
+    }
+    known.samples += 1
+    known.meanError += SAMPLE_WEIGHT * (getRelativeError(known.meanMs, durationMs) - known.meanError)
+    known.meanMs += SAMPLE_WEIGHT * (durationMs - known.meanMs)
+    if (estimateMs <= 0) return
+    known.estimateError += SAMPLE_WEIGHT * (getRelativeError(estimateMs * known.estimateRatio, durationMs) - known.estimateError)
+    known.estimateRatio += SAMPLE_WEIGHT * (durationMs / estimateMs - known.estimateRatio)
   }
 
-  /** Returns the mean duration of a queue's tasks, or undefined if there are fewer than `minSamples` samples. */
-  getMeanMs (queue: string, minSamples: number): number | undefined {
-    return (this.samples.get(queue) ?? 0) >= minSamples ? this.meanMs.get(queue) : undefined
+  /** Adds a step whose tasks have ended as a sample: its longest task took `longestMs`, while one was predicted to take `taskMs`. */
+  addStepSample (queue: string, taskMs: number, longestMs: number, taskCount: number): void {
+    const known = this.queues.get(queue)
+    if (known === undefined || taskCount < 2 || taskMs <= 0) return
+    known.taskSpread += SAMPLE_WEIGHT * ((longestMs / taskMs - 1) / getMaximumDeviation(taskCount) - known.taskSpread)
   }
 
-  /** Returns the expected duration of one task: the queue's mean, or the client's estimate if there is no sample yet. */
+  /** Returns the expected duration of one task: the client's estimate if nothing has been learned yet. */
   getTaskMs (queue: string, estimateMs: number): number {
-    return this.meanMs.get(queue) ?? estimateMs
+    const known = this.queues.get(queue)
+    if (known === undefined) return estimateMs
+    return estimateMs > 0 && known.estimateError <= known.meanError ? estimateMs * known.estimateRatio : known.meanMs
+  }
+
+  /** Same as {@link DurationEstimates.getTaskMs}, but undefined if there are fewer than `minSamples` samples. */
+  findTaskMs (queue: string, estimateMs: number, minSamples: number): number | undefined {
+    return (this.queues.get(queue)?.samples ?? 0) >= minSamples ? this.getTaskMs(queue, estimateMs) : undefined
   }
 
   /** Returns the expected time from the start of a step's tasks until the last of them ends. */
   getStepMs (queue: string, estimateMs: number, taskCount: number): number {
     const taskMs = this.getTaskMs(queue, estimateMs)
-    return taskCount > 1 ? taskMs * PARALLEL_STEP_FACTOR : taskMs
+    if (taskCount < 2) return taskMs
+    const taskSpread = Math.max(0, this.queues.get(queue)?.taskSpread ?? DEFAULT_TASK_SPREAD)
+    return taskMs * (1 + taskSpread * getMaximumDeviation(taskCount))
   }
 }
+
+function getRelativeError (predictedMs: number, actualMs: number): number {
+  return Math.abs(Math.log(Math.max(1, predictedMs) / Math.max(1, actualMs)))
+}
+
+/**
+ * Returns by how many standard deviations the largest of `count` normally distributed values exceeds their mean, on average.
+ * The approximation is within a tenth for 2 to 32 values.
+ */
+function getMaximumDeviation (count: number): number {
+  return 0.7 * Math.sqrt(2 * Math.log(count))
+}
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -162,11 +162,19 @@
   private applyDone (vm: TrackedVm, run: TrackedRun | undefined, task: TrackedTask, nowMs: number): void {
     const { job } = task.step.occurrence
     this.failuresByVm.delete(vm.id)
-    if (run?.confirmedAtMs !== undefined) this.estimates.addSample(job.accepted.queue, nowMs - run.confirmedAtMs)
+    if (run?.confirmedAtMs !== undefined) this.learnDuration(task, nowMs - run.confirmedAtMs)
     job.markDone(task)
     for (const other of task.runs) this.stopRun(other, StopReason.Unwanted, nowMs)
   }
 
+  private learnDuration ({ step }: TrackedTask, durationMs: number): void {
+    const { queue } = step.occurrence.job.accepted
+    const { estimateMs, taskCount } = step.spec
+    this.estimates.addSample(queue, estimateMs, durationMs)
+    step.longestMs = Math.max(step.longestMs, durationMs)
+    if (step.doneCount === taskCount - 1) this.estimates.addStepSample(queue, this.estimates.getTaskMs(queue, estimateMs), step.longestMs, taskCount)
+  }
+
   private applyFailure (vm: TrackedVm, task: TrackedTask, run: number, nowMs: number): void {
     const { job } = task.step.occurrence
     job.markFailed(task, run)
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -42,6 +42,8 @@
 export class TrackedStep {
   readonly tasks: TrackedTask[] = []
   doneCount = 0
+  /** Duration of the longest task that ended as done under this owner, in milliseconds. */
+  longestMs = 0
 
   private constructor (
     readonly occurrence: TrackedOccurrence,
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -50,8 +50,8 @@
   const { step } = run.task
   if (run.phase !== RunPhase.Running || run.confirmedAtMs === undefined || step.spec.longRunning || step.spec.gang) return 0
   const elapsedMs = nowMs - run.confirmedAtMs
-  const meanMs = state.estimates.getMeanMs(step.occurrence.job.accepted.queue, MIN_SAMPLES)
-  return meanMs === undefined || elapsedMs < MIN_OVERDUE_MS ? 0 : elapsedMs / meanMs
+  const expectedMs = state.estimates.findTaskMs(step.occurrence.job.accepted.queue, step.spec.estimateMs, MIN_SAMPLES)
+  return expectedMs === undefined || elapsedMs < MIN_OVERDUE_MS ? 0 : elapsedMs / expectedMs
 }
 
 function pauseIfSlow (state: SchedulerState, vm: TrackedVm, overdue: readonly TrackedRun[], nowMs: number): void {
