--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -106,8 +106,11 @@
   listPeriodMs: 4_000,
   /** The same while a machine is expected back from a move or maintenance. */
   busyListPeriodMs: 1_000,
-  /** Time for which finite tasks may keep running on a VM that is evacuated: about the duration of the longest one. */
-  finiteTaskGraceMs: 2_000,
+  /**
+   * Time for which finite tasks may keep running on a VM that is evacuated: longer than the longest one, as a task that is
+   * stopped begins again elsewhere.
+   */
+  finiteTaskGraceMs: 4_000,
   /** Pause before an order that was refused or had an unknown outcome is sent again. */
   orderRetryMs: 400,
   /** Time without an answer from the store after which no order is given, as another daemon may own the shard. */
--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -61,7 +61,7 @@
 const MOVE_MS = 1_500
 /** Time from the start of a VM until its owner may place tasks on it: its registration, its first report and its roster row. */
 const VM_READY_MS = 150
-const FINITE_TASK_GRACE_MS = 2_000
+const FINITE_TASK_GRACE_MS = 4_000
 const STOP_MS = 200
 const WARM_UP_MS = 8_000
 const DRAIN_MS = 16_000
--- a/packages/integration/src/lib/load/trial.ts
+++ b/packages/integration/src/lib/load/trial.ts
@@ -12,7 +12,7 @@
   const sums: Record<string, number> = {}
   const t0 = process.cpuUsage().user
   for (let seed = 1; seed <= seeds; seed++) {
-    const r = LoadDay.create({ site, seed, planner: CapacityPlanner.create({ moveMs: 1500, keepMs: 1000, spareMachines: 1 }), startCostMs: Number(process.argv[4] ?? 0), absences: process.env.WAVE === undefined ? [] : wave(site.pools.reduce((a, p) => a + p.machines, 0), Number(process.env.WAVE)) }).run()
+    const r = LoadDay.create({ site, seed, planner: CapacityPlanner.create({ moveMs: 1500, keepMs: Number(process.env.KEEP ?? 1000), spareMachines: Number(process.env.SPARE ?? 1) }), startCostMs: Number(process.argv[4] ?? 0), absences: process.env.WAVE === undefined ? [] : wave(site.pools.reduce((a, p) => a + p.machines, 0), Number(process.env.WAVE)) }).run()
     const row: Record<string, number> = { net: r.net, served: r.served, worst2: [...r.windows].sort((a, b) => a - b).slice(0, 2).reduce((a, b) => a + b, 0) / 2, ms: r.machineSeconds, moves: r.moves }
     for (const [q, o] of r.byQueue) { row[q] = o.earned / o.worth; row[q + '-late'] = o.late / o.jobs }
     for (const [k, v] of Object.entries(row)) sums[k] = (sums[k] ?? 0) + v / seeds
--- a/packages/policy/src/lib/machines/PoolCapacityDemand.ts
+++ b/packages/policy/src/lib/machines/PoolCapacityDemand.ts
@@ -53,16 +53,25 @@
     this.arrivals.set(pool, arrivals)
   }
 
-  /** Returns the rate over the last window in thousandths of a core, and by how much it exceeds that of the window before. */
+  /**
+   * Returns the rate over the last window in thousandths of a core, and by how much it exceeds that of the window before. Both
+   * are reduced by the share that chance explains, as one large job alone looks like high demand that rises fast.
+   */
   getRate (pool: string, nowMs: number): { rate: number, trend: number } {
-    let recent = 0
-    let before = 0
+    const recent = { work: 0, jobs: 0 }
+    const before = { work: 0, jobs: 0 }
     for (const arrival of this.arrivals.get(pool) ?? []) {
       const ageMs = nowMs - arrival.atMs
-      if (ageMs <= WINDOW_MS) recent += arrival.work
-      else if (ageMs <= 2 * WINDOW_MS) before += arrival.work
+      if (ageMs > 2 * WINDOW_MS) continue
+      const window = ageMs <= WINDOW_MS ? recent : before
+      window.work += arrival.work
+      window.jobs += 1
     }
-    return { rate: recent, trend: recent - before }
+    const rate = recent.jobs === 0 ? 0 : recent.work * (recent.jobs - 1) / recent.jobs
+    const difference = Math.abs(recent.jobs - before.jobs)
+    // The difference of two counts of random arrivals deviates from 0 by the root of their sum.
+    const certainty = difference === 0 ? 0 : Math.max(0, 1 - Math.sqrt(recent.jobs + before.jobs) / difference)
+    return { rate, trend: (recent.work - before.work) * certainty }
   }
 }
 
