Send overdue transactions again, and hand a shard over within one commit

Change: HedgedRowStore sends a transaction again when its answer is overdue by the smoothed latency, and recognizes a conflict with its own earlier copy. An owner that stops closes its feeds and its connections to VMs before the last commit, and names its successor, which takes over at once.

--- /dev/null
+++ b/packages/daemon/src/lib/jobs/HedgedRowStore.ts
@@ -0,0 +1,125 @@
+/**
+ * Row store client that sends a transaction again if its answer is overdue.
+ */
+import { delay, type TimerService } from '@vanillathread/kernel'
+import { Result } from '@vanillathread/model'
+import { StoreFailureKind, type RowCommit, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoredRow, type StoreFailure } from '@vanillathread/ports'
+import { storeOptions } from './jobOptions.js'
+
+/** Options of {@link HedgedRowStore.create}. */
+export interface HedgedRowStoreOptions {
+  readonly rows: RowStore
+  readonly timers: TimerService
+}
+
+/** Weights of a new sample in the smoothed latency and its deviation, as TCP uses for its retransmission timeout. */
+const LATENCY_WEIGHT = 1 / 8
+const DEVIATION_WEIGHT = 1 / 4
+const DEVIATION_FACTOR = 4
+
+type CommitResult = Result<RowCommit, StoreFailure>
+
+/**
+ * A lost answer costs the timeout of a call, while the store answers within milliseconds. The transactions of this product may
+ * be sent again: their conditions on the rows that they write let at most one copy succeed, or the rows they write do not
+ * depend on how often they are written.
+ */
+export class HedgedRowStore implements RowStore {
+  private latencyMs = 0
+  private deviationMs = storeOptions.minHedgeMs / DEVIATION_FACTOR
+
+  private constructor (private readonly options: HedgedRowStoreOptions) {}
+
+  static create (options: HedgedRowStoreOptions): HedgedRowStore {
+    return new HedgedRowStore(options)
+  }
+
+  /** Returns the first definite outcome of up to `maxAttempts` attempts, each sent when the answer to the one before is overdue. */
+  async transact (transaction: RowTransaction): Promise<CommitResult> {
+    const attempts: Array<Promise<CommitResult>> = []
+    for (;;) {
+      attempts.push(this.attempt(transaction))
+      const isLast = attempts.length >= storeOptions.maxAttempts
+      const first = await Promise.race([getFirstDefinite(attempts), ...(isLast ? [] : [delay(this.options.timers, this.hedgeAfterMs)])])
+      if (first !== undefined) return attempts.length === 1 ? first : resolveConflict(transaction, first)
+    }
+  }
+
+  readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>> {
+    return this.options.rows.readRange(range)
+  }
+
+  readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>> {
+    return this.options.rows.readFeed(table, afterVersion, waitMs)
+  }
+
+  getStoreClockMs (): number {
+    return this.options.rows.getStoreClockMs()
+  }
+
+  getTimeSinceAnswerMs (): number {
+    return this.options.rows.getTimeSinceAnswerMs()
+  }
+
+  private get hedgeAfterMs (): number {
+    return Math.min(storeOptions.maxHedgeMs, Math.max(storeOptions.minHedgeMs, this.latencyMs + DEVIATION_FACTOR * this.deviationMs))
+  }
+
+  private async attempt (transaction: RowTransaction): Promise<CommitResult> {
+    const { rows, timers } = this.options
+    const sentAtMs = timers.now()
+    const res = await rows.transact(transaction)
+    if (res.ok || res.error.kind === StoreFailureKind.Conflict) this.observeLatency(timers.now() - sentAtMs)
+    return res
+  }
+
+  private observeLatency (latencyMs: number): void {
+    this.deviationMs += DEVIATION_WEIGHT * (Math.abs(latencyMs - this.latencyMs) - this.deviationMs)
+    this.latencyMs += LATENCY_WEIGHT * (latencyMs - this.latencyMs)
+  }
+}
+
+/**
+ * Returns the first outcome that is certain for all attempts: executed, or a conflict. If there is none, the transaction is not
+ * done only if no attempt was, and its outcome is unknown otherwise.
+ */
+function getFirstDefinite (attempts: ReadonlyArray<Promise<CommitResult>>): Promise<CommitResult> {
+  return new Promise((resolve) => {
+    for (const attempt of attempts) attempt.then((res) => { if (isDefinite(res)) resolve(res) })
+    Promise.all(attempts).then((all) => {
+      const unknown = all.find((res) => !res.ok && res.error.kind === StoreFailureKind.Unknown)
+      const last = unknown ?? all.at(-1)
+      if (last !== undefined) resolve(last)
+    })
+  })
+}
+
+function isDefinite (res: CommitResult): boolean {
+  return res.ok || res.error.kind === StoreFailureKind.Conflict
+}
+
+/**
+ * A conflict of a transaction that was sent more than once may be with itself. It was executed if all rows that it writes have
+ * its values and one version, and its conditions on other rows hold.
+ */
+function resolveConflict (transaction: RowTransaction, res: CommitResult): CommitResult {
+  if (res.ok || res.error.kind !== StoreFailureKind.Conflict) return res
+  const { rows } = res.error
+  const written = transaction.puts.map((put) => ({ put, row: findRow(rows, put) }))
+  const version = written[0]?.row?.version
+  if (version === undefined) return res
+  const isWritten = written.every(({ put, row }) => row?.version === version && Buffer.compare(row.value, put.value) === 0)
+  const others = transaction.conditions.filter((condition) => !transaction.puts.some((put) => isSameRow(put, condition)))
+  const othersHold = others.every((condition) => (findRow(rows, condition)?.version ?? 0) === condition.version)
+  return isWritten && othersHold ? Result.ok({ version }) : res
+}
+
+type NamedRow = Pick<StoredRow, 'table' | 'part' | 'key'>
+
+function findRow (rows: readonly StoredRow[], name: NamedRow): StoredRow | undefined {
+  return rows.find((row) => isSameRow(row, name))
+}
+
+function isSameRow (a: NamedRow, b: NamedRow): boolean {
+  return a.table === b.table && a.part === b.part && a.key === b.key
+}
--- a/packages/daemon/src/lib/jobs/JobsDaemon.ts
+++ b/packages/daemon/src/lib/jobs/JobsDaemon.ts
@@ -6,6 +6,7 @@
 import type { AdmissionService, ClientApi, FleetFeeds, Ingress, MachineService, RowStore, VmClients } from '@vanillathread/ports'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { registerJobPlugins } from './jobPlugins.js'
+import { HedgedRowStore } from './HedgedRowStore.js'
 import type { JobsSettings } from './JobsSettings.js'
 
 /** Limit on log lines per second of one event. An owner at five times the mean load starts about 600 tasks per second. */
@@ -61,7 +62,7 @@
       tracing: Tracing.create({ sampleRatio: 0 }),
     })
     this.kernel.provide(JOBS_SETTINGS, options.settings)
-    this.kernel.provide(JOBS_PLATFORM, options.platform)
+    this.kernel.provide(JOBS_PLATFORM, { ...options.platform, openIngress: (api) => options.platform.openIngress(api), rows: HedgedRowStore.create({ rows: options.platform.rows, timers }) })
     this.kernel.provide(METRICS_TEXT, options.renderMetrics?.bind(options))
   }
 
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -126,6 +126,9 @@
     this.machineController?.dispose()
     this.planTimer?.dispose()
     this.loaded = false
+    // Further reports and registrations would make changes faster than they are committed. The successor gets them itself.
+    this.feeds?.dispose()
+    this.disposeSessions()
     await this.commitLoop?.flush(limitMs)
     this.dispose()
   }
@@ -134,8 +137,7 @@
     this.disposed = true
     this.loaded = false
     this.planTimer?.dispose()
-    for (const session of this.sessions.values()) session.dispose()
-    this.sessions.clear()
+    this.disposeSessions()
     this.commitLoop?.dispose()
     this.machineController?.dispose()
     this.feeds?.dispose()
@@ -143,6 +145,11 @@
     this.advice.dispose()
   }
 
+  private disposeSessions (): void {
+    for (const session of this.sessions.values()) session.dispose()
+    this.sessions.clear()
+  }
+
   requestPlan (): void {
     if (this.planScheduled || !this.loaded) return
     this.planScheduled = true
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -62,14 +62,16 @@
     this.ownerHeartbeatAtMs = context.timers.now()
     network.on(PeerMessageKind.ShardHeartbeat, (message, reply) => {
       this.applyHeartbeat(message)
+      // A daemon that does not answer is not chosen as the successor.
+      if (this.stopping) return
       reply({ kind: PeerMessageKind.ShardHeartbeatAck, name: this.name, shard: options.shard, fencingToken: this.knownFencingToken, storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()) })
     })
     network.on(PeerMessageKind.ShardHeartbeatAck, ({ name, fencingToken, storeSilentMs }) => {
       if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.peerAckTimesMs.set(name, context.timers.now())
       if (this.localOwner !== undefined && fencingToken > this.localOwner.fencingToken) this.stepDown('a peer knows a newer owner')
     })
-    network.on(PeerMessageKind.ShardReleased, ({ fencingToken }) => {
-      if (fencingToken >= this.knownFencingToken) this.readRow()
+    network.on(PeerMessageKind.ShardReleased, ({ fencingToken, successor }) => {
+      if (fencingToken >= this.knownFencingToken) this.applyRelease(successor)
     })
     this.subscriptions = [
       context.timers.every(shardOptions.ownershipCheckPeriodMs, () => { this.checkOwnership() }),
@@ -231,7 +233,31 @@
     this.rowCurrent = false
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
-    for (const address of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version })
+    const successor = this.chooseSuccessor()
+    for (const address of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version, successor })
+  }
+
+  /** Returns the first daemon in the order of succession that answered the last heartbeats and reaches the store. */
+  private chooseSuccessor (): string | undefined {
+    const answering = this.getAnsweringCandidates()
+    return rankSuccessors(`${this.options.shard}/${this.knownFencingToken}`, answering)[0]
+  }
+
+  /** Takes a released shard over at once if its former owner named this daemon; others do so after their delay. */
+  private async applyRelease (successor: string | undefined): Promise<void> {
+    if (!await this.readRow() || successor !== this.name || this.busy || this.row?.value.owner !== '') return
+    this.busy = true
+    try {
+      await this.takeOver('the former owner handed the shard over')
+    } finally {
+      this.busy = false
+    }
+  }
+
+  /** Returns the other daemons that answered a heartbeat a short time ago and reach the store. */
+  private getAnsweringCandidates (): OwnerCandidate[] {
+    const nowMs = this.options.context.timers.now()
+    return this.options.members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.peerAckTimesMs.get(name) ?? -Infinity) < shardOptions.suspectAfterMs)
   }
 
   /** Reads the owner row from the store. Returns false if the store did not answer. */
@@ -309,12 +335,8 @@
 
   /** Hands the shard over if a much faster daemon answers heartbeats and reaches the store. */
   private async handOverIfSlow (localOwner: ShardOwner): Promise<void> {
-    const { context, members } = this.options
-    const { timers, settings, log } = context
-    const nowMs = timers.now()
-    if (nowMs - this.tookOverAtMs < shardOptions.handOverAfterMs) return
-    const others = members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.peerAckTimesMs.get(name) ?? -Infinity) < shardOptions.suspectAfterMs)
-    if (!this.isMuchSlower(others)) return
+    const { timers, settings, log } = this.options.context
+    if (timers.now() - this.tookOverAtMs < shardOptions.handOverAfterMs || !this.isMuchSlower(this.getAnsweringCandidates())) return
     log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: localOwner.fencingToken, speed: settings.speed, reason: 'a much faster daemon is available' })
     await this.handOver(localOwner, shardOptions.handOverLimitMs)
   }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -126,6 +126,16 @@
   },
 } as const
 
+/** Constants for writing to the store. */
+export const storeOptions = {
+  /** Shortest time after which an unanswered transaction is sent again: many times the latency of a store that is well. */
+  minHedgeMs: 100,
+  /** Longest time after which it is sent again, however slow the store is. */
+  maxHedgeMs: 600,
+  /** Limit on the attempts; three are lost together in one case out of 23 if the platform loses a third of its answers. */
+  maxAttempts: 3,
+} as const
+
 /** Constants for serving clients. */
 export const clientOptions = {
   /** Time before a request's deadline from which it is not retried. */
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -107,7 +107,7 @@
     storeSilentMs: z.number(),
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: nonNegativeInt }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: nonNegativeInt, successor: z.string().optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobHint), shard: z.string(), row: z.instanceof(Uint8Array), version: nonNegativeInt }),
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: nonNegativeInt, job: z.string().optional(), queue: z.string().optional() }),
