--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
 export { FleetWatch, type FleetWatchOptions } from './lib/fleet/FleetWatch.js'
 export { fleetOptions } from './lib/options.js'
 export { JobsDaemon, type JobsDaemonOptions, type JobsPlatform } from './lib/jobs/JobsDaemon.js'
+export { HedgedRowStore, type HedgedRowStoreOptions } from './lib/jobs/HedgedRowStore.js'
 export type { JobsSettings } from './lib/jobs/JobsSettings.js'
 export type { MessageHandler, PeerTransport, Reply } from './lib/peer/PeerTransport.js'
 export { PeerMessageKind, type PeerMessage, type PeerMessageOf } from './lib/peer/messages.js'
