Let other daemons make an owner's calls to VMs; record wave orders together

Cause: (1) on the large site one daemon makes every call to 540 VMs. (2) Of the machines of a wave that are ready in one cycle only the first was recorded and ordered, as one row held the whole wave and one write was in flight. (3) The owner sent a heartbeat to every daemon four times a second.

Change: from 100 VMs on, up to six fast daemons that answer heartbeats make the calls in batches (VmCallRelay, RelayedVmClients); fencing tokens, leases and unknown outcomes stay as they are, and the calls of a lost relay count as unknown. Waves have a row for each machine, up to 40 in one transaction; rows of earlier builds are read. Only the eight next successors get every heartbeat. Checks that depend on time alone run every 50 ms, and VMs are grouped by pool once a plan.

--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -105,7 +105,7 @@
   private async relay (request: RelayedWrite): Promise<WriteResult> {
     const { network, shard, members } = this.options
     const others = members.others
-    const address = shard.remoteOwner?.address ?? others[this.nextPeerIndex++ % Math.max(1, others.length)]
+    const address = shard.remoteOwner?.address ?? others[this.nextPeerIndex++ % Math.max(1, others.length)]?.address
     if (address === undefined) return { outcome: WriteOutcome.NotDone }
     return this.pendingRequests.request(
       (seq) => network.send(address, { kind: PeerMessageKind.WriteRequest, seq, ...request }),
--- a/packages/daemon/src/lib/jobs/MemberDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MemberDirectory.ts
@@ -42,9 +42,9 @@
     return [...[...this.members].filter(([name]) => name !== own).map(([name, { speed }]) => ({ name, speed })), { name: own, speed: ownSpeed }]
   }
 
-  /** Addresses of the other daemons. */
-  get others (): Address[] {
-    return [...this.members].filter(([name]) => name !== this.options.settings.name).map(([, { host, port }]) => ({ host, port }))
+  /** Names and addresses of the other daemons. */
+  get others (): Array<{ readonly name: string, readonly address: Address }> {
+    return [...this.members].filter(([name]) => name !== this.options.settings.name).map(([name, { host, port }]) => ({ name, address: { host, port } }))
   }
 
   /**
@@ -80,6 +80,6 @@
 
   private sendHello (): void {
     const { settings, network } = this.options
-    for (const address of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer }, speed: settings.speed })
+    for (const { address } of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer }, speed: settings.speed })
   }
 }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -7,9 +7,10 @@
 import { StoreFailureKind, type RowPut } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
-import { shardOptions } from './jobOptions.js'
+import { relayOptions, shardOptions } from './jobOptions.js'
 import type { MemberDirectory } from './MemberDirectory.js'
 import { decodeStoreHeartbeatRow, decodeOwnerRow, encodeRow, Table, type OwnerRow } from './rows.js'
+import { RelayedVmClients, type Relay } from './RelayedVmClients.js'
 import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
 
 /** Options of {@link ShardOwnership.create}. */
@@ -52,6 +53,12 @@
   private ownerKnownSinceMs = -Infinity
   /** Times at which peers that can reach the store last answered a heartbeat, by name. */
   private readonly peerAckTimesMs = new Map<string, number>()
+  /** Clients through which this daemon calls VMs while it owns the shard. */
+  private readonly vmClients: RelayedVmClients
+  /** Daemons that make this owner's calls to VMs, as of the last heartbeat. */
+  private relays: readonly Relay[] = []
+  /** Number of times at which heartbeats were sent. */
+  private heartbeatCount = 0
   /** True while a check of the ownership is in progress. */
   private busy = false
   private stopping = false
@@ -60,6 +67,9 @@
   private constructor (private readonly options: ShardOwnershipOptions) {
     const { network, context } = options
     this.ownerHeartbeatAtMs = context.timers.now()
+    this.vmClients = RelayedVmClients.create({
+      owner: context.settings.name, direct: context.vms, network, timers: context.timers, log: context.log, getRelays: () => this.relays,
+    })
     network.on(PeerMessageKind.ShardHeartbeat, (message, reply) => {
       this.applyHeartbeat(message)
       // A daemon that does not answer is not chosen as the successor.
@@ -108,6 +118,7 @@
     this.stopping = true
     for (const subscription of this.subscriptions) subscription.dispose()
     this.localOwner?.dispose()
+    this.vmClients.dispose()
   }
 
   private get name (): string {
@@ -145,7 +156,7 @@
     }
     this.vacantSinceMs = undefined
     const sinceHeartbeatMs = nowMs - this.ownerHeartbeatAtMs
-    const heartbeatsOverdue = sinceHeartbeatMs > shardOptions.suspectAfterMs && sinceHeartbeatMs > shardOptions.suspectAfterMs + this.getTakeoverDelayMs()
+    const heartbeatsOverdue = sinceHeartbeatMs > shardOptions.suspectAfterMs && sinceHeartbeatMs > this.getSuspectAfterMs()
     if (!heartbeatsOverdue && this.ownerStoreSilentMs < shardOptions.ownerStoreSilentMs * this.timeoutFactor) {
       this.storeHeartbeat = undefined
       return
@@ -203,6 +214,7 @@
     if (this.stopping) return
     this.localOwner = ShardOwner.create({
       ...context,
+      vms: this.vmClients,
       shard,
       generation,
       ownerRow: { ...key, version: res.value.version },
@@ -234,7 +246,7 @@
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
     const successor = this.chooseSuccessor()
-    for (const address of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version, successor })
+    for (const { address } of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version, successor })
   }
 
   /** Returns the first daemon in the order of succession that answered the last heartbeats and reaches the store. */
@@ -308,7 +320,34 @@
       fencingToken: this.localOwner.fencingToken,
       storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()),
     } as const
-    for (const address of members.others) network.sendExpectingReply(address, message)
+    const near = new Set(this.listNearSuccessors(this.name))
+    const isForAll = this.heartbeatCount++ % shardOptions.restHeartbeatInterval === 0
+    for (const { name, address } of members.others) {
+      if (isForAll || near.has(name)) network.sendExpectingReply(address, message)
+    }
+    this.relays = this.chooseRelays()
+  }
+
+  /** Returns the first daemons in the order of succession after an owner. */
+  private listNearSuccessors (owner: string | undefined): string[] {
+    return this.rankSuccessorsOf(owner).slice(0, shardOptions.nearSuccessors)
+  }
+
+  private rankSuccessorsOf (owner: string | undefined): string[] {
+    return rankSuccessors(`${this.options.shard}/${this.knownFencingToken}`, this.options.members.candidates.filter(({ name }) => name !== owner))
+  }
+
+  /** Returns the daemons that make calls to VMs for this owner: fast ones that answer, if there are many VMs. */
+  private chooseRelays (): Relay[] {
+    if ((this.localOwner?.scheduler.state.vms.size ?? 0) < relayOptions.minVms) return []
+    const answering = this.getAnsweringCandidates()
+    const fastest = Math.max(...answering.map(({ speed }) => speed))
+    const fast = answering.filter(({ speed }) => speed >= fastest / 2).map(({ name }) => name).sort()
+    const addresses = new Map(this.options.members.others.map(({ name, address }) => [name, address]))
+    return fast.slice(0, relayOptions.maxRelays).flatMap((name) => {
+      const address = addresses.get(name)
+      return address === undefined ? [] : [{ name, address }]
+    })
   }
 
   /** Writes the store heartbeat, and steps down if the store shows another owner. */
@@ -353,13 +392,18 @@
     return shouldHandOver({ name: this.name, speed: this.options.context.settings.speed }, others)
   }
 
+  /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
+  private getSuspectAfterMs (): number {
+    const missedMs = this.listNearSuccessors(this.row?.value.owner).includes(this.name) ? 0 : (shardOptions.restHeartbeatInterval - 1) * shardOptions.heartbeatPeriodMs
+    return shardOptions.suspectAfterMs + this.getTakeoverDelayMs() + 3 * missedMs
+  }
+
   /**
    * Returns the delay before this daemon tries to take over. Daemons try one after another, fast ones first, in an order
    * that depends on the fencing token.
    */
   private getTakeoverDelayMs (): number {
-    const ranked = rankSuccessors(`${this.options.shard}/${this.knownFencingToken}`, this.options.members.candidates.filter(({ name }) => name !== this.row?.value.owner))
-    return Math.max(0, ranked.indexOf(this.name)) * shardOptions.takeoverRankDelayMs
+    return Math.max(0, this.rankSuccessorsOf(this.row?.value.owner).indexOf(this.name)) * shardOptions.takeoverRankDelayMs
   }
 }
 
--- a/packages/daemon/src/lib/jobs/WaveProgressStore.ts
+++ b/packages/daemon/src/lib/jobs/WaveProgressStore.ts
@@ -3,8 +3,8 @@
  */
 import type { EventLog } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import { readRow, StoreFailureKind, type FleetFeeds, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
-import { decodeWaveRow, encodeRow, Table } from './rows.js'
+import { readTable, StoreFailureKind, type FleetFeeds, type RowCondition, type RowStore, type MaintenanceWave, type StoreFailure, type StoredRow } from '@vanillathread/ports'
+import { decodeWaveMachineRow, decodeWaveRow, encodeRow, Table } from './rows.js'
 
 /** Options of {@link WaveProgressStore.create}. */
 export interface WaveProgressStoreOptions {
@@ -27,28 +27,43 @@
 /** Progress of one wave. */
 export interface WaveProgress {
   /** VMs on the machines whose maintenance was ordered or may have been ordered, by machine. */
-  readonly ordered: Map<string, PreviousVm>
+  readonly ordered: ReadonlyMap<string, PreviousVm>
   /** Machines whose maintenance has certainly begun, and machines that no longer exist. */
-  readonly begun: Set<string>
+  readonly begun: ReadonlySet<string>
   /** True if the operator has been informed that the wave is complete. */
-  complete: boolean
+  readonly complete: boolean
 }
 
-interface StoredWave extends WaveProgress {
-  /** Version of the wave's row, 0 if there is none. */
-  version: number
-  /** Store clock at which the wave was first seen. */
-  seenAtMs: number
-  /** True while a write of the wave's row or state is in flight. */
+/** A machine whose record waits for the next write, with the order's caller if one waits for it. */
+interface PendingRecord {
+  readonly machine: string
+  readonly previous: PreviousVm
+  readonly settle?: (stored: boolean) => void
+}
+
+interface StoredWave {
+  readonly ordered: Map<string, PreviousVm>
+  readonly begun: Set<string>
+  complete: boolean
+  /** Versions of the machines' rows. */
+  readonly versions: Map<string, number>
+  /** Records that wait for the next write. */
+  pending: PendingRecord[]
   writeInFlight: boolean
   /** True if the operator has been informed that the wave has begun, or the write is in flight. */
   announced: boolean
 }
 
-/** Reads and writes the progress of a shard's waves. */
+/** Limit on the machines recorded in one transaction: two entries for each, and the owner row, of the platform's 100. */
+const MACHINES_PER_WRITE = 40
+
+/** Separates the wave's number from the machine in the key of a row. */
+const KEY_SEPARATOR = '/'
+
+/** Reads and writes the progress of a shard's waves: one row for each machine, many machines in a transaction. */
 export class WaveProgressStore {
   private readonly waves = new Map<number, StoredWave>()
-  private readonly wavesBeingRead = new Set<number>()
+  private reading = false
 
   private constructor (private readonly options: WaveProgressStoreOptions) {}
 
@@ -68,32 +83,35 @@
   }
 
   /**
-   * Stores that a machine's maintenance may be ordered; called before the order is sent. Returns false if that could not be
-   * stored.
+   * Stores that a machine's maintenance may be ordered; called before the order is sent. Orders that come while a write is in
+   * flight share the next one. Returns false if that could not be stored.
    */
   async recordOrder (wave: number, machine: string, previous: PreviousVm): Promise<boolean> {
     const progress = this.waves.get(wave)
     if (progress === undefined) return false
-    if (progress.writeInFlight) return false
     const before = progress.ordered.get(machine)
     if (before?.vmId === previous.vmId && before.bornMs === previous.bornMs) return true
-    progress.ordered.set(machine, previous)
-    if (await this.write(wave, progress)) return true
-    if (before === undefined) progress.ordered.delete(machine)
-    else progress.ordered.set(machine, before)
-    return false
+    const stored = new Promise<boolean>((resolve) => { progress.pending.push({ machine, previous, settle: resolve }) })
+    this.writePending(wave, progress)
+    return stored
   }
 
   /** Marks a machine whose maintenance has certainly begun, or that no longer exists; stored with the next write. */
   markBegun (wave: number, machine: string): void {
-    this.waves.get(wave)?.begun.add(machine)
+    const progress = this.waves.get(wave)
+    if (progress === undefined || progress.begun.has(machine)) return
+    progress.begun.add(machine)
+    progress.pending.push({ machine, previous: progress.ordered.get(machine) ?? NO_VM })
   }
 
   /** Informs the operator that a wave is complete. */
   async complete (wave: MaintenanceWave): Promise<void> {
     const progress = this.waves.get(wave.number)
     if (progress === undefined || progress.writeInFlight || progress.complete) return
-    if (!await this.write(wave.number, progress)) return
+    if (progress.pending.length > 0) {
+      this.writePending(wave.number, progress)
+      return
+    }
     progress.writeInFlight = true
     const res = await this.options.feeds.writeWaveState(wave.number, true)
     progress.writeInFlight = false
@@ -102,23 +120,15 @@
   }
 
   private async read (wave: number): Promise<void> {
-    if (this.wavesBeingRead.has(wave)) return
-    this.wavesBeingRead.add(wave)
+    if (this.reading) return
+    this.reading = true
     const { rows, shard } = this.options
-    const res = await readRow(rows, { table: Table.Waves, part: shard, key: String(wave) })
-    this.wavesBeingRead.delete(wave)
-    if (!res.ok) return
-    const row = res.value
-    const stored = row === undefined ? undefined : decodeWaveRow(row.value)
-    this.waves.set(wave, {
-      ordered: new Map(stored?.ordered.map(([machine, vmId, bornMs]) => [machine, { vmId, bornMs }])),
-      begun: new Set(stored?.begun),
-      complete: false,
-      version: row?.version ?? 0,
-      seenAtMs: stored?.seenAtMs ?? Math.round(rows.getStoreClockMs()),
-      writeInFlight: false,
-      announced: false,
-    })
+    const res = await readTable(rows, Table.Waves, shard)
+    this.reading = false
+    if (!res.ok || this.waves.has(wave)) return
+    const progress: StoredWave = { ordered: new Map(), begun: new Set(), complete: false, versions: new Map(), pending: [], writeInFlight: false, announced: false }
+    for (const row of res.value.rows) addStoredRow(progress, wave, row)
+    this.waves.set(wave, progress)
   }
 
   /** Informs the operator that a wave has begun. */
@@ -128,27 +138,81 @@
     if (!res.ok) progress.announced = false
   }
 
-  /** Writes a wave's row. Returns true if that certainly succeeded. */
-  private async write (wave: number, progress: StoredWave): Promise<boolean> {
-    const { rows, shard, ownerRow, log } = this.options
-    const row = { table: Table.Waves, part: shard, key: String(wave) }
+  /** Writes the pending records, one transaction after another. Records of a failed write that no order waits for stay pending. */
+  private async writePending (wave: number, progress: StoredWave): Promise<void> {
+    if (progress.writeInFlight) return
     progress.writeInFlight = true
-    const ordered = [...progress.ordered].map(([machine, { vmId, bornMs }]) => [machine, vmId, bornMs] as const)
-    const value = encodeRow({ ordered, begun: [...progress.begun], seenAtMs: progress.seenAtMs })
-    const res = await rows.transact({ conditions: [ownerRow, { ...row, version: progress.version }], puts: [{ ...row, value }], removes: [] })
+    while (progress.pending.length > 0) {
+      const records = takeDistinct(progress.pending, MACHINES_PER_WRITE)
+      progress.pending = progress.pending.filter((record) => !records.includes(record))
+      if (await this.write(wave, progress, records)) continue
+      progress.pending.push(...records.filter((record) => record.settle === undefined))
+      break
+    }
     progress.writeInFlight = false
-    if (res.ok) {
-      progress.version = res.value.version
-      return true
+  }
+
+  /** Writes the rows of machines. Returns true if that certainly succeeded. */
+  private async write (wave: number, progress: StoredWave, records: readonly PendingRecord[]): Promise<boolean> {
+    const { rows, shard, ownerRow, log } = this.options
+    const puts = records.map(({ machine, previous }) => ({
+      table: Table.Waves, part: shard, key: `${wave}${KEY_SEPARATOR}${machine}`, value: encodeRow({ ...previous, begun: progress.begun.has(machine) }),
+    }))
+    const conditions = records.map(({ machine }, index) => ({ ...(puts[index] ?? ownerRow), version: progress.versions.get(machine) ?? 0 }))
+      .map(({ table, part, key, version }) => ({ table, part, key, version }))
+    const res = await rows.transact({ conditions: [ownerRow, ...conditions], puts, removes: [] })
+    for (const { machine, previous, settle } of records) {
+      if (res.ok) {
+        progress.versions.set(machine, res.value.version)
+        if (previous !== NO_VM) progress.ordered.set(machine, previous)
+      }
+      settle?.(res.ok)
     }
-    if (res.error.kind !== StoreFailureKind.Conflict) {
-      log.write(EventCode.StoreCallFailed, { call: 'write wave', wave, outcome: res.error.kind, reason: res.error.reason })
-      return false
+    if (!res.ok) this.applyFailure(wave, progress, records, res.error, log)
+    return res.ok
+  }
+
+  private applyFailure (wave: number, progress: StoredWave, records: readonly PendingRecord[], failure: StoreFailure, log: EventLog): void {
+    const { ownerRow } = this.options
+    if (failure.kind !== StoreFailureKind.Conflict) {
+      log.write(EventCode.StoreCallFailed, { call: 'write wave', wave, outcome: failure.kind, reason: failure.reason })
+      return
     }
-    const owner = res.error.rows.find((each) => each.table === ownerRow.table && each.key === ownerRow.key)
+    const owner = failure.rows.find((each) => each.table === ownerRow.table && each.key === ownerRow.key)
     if (owner?.version !== ownerRow.version) this.options.onSuperseded('write of a wave\'s row found another owner')
-    // Only the owner writes the row, so an earlier attempt with an unknown outcome was carried out after all.
-    progress.version = res.error.rows.find((each) => each.table === row.table && each.key === row.key)?.version ?? 0
-    return false
+    // Only the owner writes these rows, so an earlier attempt with an unknown outcome was carried out after all.
+    for (const { machine } of records) {
+      const row = failure.rows.find((each) => each.table === Table.Waves && each.key === `${wave}${KEY_SEPARATOR}${machine}`)
+      progress.versions.set(machine, row?.version ?? 0)
+    }
+  }
+}
+
+/** Stands for the VM of a machine that was marked as begun without an order. */
+const NO_VM: PreviousVm = { vmId: '', bornMs: 0 }
+
+/** Returns up to `limit` records, one for each machine. */
+function takeDistinct (records: readonly PendingRecord[], limit: number): PendingRecord[] {
+  const byMachine = new Map<string, PendingRecord>()
+  for (const record of records) {
+    if (byMachine.size < limit && !byMachine.has(record.machine)) byMachine.set(record.machine, record)
+  }
+  return [...byMachine.values()]
+}
+
+/** Adds a row to the progress of a wave. Earlier builds wrote one row for the whole wave, with the wave's number as its key. */
+function addStoredRow (progress: StoredWave, wave: number, row: StoredRow): void {
+  if (row.key === String(wave)) {
+    const whole = decodeWaveRow(row.value)
+    for (const [machine, vmId, bornMs] of whole?.ordered ?? []) progress.ordered.set(machine, { vmId, bornMs })
+    for (const machine of whole?.begun ?? []) progress.begun.add(machine)
+    return
   }
+  const prefix = `${wave}${KEY_SEPARATOR}`
+  const stored = row.key.startsWith(prefix) ? decodeWaveMachineRow(row.value) : undefined
+  if (stored === undefined) return
+  const machine = row.key.slice(prefix.length)
+  progress.versions.set(machine, row.version)
+  progress.ordered.set(machine, { vmId: stored.vmId, bornMs: stored.bornMs })
+  if (stored.begun) progress.begun.add(machine)
 }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -6,6 +6,12 @@
 export const shardOptions = {
   /** Period of the owner's heartbeats to every peer: several fit into the time after which the owner is suspected. */
   heartbeatPeriodMs: 250,
+  /**
+   * Number of daemons, in the order of succession, that get every heartbeat and are the first to suspect the owner. All others
+   * get one in `restHeartbeatInterval`, so that the owner's messages do not grow with the number of daemons.
+   */
+  nearSuccessors: 8,
+  restHeartbeatInterval: 4,
   /** Period of the store heartbeat, which proves that the owner still reaches the store. */
   storeHeartbeatPeriodMs: 700,
   /** Time without a heartbeat after which the owner is suspected: covers two lost heartbeats and one slow round of processing. */
@@ -98,6 +104,31 @@
   jobsPerRemoval: 20,
 } as const
 
+/** Constants for calls to VMs that other daemons make for an owner. */
+export const relayOptions = {
+  /** Number of VMs from which an owner uses relays; it can make the calls to fewer VMs itself, without the delay of a batch. */
+  minVms: 100,
+  /** Limit on the relays of an owner: each batch is one message, so more relays make smaller batches. */
+  maxRelays: 6,
+  /** Number of relays below which the owner makes all calls itself, as a single one would be no faster than the owner. */
+  minRelays: 2,
+  /** Time for which calls are collected into a batch. */
+  callBatchMs: 8,
+  /** Time for which answers are collected into a batch. */
+  answerBatchMs: 12,
+  /**
+   * Time limit of an order through a relay, and the slack of a renewal: the relay's own time limit of 600 ms, and the delays of
+   * batches and links.
+   */
+  orderTimeoutMs: 900,
+  /** Time for which a relay that did not answer a call gets no further ones. */
+  retryAfterMs: 3_000,
+  /** Period of checking whether the relays still answer heartbeats. */
+  checkPeriodMs: 100,
+  /** Time after which a relay closes its connections to a VM that it gets no calls for. */
+  idleClientMs: 10_000,
+} as const
+
 /** Constants for moves and maintenance of machines. */
 export const machineOptions = {
   /** Period of planning, and of advancing operations in progress. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -13,6 +13,7 @@
 import { MemberDirectory } from './MemberDirectory.js'
 import { ShardOwnership } from './ShardOwnership.js'
 import { StoreOutageMonitor } from './StoreOutageMonitor.js'
+import { VmCallRelay } from './VmCallRelay.js'
 
 enum JobPluginId {
   Peers = 'jobs-peers',
@@ -78,6 +79,7 @@
 
 class ShardPlugin implements Plugin {
   private readonly ownership: ShardOwnership
+  private readonly relay: VmCallRelay
 
   constructor (private readonly kernel: Kernel) {
     const { rows, feeds, vms, admissionService, machines } = kernel.get(JOBS_PLATFORM)
@@ -87,6 +89,7 @@
       network: kernel.get(NETWORK),
       members: kernel.get(MEMBERS),
     })
+    this.relay = VmCallRelay.create({ network: kernel.get(NETWORK), vms, timers: kernel.timers, log: kernel.log })
     kernel.provide(SHARD, this.ownership)
   }
 
@@ -96,6 +99,7 @@
 
   dispose (): void {
     this.ownership.dispose()
+    this.relay.dispose()
   }
 }
 
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -47,7 +47,7 @@
 export type MemberRow = z.infer<typeof memberRowSchema>
 
 /** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | VmEntry | WaveRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | VmEntry | WaveMachineRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -85,7 +85,23 @@
   return typeof entry?.id === 'string' && typeof entry.pool === 'string' ? entry : undefined
 }
 
-/** Progress of a maintenance wave. */
+/** Progress of one machine of a maintenance wave, whose maintenance was ordered or may have been ordered. */
+export interface WaveMachineRow {
+  /** VM that was on the machine, or an empty string if it had none. */
+  readonly vmId: string
+  /** Start time of that VM's incarnation. */
+  readonly bornMs: number
+  /** True if the maintenance has certainly begun, or the machine no longer exists. */
+  readonly begun: boolean
+}
+
+/** Decodes the progress of one machine. */
+export function decodeWaveMachineRow (bytes: Uint8Array): WaveMachineRow | undefined {
+  const row = decode(bytes) as WaveMachineRow | undefined
+  return typeof row?.vmId === 'string' && typeof row.bornMs === 'number' ? { vmId: row.vmId, bornMs: row.bornMs, begun: row.begun === true } : undefined
+}
+
+/** Progress of a maintenance wave, as earlier builds wrote it. */
 export interface WaveRow {
   /**
    * Machines whose maintenance was ordered or may have been ordered, each with the VM that was on it and the start time of
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -36,6 +36,9 @@
   /** Query to a shard's owner: the state of a job, or the number of pending jobs of a queue. */
   JobQuery = 'job-query',
   JobAnswer = 'job-answer',
+  /** Batch of calls to VMs that a daemon makes for the owner of a shard, and batch of their answers. */
+  VmCalls = 'vm-calls',
+  VmAnswers = 'vm-answers',
   /** Request to write a job or a cancellation to the store, from a daemon that the store answers late or not at all. */
   WriteRequest = 'write-request',
   WriteAnswer = 'write-answer',
@@ -113,6 +116,8 @@
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: nonNegativeInt, job: z.string().optional(), queue: z.string().optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobAnswer), seq: nonNegativeInt, state: z.enum(JobState).optional(), pending: nonNegativeInt.optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: nonNegativeInt, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.VmCalls), owner: z.string(), batch: z.instanceof(Uint8Array) }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.VmAnswers), owner: z.string(), batch: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteAnswer), seq: nonNegativeInt, outcome: z.enum(WriteOutcome), version: nonNegativeInt.optional() }),
 ] as const
 
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -34,6 +34,9 @@
  */
 const DRAINING_TASK_GRACE_MS = 1_200
 
+/** Period of checking leases, overdue runs and unanswered stops, whose time limits are all far longer. */
+const CHECK_PERIOD_MS = 50
+
 /**
  * Time for which a dropped job can't be added again. A read that began before the drop may still return the job, and the
  * longest read of a whole table takes far less than this.
@@ -71,6 +74,8 @@
   /** Ids of VMs that are forgotten here and whose records in the store can be removed, as a successor need not contact them. */
   readonly forgottenVms = new Set<string>()
   private readonly pacing = PaceController.create()
+  /** Time of the last checks that depend on time alone. */
+  private checkedAtMs = -Infinity
   private readonly arrivals = ArrivalMeter.create()
   /** Start times (`bornMs`) of retired VMs by id. Their registrations remain for a while and are ignored. */
   private readonly retiredVms = new Map<string, number>()
@@ -255,16 +260,23 @@
   /** Applies all policies to the present state and returns the resulting orders. */
   plan (clocks: ClockReadings, getTickets: PlacementContext['getTickets']): Order[] {
     const { nowMs } = clocks
-    this.handleExpiredLeases(nowMs)
+    const isCheckDue = nowMs - this.checkedAtMs >= CHECK_PERIOD_MS
+    if (isCheckDue) {
+      this.checkedAtMs = nowMs
+      this.handleExpiredLeases(nowMs)
+    }
     for (const [vmId, stopFiniteAtMs] of this.evacuations) {
       const vm = this.state.vms.get(vmId)
       if (vm !== undefined) evacuateVm(this.state, vm, nowMs, stopFiniteAtMs)
     }
-    restartOverdue(this.state, nowMs)
+    if (isCheckDue) restartOverdue(this.state, nowMs)
+    const vmsByPool = this.groupVmsByPool()
     for (const pool of this.state.openJobs.keys()) {
-      placeTasks(this.state, pool, { ...clocks, getTickets, mayStart: (job) => this.mayStart(job) })
+      const vms = vmsByPool.get(pool) ?? []
+      const mayStart = this.createStartCheck(vms)
+      placeTasks(this.state, pool, { ...clocks, vms, getTickets, mayStart })
     }
-    this.resendStops(nowMs)
+    if (isCheckDue) this.resendStops(nowMs)
     return this.state.takeOrders()
   }
 
@@ -322,16 +334,25 @@
     return count
   }
 
-  /**
-   * Returns true if tasks of the job may be started. A job that a previous owner may have started waits until the runs of
-   * each VM of its pool are known. For any other job it suffices that each of these VMs was called once.
-   */
-  private mayStart (job: TrackedJob): boolean {
+  private groupVmsByPool (): Map<string, TrackedVm[]> {
+    const vmsByPool = new Map<string, TrackedVm[]>()
     for (const vm of this.state.vms.values()) {
-      if (vm.entry.pool !== job.accepted.pool || vm.isReconciled) continue
-      if (job.mayHavePreviousRuns || !this.calledVms.has(vm.id)) return false
+      const vms = vmsByPool.get(vm.entry.pool)
+      if (vms === undefined) vmsByPool.set(vm.entry.pool, [vm])
+      else vms.push(vm)
     }
-    return true
+    return vmsByPool
+  }
+
+  /**
+   * Returns a function that tells whether tasks of a job of the pool with the given VMs may be started. A job that a previous
+   * owner may have started waits until the runs of each VM are known. For any other job it suffices that each VM was called once.
+   */
+  private createStartCheck (vms: readonly TrackedVm[]): (job: TrackedJob) => boolean {
+    const unreconciled = vms.filter((vm) => !vm.isReconciled)
+    const allKnown = unreconciled.length === 0
+    const allCalled = unreconciled.every((vm) => this.calledVms.has(vm.id))
+    return (job) => allKnown || (allCalled && !job.mayHavePreviousRuns)
   }
 
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -14,6 +14,8 @@
   readonly storeNowMs: number
   /** Wall clock in milliseconds since 1970, on which occurrences are due. */
   readonly wallClockMs: number
+  /** VMs of the pool. */
+  readonly vms: readonly TrackedVm[]
   /** Returns true if tasks of the job may be started, because the owner certainly knows all its runs. */
   mayStart (job: TrackedJob): boolean
   /** Returns the admission service's tickets for a step by VM id, or undefined if they have not arrived yet. */
@@ -24,7 +26,7 @@
 export function placeTasks (state: SchedulerState, pool: string, context: PlacementContext): void {
   const jobs = state.openJobs.get(pool)
   if (jobs === undefined || jobs.size === 0) return
-  const vms = [...state.vms.values()].filter((vm) => vm.entry.pool === pool && vm.isUsable(context.nowMs))
+  const vms = context.vms.filter((vm) => vm.isUsable(context.nowMs))
   if (vms.length === 0) return
   for (const { job } of rankJobs(state, jobs, context)) {
     for (const step of listReadySteps(job, context.wallClockMs)) {
