--- a/packages/integration/src/hedgedRowStore.test.ts
+++ b/packages/integration/src/hedgedRowStore.test.ts
@@ -50,11 +50,12 @@
 /** Runs a call to its end and returns its result with the time that it took. */
 async function play<T> (timers: FakeTimerService, call: Promise<T>): Promise<{ res: T, tookMs: number }> {
   const startedAtMs = timers.now()
-  let ended: { res: T, tookMs: number } | undefined
-  call.then((res) => { ended = { res, tookMs: timers.now() - startedAtMs } })
-  for (let index = 0; index < 1_000 && ended === undefined; index++) await timers.advance(4)
-  if (ended === undefined) throw new Error('the call did not end')
-  return ended
+  const ended: Array<{ res: T, tookMs: number }> = []
+  call.then((res) => { ended.push({ res, tookMs: timers.now() - startedAtMs }) })
+  for (let index = 0; index < 1_000 && ended.length === 0; index++) await timers.advance(4)
+  const [first] = ended
+  if (first === undefined) throw new Error('the call did not end')
+  return first
 }
 
 function put (value: string, version: number): RowTransaction {
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -26,6 +26,8 @@
   /** Number of daemons; 3 if not given. */
   readonly daemons?: number
   readonly naive?: NaiveOwner
+  /** Number of machines, a third of them in each pool and in standby; 12 if not given. */
+  readonly machines?: number
   /** Speeds of the daemons, in their order; 1 if not given. */
   readonly speeds?: readonly number[]
   /** Settings of all daemons that differ from the lab's defaults. */
@@ -66,6 +68,8 @@
   readonly peers: MemoryPeerNetwork
   readonly history: JobHistory
   readonly daemons: LabDaemon[] = []
+  /** Number of calls to VMs by the daemon that made them. */
+  readonly vmCalls = new Map<string, number>()
   private readonly waves = new Map<number, readonly string[]>()
   private nextJobNumber = 1
 
@@ -93,7 +97,7 @@
   async start (): Promise<void> {
     putOperatorConfiguration(this.store, createConfiguration())
     const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 }
-    for (let index = 0; index < 12; index++) this.fleet.addMachine(`m-${index}`, [...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL, `r-${Math.floor(index / 4)}`, capacity)
+    for (let index = 0; index < (this.options.machines ?? 12); index++) this.fleet.addMachine(`m-${index}`, [...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL, `r-${Math.floor(index / 4)}`, capacity)
     for (let index = 0; index < (this.options.daemons ?? 3); index++) {
       this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
       this.startDaemon(index)
@@ -116,7 +120,7 @@
       platform: {
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
-        vms: this.wrapVmClients(fleet),
+        vms: this.countCalls(entry.name, this.wrapVmClients(fleet)),
         machines: fleet,
         network: peers.connect(entry.address),
         openIngress: (api) => {
@@ -237,6 +241,26 @@
     }
   }
 
+  /** Wraps clients of VMs so that the calls of a daemon are counted. */
+  private countCalls (daemon: string, vms: VmClients): VmClients {
+    const count = <A, T>(call: (argument: A) => T) => (argument: A): T => {
+      this.vmCalls.set(daemon, (this.vmCalls.get(daemon) ?? 0) + 1)
+      return call(argument)
+    }
+    return {
+      open: (entry) => {
+        const client = vms.open(entry)
+        return {
+          start: count((call) => client.start(call)),
+          stop: count((call) => client.stop(call)),
+          pace: count((call) => client.pace(call)),
+          renew: count((call) => client.renew(call)),
+          dispose: () => client.dispose(),
+        }
+      },
+    }
+  }
+
   private wrapVmClients (vms: VmClients): VmClients {
     const { naive } = this.options
     return naive === undefined ? vms : { open: (entry) => createNaiveClient(vms.open(entry), naive) }
--- a/packages/integration/src/lib/load/sites.ts
+++ b/packages/integration/src/lib/load/sites.ts
@@ -73,24 +73,64 @@
 
 /** A small site: 35 machines of 16 cores. */
 export const SMALL_SITE = createSite({
-  machines: [6, 6, 8, 9, 6], machineCpuMillis: 16_000, machineMemoryMb: 32_768, jobsPerSecond: [5.05, 1.22, 6.32, 1.49], shortDurationMs: 1_000, shortCpuMillis: 880, wideCpuMillis: 1_900,
-  tasksPerStep: 6, worth: [0.518, 2.42], longRunningTasks: 5, machineSecondCost: 0.065, moveCost: 0.074,
+  machines: [6, 6, 8, 9, 6],
+  machineCpuMillis: 16_000,
+  machineMemoryMb: 32_768,
+  jobsPerSecond: [5.05, 1.22, 6.32, 1.49],
+  shortDurationMs: 1_000,
+  shortCpuMillis: 880,
+  wideCpuMillis: 1_900,
+  tasksPerStep: 6,
+  worth: [0.518, 2.42],
+  longRunningTasks: 5,
+  machineSecondCost: 0.065,
+  moveCost: 0.074,
 })
 
 /** A site of 35 machines of 32 cores with shorter tasks. */
 export const SHORT_TASK_SITE = createSite({
-  machines: [6, 6, 8, 9, 6], machineCpuMillis: 32_000, machineMemoryMb: 65_536, jobsPerSecond: [7.88, 1.24, 9.84, 1.52], shortDurationMs: 640, shortCpuMillis: 1_800, wideCpuMillis: 3_800,
-  tasksPerStep: 6, worth: [0.488, 3.48], longRunningTasks: 5, machineSecondCost: 0.096, moveCost: 0.11,
+  machines: [6, 6, 8, 9, 6],
+  machineCpuMillis: 32_000,
+  machineMemoryMb: 65_536,
+  jobsPerSecond: [7.88, 1.24, 9.84, 1.52],
+  shortDurationMs: 640,
+  shortCpuMillis: 1_800,
+  wideCpuMillis: 3_800,
+  tasksPerStep: 6,
+  worth: [0.488, 3.48],
+  longRunningTasks: 5,
+  machineSecondCost: 0.096,
+  moveCost: 0.11,
 })
 
 /** A site of 246 machines of 16 cores. */
 export const MEDIUM_SITE = createSite({
-  machines: [44, 49, 54, 60, 39], machineCpuMillis: 16_000, machineMemoryMb: 32_768, jobsPerSecond: [16.2, 5.1, 20.3, 6.24], shortDurationMs: 1_000, shortCpuMillis: 1_500, wideCpuMillis: 3_300,
-  tasksPerStep: 8, worth: [0.399, 1.43], longRunningTasks: 24, machineSecondCost: 0.022, moveCost: 0.025,
+  machines: [44, 49, 54, 60, 39],
+  machineCpuMillis: 16_000,
+  machineMemoryMb: 32_768,
+  jobsPerSecond: [16.2, 5.1, 20.3, 6.24],
+  shortDurationMs: 1_000,
+  shortCpuMillis: 1_500,
+  wideCpuMillis: 3_300,
+  tasksPerStep: 8,
+  worth: [0.399, 1.43],
+  longRunningTasks: 24,
+  machineSecondCost: 0.022,
+  moveCost: 0.025,
 })
 
 /** A site of 378 machines of 32 cores. */
 export const LARGE_SITE = createSite({
-  machines: [65, 75, 85, 91, 62], machineCpuMillis: 32_000, machineMemoryMb: 65_536, jobsPerSecond: [26.6, 5.4, 33.2, 6.61], shortDurationMs: 640, shortCpuMillis: 4_500, wideCpuMillis: 9_800,
-  tasksPerStep: 8, worth: [0.391, 2.16], longRunningTasks: 24, machineSecondCost: 0.023, moveCost: 0.026,
+  machines: [65, 75, 85, 91, 62],
+  machineCpuMillis: 32_000,
+  machineMemoryMb: 65_536,
+  jobsPerSecond: [26.6, 5.4, 33.2, 6.61],
+  shortDurationMs: 640,
+  shortCpuMillis: 4_500,
+  wideCpuMillis: 9_800,
+  tasksPerStep: 8,
+  worth: [0.391, 2.16],
+  longRunningTasks: 24,
+  machineSecondCost: 0.023,
+  moveCost: 0.026,
 })
--- a/packages/policy/src/lib/machines/PoolCapacityDemand.test.ts
+++ b/packages/policy/src/lib/machines/PoolCapacityDemand.test.ts
@@ -2,6 +2,7 @@
  * Demand of a pool, counted separately for jobs that can still end in time and jobs that can't.
  */
 import { assert, describe } from '@vanillathread/testing'
+import { ArrivalMeter } from './PoolCapacityDemand.js'
 import { createScheduler, createTestJob, createTestStep } from '../jobs/testSupport.js'
 
 describe('measureDemand', ({ it }) => {
@@ -23,3 +24,27 @@
     assert.is(scheduler.getDemand('pool', { nowMs: 1, storeNowMs: 1 }).busyCpuMillis, 2_000)
   })
 })
+
+describe('ArrivalMeter', ({ it }) => {
+  it('does not take one large job for high demand', () => {
+    const meter = ArrivalMeter.create()
+    meter.recordArrival('pool', 200_000, 900)
+    assert.equal(meter.getRate('pool', 1_000), { rate: 0, trend: 0 })
+  })
+
+  it('measures the rate and the rise of many arrivals', () => {
+    const meter = ArrivalMeter.create()
+    for (let index = 0; index < 4; index++) meter.recordArrival('pool', 1_000, 100 + index * 200)
+    for (let index = 0; index < 20; index++) meter.recordArrival('pool', 1_000, 1_000 + index * 50)
+    const { rate, trend } = meter.getRate('pool', 2_000)
+    assert.ok(rate > 17_000 && rate <= 20_000, `rate ${rate}`)
+    assert.ok(trend > 8_000 && trend <= 16_000, `trend ${trend}`)
+  })
+
+  it('takes a small difference between two windows for chance', () => {
+    const meter = ArrivalMeter.create()
+    for (let index = 0; index < 10; index++) meter.recordArrival('pool', 1_000, 50 + index * 90)
+    for (let index = 0; index < 12; index++) meter.recordArrival('pool', 1_000, 1_050 + index * 75)
+    assert.is(meter.getRate('pool', 2_000).trend, 0)
+  })
+})
