Count the certain part of a rise in demand in full

The trend counted 0.35, although its uncertain part has been taken off already.

Change: TREND_WEIGHT 1.

--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -52,7 +52,7 @@
 const PACKING_SHARE = 0.9
 
 /** Share of the predicted rise in demand that is counted. */
-const TREND_WEIGHT = 0.35
+const TREND_WEIGHT = 1
 
 /** The machines of one pool and the numbers of machines that it needs. */
 interface PoolBalance {
