--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -3,11 +3,12 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type PoolRules } from '@vanillathread/model'
-import { CapacityPlanner, planWave, WaveMachineState, type JobScheduler, type PlannedMachine, type TrackedVm, type WaveMachine } from '@vanillathread/policy'
+import { CapacityPlanner, type JobScheduler, type PlannedMachine, type TrackedVm } from '@vanillathread/policy'
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
-import { WaveProgressStore, type PreviousVm, type WaveProgress } from './WaveProgressStore.js'
+import { WavePlanner } from './WavePlanner.js'
+import { WaveProgressStore, type PreviousVm } from './WaveProgressStore.js'
 
 /** Options of {@link MachineController.create}. */
 export interface MachineControllerOptions {
@@ -62,8 +63,7 @@
   private readonly waves: WaveProgressStore
   private readonly planner: CapacityPlanner
   private readonly timer: Subscription
-  /** Number of consecutive lists that lacked a machine of a wave, by machine. */
-  private readonly missingListCounts = new Map<string, number>()
+  private readonly wavePlanner: WavePlanner
   /** Time at which the last list was requested, or minus infinity before the first one. */
   private listedAtMs = -Infinity
   private listInFlight = false
@@ -71,6 +71,13 @@
 
   private constructor (private readonly options: MachineControllerOptions) {
     this.waves = WaveProgressStore.create(options)
+    this.wavePlanner = WavePlanner.create({
+      ...options,
+      waves: this.waves,
+      findMachine: (id) => this.machinesById.get(id),
+      findOperation: (id) => this.operations.get(id),
+      findVm: (id) => this.findVm(id),
+    })
     this.planner = CapacityPlanner.create({ moveMs: options.settings.moveMs, ...machineOptions.capacity })
     this.timer = options.timers.every(machineOptions.periodMs, () => { this.runCycle() })
     this.refreshMachines(options.timers.now())
@@ -110,7 +117,7 @@
     this.refreshMachines(nowMs)
     if (this.listedAtMs < 0) return
     if (this.options.rows.getTimeSinceAnswerMs() > machineOptions.storeSilentMs) return
-    this.planWaves(nowMs)
+    for (const { machine, wave } of this.wavePlanner.plan(nowMs)) this.beginOperation({ machine, wave }, nowMs)
     this.planMoves(nowMs)
     this.evacuateNewVms()
     for (const operation of [...this.operations.values()]) this.advance(operation, nowMs)
@@ -133,11 +140,7 @@
     this.machinesById.clear()
     for (const machine of res.value) this.machinesById.set(machine.id, machine)
     this.retireMovedVms()
-    for (const wave of this.options.getWaves()) {
-      for (const id of wave.machines) {
-        if (!this.machinesById.has(id)) this.missingListCounts.set(id, (this.missingListCounts.get(id) ?? 0) + 1)
-      }
-    }
+    this.wavePlanner.recordList()
   }
 
   /**
@@ -153,71 +156,6 @@
     }
   }
 
-  private planWaves (nowMs: number): void {
-    for (const wave of this.options.getWaves()) {
-      const record = this.waves.get(wave.number)
-      if (record === undefined || record.complete) continue
-      this.markRemovedMachines(wave)
-      const machines = wave.machines.map((id) => this.describeWaveMachine(wave, id, record))
-      if (machines.every((machine) => machine.state === WaveMachineState.Ended)) {
-        this.waves.complete(wave)
-        continue
-      }
-      if (nowMs < this.options.ordersAllowedFromMs) continue
-      for (const id of this.listUnansweredOrders(wave, record)) this.beginOperation({ machine: id, wave: wave.number }, nowMs)
-      for (const id of planWave({ cap: wave.cap, machines, usableVmsByPool: this.countUsableVms(nowMs) })) this.beginOperation({ machine: id, wave: wave.number }, nowMs)
-    }
-  }
-
-  private describeWaveMachine (wave: MaintenanceWave, id: string, record: WaveProgress): WaveMachine {
-    const machine = this.machinesById.get(id)
-    const operation = this.operations.get(id)
-    const vm = this.findVm(id)
-    return {
-      id,
-      state: this.getWaveState(wave, id, record, operation),
-      pool: vm?.entry.pool ?? machine?.pool ?? '',
-      longRunningTasks: [...vm?.runs.values() ?? []].filter((run) => run.task.step.spec.longRunning).length,
-      usedCpuMillis: vm === undefined ? 0 : vm.entry.capacity.cpuMillis - vm.freeCpuMillis,
-      occupied: (operation !== undefined && operation.wave !== wave.number) || machine?.state === MachineState.Moving,
-    }
-  }
-
-  /**
-   * Returns a machine's state in a wave. Only the platform's answer proves that a maintenance has begun, as a new VM may
-   * have other causes.
-   */
-  private getWaveState (wave: MaintenanceWave, id: string, record: WaveProgress, operation: MachineOperation | undefined): WaveMachineState {
-    const { state } = this.machinesById.get(id) ?? {}
-    if (operation?.wave === wave.number) return operation.phase === 'evacuating' && !record.ordered.has(id) ? WaveMachineState.Evacuating : WaveMachineState.Down
-    if (state === MachineState.InMaintenance) return WaveMachineState.Down
-    if (record.begun.has(id)) return WaveMachineState.Ended
-    if (record.ordered.has(id)) return WaveMachineState.Down
-    return WaveMachineState.Due
-  }
-
-  /** Lists the machines whose maintenance a previous owner may have ordered without receiving the answer. */
-  private listUnansweredOrders (wave: MaintenanceWave, record: WaveProgress): string[] {
-    return wave.machines.filter((id) => record.ordered.has(id) && !record.begun.has(id) && !this.operations.has(id) && this.machinesById.get(id)?.state === MachineState.Up)
-  }
-
-  /** Marks a machine as begun in a wave if it has no VM and several consecutive lists lacked it, as it no longer exists. */
-  private markRemovedMachines (wave: MaintenanceWave): void {
-    for (const id of wave.machines) {
-      if (this.machinesById.has(id) || this.findVm(id) !== undefined) this.missingListCounts.delete(id)
-      else if ((this.missingListCounts.get(id) ?? 0) >= REMOVED_AFTER_LISTS) this.waves.markBegun(wave.number, id)
-    }
-  }
-
-  /** Counts the VMs that may get new tasks, by pool. */
-  private countUsableVms (nowMs: number): Map<string, number> {
-    const usableByPool = new Map<string, number>()
-    for (const vm of this.options.scheduler.state.vms.values()) {
-      if (vm.isUsable(nowMs)) usableByPool.set(vm.entry.pool, (usableByPool.get(vm.entry.pool) ?? 0) + 1)
-    }
-    return usableByPool
-  }
-
   private planMoves (nowMs: number): void {
     if (nowMs < this.options.ordersAllowedFromMs) return
     const clocks = { nowMs, storeNowMs: this.options.rows.getStoreClockMs() }
@@ -350,9 +288,3 @@
   if (answer.kind === 'refused') return answer.refusal
   return answer.kind === 'unknown' ? answer.reason : undefined
 }
-
-/**
- * Number of consecutive lists that must lack a machine before it counts as removed: one list may be read while the machine
- * changes its pool.
- */
-const REMOVED_AFTER_LISTS = 2
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -0,0 +1,70 @@
+/**
+ * The owner row of a shard and its owner's store heartbeat, in the store.
+ */
+import type { Result } from '@vanillathread/model'
+import { StoreFailureKind, type RowCommit, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
+import { decodeOwnerRow, decodeStoreHeartbeatRow, encodeRow, Table, type OwnerRow } from './rows.js'
+
+/** Key of a shard's owner row and of its store heartbeat. */
+const OWNER_KEY = 'owner'
+
+/** An owner row with its version, which is the fencing token. */
+export interface VersionedOwner {
+  readonly value: OwnerRow
+  readonly version: number
+}
+
+/** A store heartbeat: the version of its row, and its age by the store's clock. */
+export interface StoreHeartbeat {
+  readonly version: number
+  readonly ageMs: number
+}
+
+/** Reads and writes the records of one shard's owner. */
+export class OwnerRecord {
+  private constructor (private readonly rows: RowStore, private readonly shard: string) {}
+
+  static create (options: { rows: RowStore, shard: string }): OwnerRecord {
+    return new OwnerRecord(options.rows, options.shard)
+  }
+
+  /** Name of the owner row. */
+  get key (): { readonly table: string, readonly part: string, readonly key: string } {
+    return { table: Table.Shards, part: this.shard, key: OWNER_KEY }
+  }
+
+  /** Reads the owner row. Returns 'unavailable' if the store does not answer, undefined if there is no valid row. */
+  async read (): Promise<VersionedOwner | undefined | 'unavailable'> {
+    const res = await this.rows.readRange({ table: Table.Shards, part: this.shard })
+    if (!res.ok) return 'unavailable'
+    const stored = res.value.rows.find((row) => row.key === OWNER_KEY)
+    const value = stored === undefined ? undefined : decodeOwnerRow(stored.value)
+    return stored === undefined || value === undefined ? undefined : { value, version: stored.version }
+  }
+
+  /** Writes the owner row, with the first store heartbeat of a new owner, on condition that it has the expected version. */
+  write (value: OwnerRow, expectedVersion: number, withHeartbeat: boolean): Promise<Result<RowCommit, StoreFailure>> {
+    const puts = [{ ...this.key, value: encodeRow(value) }, ...(withHeartbeat ? [this.createHeartbeat()] : [])]
+    return this.rows.transact({ conditions: [{ ...this.key, version: expectedVersion }], puts, removes: [] })
+  }
+
+  /** Writes a store heartbeat. Returns false if the store shows another owner. */
+  async writeHeartbeat (fencingToken: number): Promise<boolean> {
+    const res = await this.rows.transact({ conditions: [{ ...this.key, version: fencingToken }], puts: [this.createHeartbeat()], removes: [] })
+    return res.ok || res.error.kind !== StoreFailureKind.Conflict
+  }
+
+  /** Reads the store heartbeat, or returns undefined if the store does not answer. */
+  async readHeartbeat (): Promise<StoreHeartbeat | undefined> {
+    const res = await this.rows.readRange({ table: Table.StoreHeartbeats, part: this.shard })
+    if (!res.ok) return undefined
+    const row = res.value.rows[0]
+    // The row holds the store's clock at its write, so a single read shows the heartbeat's age.
+    const writtenAtMs = (row === undefined ? undefined : decodeStoreHeartbeatRow(row.value)) ?? 0
+    return { version: row?.version ?? 0, ageMs: this.rows.getStoreClockMs() - writtenAtMs }
+  }
+
+  private createHeartbeat (): RowPut {
+    return { table: Table.StoreHeartbeats, part: this.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.rows.getStoreClockMs()) }) }
+  }
+}
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
-import { JobScheduler, type Order, type TrackedVm } from '@vanillathread/policy'
+import { JobScheduler, type TrackedVm } from '@vanillathread/policy'
 import type { AdmissionService, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop } from './CommitLoop.js'
@@ -14,7 +14,7 @@
 import type { JobsSettings } from './JobsSettings.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
-import { VmSession } from './VmSession.js'
+import { VmSessions } from './VmSessions.js'
 
 /** Services and settings that an owner uses. */
 export interface ShardOwnerContext {
@@ -44,7 +44,7 @@
 /** Loads a shard from the store, schedules its jobs and commits their progress. */
 export class ShardOwner {
   readonly scheduler: JobScheduler
-  private readonly sessions = new Map<string, VmSession>()
+  private readonly sessions: VmSessions
   /** Admission tickets. */
   private readonly advice: TicketCache
   private commitLoop: CommitLoop | undefined
@@ -69,6 +69,13 @@
       startedAtMs: this.startedAtMs,
       logDecision: (code, fields) => log.write(code, fields),
     })
+    this.sessions = VmSessions.create({
+      ...options,
+      scheduler: this.scheduler,
+      fencingToken: options.ownerRow.version,
+      leaseMs: this.leaseMs,
+      onChange: () => this.onChange(),
+    })
     this.advice = TicketCache.create({ timers, log, admissionService: options.admissionService, onChange: () => this.requestPlan() })
   }
 
@@ -84,6 +91,11 @@
     return this.options.shard
   }
 
+  /** Time since the takeover. */
+  get ageMs (): number {
+    return this.options.timers.now() - this.startedAtMs
+  }
+
   /** True while this owner schedules the shard's jobs. */
   get isLoaded (): boolean {
     return this.loaded
@@ -128,7 +140,7 @@
     this.loaded = false
     // Further reports and registrations would make changes faster than they are committed. The successor gets them itself.
     this.feeds?.dispose()
-    this.disposeSessions()
+    this.sessions.dispose()
     await this.commitLoop?.flush(limitMs)
     this.dispose()
   }
@@ -137,7 +149,7 @@
     this.disposed = true
     this.loaded = false
     this.planTimer?.dispose()
-    this.disposeSessions()
+    this.sessions.dispose()
     this.commitLoop?.dispose()
     this.machineController?.dispose()
     this.feeds?.dispose()
@@ -145,11 +157,6 @@
     this.advice.dispose()
   }
 
-  private disposeSessions (): void {
-    for (const session of this.sessions.values()) session.dispose()
-    this.sessions.clear()
-  }
-
   requestPlan (): void {
     if (this.planScheduled || !this.loaded) return
     this.planScheduled = true
@@ -223,18 +230,12 @@
     const { timers, rows } = this.options
     const clocks = { nowMs: timers.now(), storeNowMs: rows.getStoreClockMs(), wallClockMs: timers.wallClock() }
     const orders = this.scheduler.plan(clocks, (step) => this.advice.getTickets(step, this.listUsableVms(step.occurrence.job.accepted.pool)))
-    for (const order of orders) this.execute(order)
-    this.closeForgottenSessions()
+    for (const order of orders) this.sessions.execute(order)
+    this.sessions.closeForgotten()
     if (this.scheduler.state.jobsToRead.size > 0) this.readUnknownJobs()
     if (this.scheduler.listJobsToStore().length > 0) this.commitLoop?.request()
   }
 
-  private execute (order: Order): void {
-    const session = this.sessions.get(order.run.vmId)
-    // A forgotten VM has no session and no runs, so an order for it is dropped.
-    session?.execute(order)
-  }
-
   private listUsableVms (pool: string): TrackedVm[] {
     const nowMs = this.options.timers.now()
     return [...this.scheduler.state.vms.values()].filter((vm) => vm.entry.pool === pool && vm.isUsable(nowMs))
@@ -246,39 +247,10 @@
   }
 
   private onCommitted (): void {
-    for (const session of this.sessions.values()) session.resumeAfterCommit()
+    this.sessions.resumeAfterCommit()
     this.requestPlan()
   }
 
-  private openSession (vm: TrackedVm): void {
-    const { vms, log } = this.options
-    const session = VmSession.create({
-      vm,
-      client: vms.open(vm.entry),
-      scheduler: this.scheduler,
-      timers: this.options.timers,
-      fencingToken: this.fencingToken,
-      leaseMs: this.leaseMs,
-      onChange: () => this.onChange(),
-      onFenced: (vmId) => this.options.onSuperseded(`VM ${vmId} has seen a higher fencing token`),
-      onReplaced: (vmId) => {
-        this.scheduler.forgetVm(vmId, 'another VM answers at its address')
-        this.closeForgottenSessions()
-      },
-      onResponsive: (vmId, unresponsiveForMs) => log.write(EventCode.VmAnswers, { vm: vmId, silentMs: Math.round(unresponsiveForMs) }),
-    })
-    this.sessions.set(vm.id, session)
-    session.run()
-  }
-
-  private closeForgottenSessions (): void {
-    for (const [id, session] of this.sessions) {
-      if (this.scheduler.state.vms.has(id)) continue
-      session.dispose()
-      this.sessions.delete(id)
-    }
-  }
-
   /** Applies changes of registrations, and opens a session to each VM that has none. */
   private applyVms (changes: readonly VmChange[]): void {
     const { log, timers } = this.options
@@ -287,9 +259,7 @@
       else this.scheduler.unregisterVm(change.id, timers.now())
       if (change.fault !== undefined) log.write(EventCode.VmEntryInvalid, { vm: change.id, reason: change.fault })
     }
-    for (const vm of this.scheduler.state.vms.values()) {
-      if (!this.sessions.has(vm.id)) this.openSession(vm)
-    }
+    this.sessions.openMissing()
     this.machineController?.evacuateNewVms()
     this.onChange()
   }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -3,15 +3,17 @@
  */
 import type { Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
-import { rankSuccessors, shouldHandOver, type OwnerCandidate } from '@vanillathread/policy'
-import { StoreFailureKind, type RowPut } from '@vanillathread/ports'
+import { StoreFailureKind } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
-import { relayOptions, shardOptions } from './jobOptions.js'
+import { shardOptions } from './jobOptions.js'
 import type { MemberDirectory } from './MemberDirectory.js'
-import { decodeStoreHeartbeatRow, decodeOwnerRow, encodeRow, Table, type OwnerRow } from './rows.js'
-import { RelayedVmClients, type Relay } from './RelayedVmClients.js'
+import { OwnerRecord, type VersionedOwner } from './OwnerRecord.js'
+import { OwnerWatch } from './OwnerWatch.js'
+import { RelayedVmClients } from './RelayedVmClients.js'
+import type { OwnerRow } from './rows.js'
 import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
+import { Succession, type Reign } from './Succession.js'
 
 /** Options of {@link ShardOwnership.create}. */
 export interface ShardOwnershipOptions {
@@ -31,34 +33,16 @@
 /** A daemon's knowledge of a shard's owner, and its own ownership if it has taken the shard over. */
 export class ShardOwnership {
   /** Newest owner row known, from the store or from a heartbeat. */
-  private row: { readonly value: OwnerRow, readonly version: number } | undefined
+  private row: VersionedOwner | undefined
   /** True if this daemon may decide on a takeover by `row`; otherwise, the row must be read from the store first. */
   private rowCurrent = false
   /** This daemon's ownership, if it owns the shard. */
   private localOwner: ShardOwner | undefined
-  /**
-   * Time of the owner's last heartbeat, or the time at which this daemon started, learned of the owner or stepped down,
-   * whichever is latest.
-   */
-  private ownerHeartbeatAtMs: number
-  /** Time for which the store had not answered the owner, as of its last heartbeat. */
-  private ownerStoreSilentMs = 0
-  /** Time since which this daemon knows that the shard has no owner. */
-  private vacantSinceMs: number | undefined
-  /** Version of a suspected owner's store heartbeat, and the time at which it was first read. */
-  private storeHeartbeat: { version: number, sinceMs: number } | undefined
-  private suspectCheckedAtMs = 0
-  private tookOverAtMs = 0
-  /** Time at which this daemon learned of the current owner. */
-  private ownerKnownSinceMs = -Infinity
-  /** Times at which peers that can reach the store last answered a heartbeat, by name. */
-  private readonly peerAckTimesMs = new Map<string, number>()
+  private readonly watch: OwnerWatch
+  private readonly record: OwnerRecord
+  private readonly succession: Succession
   /** Clients through which this daemon calls VMs while it owns the shard. */
   private readonly vmClients: RelayedVmClients
-  /** Daemons that make this owner's calls to VMs, as of the last heartbeat. */
-  private relays: readonly Relay[] = []
-  /** Number of times at which heartbeats were sent. */
-  private heartbeatCount = 0
   /** True while a check of the ownership is in progress. */
   private busy = false
   private stopping = false
@@ -66,9 +50,11 @@
 
   private constructor (private readonly options: ShardOwnershipOptions) {
     const { network, context } = options
-    this.ownerHeartbeatAtMs = context.timers.now()
+    this.watch = OwnerWatch.create(context.timers)
+    this.record = OwnerRecord.create({ rows: context.rows, shard: options.shard })
+    this.succession = Succession.create({ shard: options.shard, settings: context.settings, timers: context.timers, members: options.members })
     this.vmClients = RelayedVmClients.create({
-      owner: context.settings.name, direct: context.vms, network, timers: context.timers, log: context.log, getRelays: () => this.relays,
+      owner: context.settings.name, direct: context.vms, network, timers: context.timers, log: context.log, getRelays: () => this.succession.relays,
     })
     network.on(PeerMessageKind.ShardHeartbeat, (message, reply) => {
       this.applyHeartbeat(message)
@@ -77,7 +63,7 @@
       reply({ kind: PeerMessageKind.ShardHeartbeatAck, name: this.name, shard: options.shard, fencingToken: this.knownFencingToken, storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()) })
     })
     network.on(PeerMessageKind.ShardHeartbeatAck, ({ name, fencingToken, storeSilentMs }) => {
-      if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.peerAckTimesMs.set(name, context.timers.now())
+      if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.succession.recordAnswer(name)
       if (this.localOwner !== undefined && fencingToken > this.localOwner.fencingToken) this.stepDown('a peer knows a newer owner')
     })
     network.on(PeerMessageKind.ShardReleased, ({ fencingToken, successor }) => {
@@ -129,6 +115,10 @@
     return this.row?.version ?? 0
   }
 
+  private get reign (): Reign {
+    return { owner: this.row?.value.owner, fencingToken: this.knownFencingToken }
+  }
+
   private async checkOwnership (): Promise<void> {
     if (this.busy || this.stopping) return
     this.busy = true
@@ -146,22 +136,17 @@
    */
   private async checkKnownOwner (): Promise<void> {
     if (!this.rowCurrent && !await this.readRow()) return
-    const nowMs = this.options.context.timers.now()
+    const { watch, succession, reign } = this
     const owner = this.row?.value.owner ?? ''
-    if (owner === this.name) return this.isMuchSlower(this.options.members.candidates) ? this.release(this.knownFencingToken) : this.takeOver('this daemon held the shard before it restarted')
+    if (owner === this.name) return succession.isFasterKnown() ? this.release(this.knownFencingToken) : this.takeOver('this daemon held the shard before it restarted')
     if (owner === '') {
-      this.vacantSinceMs ??= nowMs
-      if (nowMs - this.vacantSinceMs >= this.getTakeoverDelayMs()) await this.takeOver('no owner')
+      if (watch.getVacantForMs() >= succession.getTakeoverDelayMs(reign)) await this.takeOver('no owner')
       return
     }
-    this.vacantSinceMs = undefined
-    const sinceHeartbeatMs = nowMs - this.ownerHeartbeatAtMs
-    const heartbeatsOverdue = sinceHeartbeatMs > shardOptions.suspectAfterMs && sinceHeartbeatMs > this.getSuspectAfterMs()
-    if (!heartbeatsOverdue && this.ownerStoreSilentMs < shardOptions.ownerStoreSilentMs * this.timeoutFactor) {
-      this.storeHeartbeat = undefined
-      return
-    }
-    if (nowMs - this.suspectCheckedAtMs >= shardOptions.suspectCheckPeriodMs) await this.checkSuspectedOwner(heartbeatsOverdue, sinceHeartbeatMs)
+    watch.recordOccupied()
+    const heartbeatsOverdue = watch.sinceHeartbeatMs > shardOptions.suspectAfterMs && watch.sinceHeartbeatMs > succession.getSuspectAfterMs(reign)
+    if (!heartbeatsOverdue && !watch.isStoreOverdue()) watch.endSuspicion()
+    else if (watch.beginCheck()) await this.checkSuspectedOwner(heartbeatsOverdue)
   }
 
   /**
@@ -169,39 +154,29 @@
    *
    * @param heartbeatsOverdue - True if the owner's heartbeats stopped, false if only the store does not answer it.
    */
-  private async checkSuspectedOwner (heartbeatsOverdue: boolean, sinceHeartbeatMs: number): Promise<void> {
-    const { context } = this.options
-    const { timers, log, rows } = context
-    this.suspectCheckedAtMs = timers.now()
+  private async checkSuspectedOwner (heartbeatsOverdue: boolean): Promise<void> {
+    const { watch, options: { shard, network, context } } = this
     const address = this.remoteOwner?.address
-    if (this.storeHeartbeat === undefined) {
-      log.write(EventCode.OwnerDoubted, { shard: this.options.shard, owner: this.row?.value.owner, silentMs: Math.round(sinceHeartbeatMs), ownerStoreSilentMs: this.ownerStoreSilentMs })
+    if (watch.isNewSuspicion) {
+      context.log.write(EventCode.OwnerDoubted, { shard, owner: this.row?.value.owner, silentMs: Math.round(watch.sinceHeartbeatMs), ownerStoreSilentMs: watch.ownerStoreSilentMs })
     }
-    if (heartbeatsOverdue && address !== undefined && await this.options.network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver('owner process is gone')
+    if (heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver('owner process is gone')
     const suspectedToken = this.knownFencingToken
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
-    const res = await rows.readRange({ table: Table.StoreHeartbeats, part: this.options.shard })
-    if (!res.ok) return
-    const row = res.value.rows[0]
-    const nowMs = timers.now()
-    // The row holds the store's clock at its write, so a single read shows the heartbeat's age.
-    const ageMs = rows.getStoreClockMs() - ((row === undefined ? undefined : decodeStoreHeartbeatRow(row.value)) ?? 0)
-    this.storeHeartbeat ??= { version: row?.version ?? 0, sinceMs: nowMs }
-    if (this.storeHeartbeat.version !== (row?.version ?? 0)) this.storeHeartbeat = { version: row?.version ?? 0, sinceMs: nowMs }
-    if (Math.max(ageMs, nowMs - this.storeHeartbeat.sinceMs) >= shardOptions.storeHeartbeatTimeoutMs * this.timeoutFactor + this.getTakeoverDelayMs()) await this.takeOver('owner does not reach the store')
+    const heartbeat = await this.record.readHeartbeat()
+    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.reign))) await this.takeOver('owner does not reach the store')
   }
 
   /** Takes the shard over by writing the owner row, on condition that it is still the known one. */
   private async takeOver (reason: string): Promise<void> {
     if (this.stopping) return
     const { context, shard } = this.options
-    const { settings, log, rows } = context
+    const { settings, log } = context
     const generation = this.row === undefined ? 0 : this.row.value.generation + 1
-    const value: OwnerRow = { owner: this.name, host: settings.peer.host, port: settings.peer.port, generation }
-    const key = { table: Table.Shards, part: shard, key: OWNER_KEY }
+    const value: OwnerRow = { owner: this.name, ...settings.peer, generation }
     const former = this.row?.value.owner
-    const res = await rows.transact({ conditions: [{ ...key, version: this.knownFencingToken }], puts: [{ ...key, value: encodeRow(value) }, this.createStoreHeartbeat()], removes: [] })
+    const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
       log.write(EventCode.StoreCallFailed, { call: 'take shard', shard, outcome: res.error.kind })
@@ -209,7 +184,6 @@
       return
     }
     this.row = { value, version: res.value.version }
-    this.tookOverAtMs = context.timers.now()
     log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former, reason })
     if (this.stopping) return
     this.localOwner = ShardOwner.create({
@@ -217,7 +191,7 @@
       vms: this.vmClients,
       shard,
       generation,
-      ownerRow: { ...key, version: res.value.version },
+      ownerRow: { ...this.record.key, version: res.value.version },
       onSuperseded: (why) => this.stepDown(why),
     })
     this.sendHeartbeats()
@@ -231,7 +205,7 @@
     this.localOwner = undefined
     localOwner.dispose()
     this.rowCurrent = false
-    this.ownerHeartbeatAtMs = this.options.context.timers.now()
+    this.watch.recordStepDown()
     this.options.context.log.write(EventCode.ShardLost, { shard: this.options.shard, fencingToken: localOwner.fencingToken, reason })
   }
 
@@ -239,22 +213,14 @@
   private async release (fencingToken: number): Promise<void> {
     const { context, shard, network, members } = this.options
     const generation = this.row?.value.generation ?? 0
-    const key = { table: Table.Shards, part: shard, key: OWNER_KEY }
-    const value: OwnerRow = { owner: '', host: '', port: 0, generation }
-    const res = await context.rows.transact({ conditions: [{ ...key, version: fencingToken }], puts: [{ ...key, value: encodeRow(value) }], removes: [] })
+    const res = await this.record.write({ owner: '', host: '', port: 0, generation }, fencingToken, false)
     this.rowCurrent = false
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
-    const successor = this.chooseSuccessor()
+    const successor = this.succession.chooseSuccessor(this.knownFencingToken)
     for (const { address } of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version, successor })
   }
 
-  /** Returns the first daemon in the order of succession that answered the last heartbeats and reaches the store. */
-  private chooseSuccessor (): string | undefined {
-    const answering = this.getAnsweringCandidates()
-    return rankSuccessors(`${this.options.shard}/${this.knownFencingToken}`, answering)[0]
-  }
-
   /** Takes a released shard over at once if its former owner named this daemon; others do so after their delay. */
   private async applyRelease (successor: string | undefined): Promise<void> {
     if (!await this.readRow() || successor !== this.name || this.busy || this.row?.value.owner !== '') return
@@ -266,23 +232,14 @@
     }
   }
 
-  /** Returns the other daemons that answered a heartbeat a short time ago and reach the store. */
-  private getAnsweringCandidates (): OwnerCandidate[] {
-    const nowMs = this.options.context.timers.now()
-    return this.options.members.candidates.filter(({ name }) => name !== this.name && nowMs - (this.peerAckTimesMs.get(name) ?? -Infinity) < shardOptions.suspectAfterMs)
-  }
-
   /** Reads the owner row from the store. Returns false if the store did not answer. */
   private async readRow (): Promise<boolean> {
-    const { context, shard } = this.options
-    const res = await context.rows.readRange({ table: Table.Shards, part: shard })
-    if (!res.ok) return false
-    const stored = res.value.rows.find((row) => row.key === OWNER_KEY)
-    const value = stored === undefined ? undefined : decodeOwnerRow(stored.value)
+    const stored = await this.record.read()
+    if (stored === 'unavailable') return false
     this.rowCurrent = true
-    if (stored === undefined || value === undefined) return true
-    if (stored.version > this.knownFencingToken) this.setKnownOwner(value, stored.version)
-    else if (stored.version === this.knownFencingToken) this.row = { value, version: stored.version }
+    if (stored === undefined) return true
+    if (stored.version > this.knownFencingToken) this.setKnownOwner(stored.value, stored.version)
+    else if (stored.version === this.knownFencingToken) this.row = stored
     return true
   }
 
@@ -294,23 +251,18 @@
       this.setKnownOwner({ owner: message.owner, host: message.address.host, port: message.address.port, generation }, message.fencingToken)
       this.rowCurrent = false
     }
-    this.ownerHeartbeatAtMs = this.options.context.timers.now()
-    this.ownerStoreSilentMs = message.storeSilentMs
+    this.watch.recordHeartbeat(message.storeSilentMs)
   }
 
   private setKnownOwner (value: OwnerRow, version: number): void {
     this.row = { value, version }
-    this.ownerKnownSinceMs = this.options.context.timers.now()
-    this.ownerHeartbeatAtMs = this.options.context.timers.now()
-    this.ownerStoreSilentMs = 0
-    this.storeHeartbeat = undefined
-    this.vacantSinceMs = undefined
+    this.watch.recordNewOwner()
     this.options.context.log.write(EventCode.OwnerKnown, { shard: this.options.shard, owner: value.owner, fencingToken: version })
     if (this.localOwner !== undefined && this.localOwner.fencingToken < version) this.stepDown('another daemon owns the shard')
   }
 
   private sendHeartbeats (): void {
-    const { context, network, members, shard } = this.options
+    const { context, network, shard } = this.options
     if (this.localOwner === undefined) return
     const message = {
       kind: PeerMessageKind.ShardHeartbeat,
@@ -320,62 +272,21 @@
       fencingToken: this.localOwner.fencingToken,
       storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()),
     } as const
-    const near = new Set(this.listNearSuccessors(this.name))
-    const isForAll = this.heartbeatCount++ % shardOptions.restHeartbeatInterval === 0
-    for (const { name, address } of members.others) {
-      if (isForAll || near.has(name)) network.sendExpectingReply(address, message)
-    }
-    this.relays = this.chooseRelays()
-  }
-
-  /** Returns the first daemons in the order of succession after an owner. */
-  private listNearSuccessors (owner: string | undefined): string[] {
-    return this.rankSuccessorsOf(owner).slice(0, shardOptions.nearSuccessors)
-  }
-
-  private rankSuccessorsOf (owner: string | undefined): string[] {
-    return rankSuccessors(`${this.options.shard}/${this.knownFencingToken}`, this.options.members.candidates.filter(({ name }) => name !== owner))
-  }
-
-  /** Returns the daemons that make calls to VMs for this owner: fast ones that answer, if there are many VMs. */
-  private chooseRelays (): Relay[] {
-    if ((this.localOwner?.scheduler.state.vms.size ?? 0) < relayOptions.minVms) return []
-    const answering = this.getAnsweringCandidates()
-    const fastest = Math.max(...answering.map(({ speed }) => speed))
-    const fast = answering.filter(({ speed }) => speed >= fastest / 2).map(({ name }) => name).sort()
-    const addresses = new Map(this.options.members.others.map(({ name, address }) => [name, address]))
-    return fast.slice(0, relayOptions.maxRelays).flatMap((name) => {
-      const address = addresses.get(name)
-      return address === undefined ? [] : [{ name, address }]
-    })
+    for (const address of this.succession.nextHeartbeatTargets(this.reign)) network.sendExpectingReply(address, message)
+    this.succession.updateRelays(this.localOwner.scheduler.state.vms.size)
   }
 
   /** Writes the store heartbeat, and steps down if the store shows another owner. */
   private async writeStoreHeartbeat (): Promise<void> {
-    const { context, shard } = this.options
     const { localOwner } = this
     if (localOwner === undefined) return
-    const ownerKey = { table: Table.Shards, part: shard, key: OWNER_KEY }
-    const res = await context.rows.transact({ conditions: [{ ...ownerKey, version: localOwner.fencingToken }], puts: [this.createStoreHeartbeat()], removes: [] })
-    if (!res.ok && res.error.kind === StoreFailureKind.Conflict && this.localOwner === localOwner) this.stepDown('the store names another owner')
-  }
-
-  /**
-   * Factor on the timeouts for reaching the store. It is higher for a new owner, as reading the whole shard may delay its
-   * store heartbeats.
-   */
-  private get timeoutFactor (): number {
-    return this.options.context.timers.now() - this.ownerKnownSinceMs < shardOptions.newOwnerMs ? shardOptions.newOwnerTimeoutFactor : 1
-  }
-
-  private createStoreHeartbeat (): RowPut {
-    return { table: Table.StoreHeartbeats, part: this.options.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.options.context.rows.getStoreClockMs()) }) }
+    if (!await this.record.writeHeartbeat(localOwner.fencingToken) && this.localOwner === localOwner) this.stepDown('the store names another owner')
   }
 
   /** Hands the shard over if a much faster daemon answers heartbeats and reaches the store. */
   private async handOverIfSlow (localOwner: ShardOwner): Promise<void> {
-    const { timers, settings, log } = this.options.context
-    if (timers.now() - this.tookOverAtMs < shardOptions.handOverAfterMs || !this.isMuchSlower(this.getAnsweringCandidates())) return
+    const { settings, log } = this.options.context
+    if (localOwner.ageMs < shardOptions.handOverAfterMs || !this.succession.isFasterAnswering()) return
     log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: localOwner.fencingToken, speed: settings.speed, reason: 'a much faster daemon is available' })
     await this.handOver(localOwner, shardOptions.handOverLimitMs)
   }
@@ -387,25 +298,4 @@
     this.localOwner = undefined
     await this.release(localOwner.fencingToken)
   }
-
-  private isMuchSlower (others: readonly OwnerCandidate[]): boolean {
-    return shouldHandOver({ name: this.name, speed: this.options.context.settings.speed }, others)
-  }
-
-  /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
-  private getSuspectAfterMs (): number {
-    const missedMs = this.listNearSuccessors(this.row?.value.owner).includes(this.name) ? 0 : (shardOptions.restHeartbeatInterval - 1) * shardOptions.heartbeatPeriodMs
-    return shardOptions.suspectAfterMs + this.getTakeoverDelayMs() + 3 * missedMs
-  }
-
-  /**
-   * Returns the delay before this daemon tries to take over. Daemons try one after another, fast ones first, in an order
-   * that depends on the fencing token.
-   */
-  private getTakeoverDelayMs (): number {
-    return Math.max(0, this.rankSuccessorsOf(this.row?.value.owner).indexOf(this.name)) * shardOptions.takeoverRankDelayMs
-  }
 }
-
-/** Key of a shard's owner row and of its store heartbeat. */
-const OWNER_KEY = 'owner'
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/Succession.ts
@@ -0,0 +1,138 @@
+/**
+ * Order in which the daemons take a shard over, and the daemons that answer its owner.
+ */
+import type { TimerService } from '@vanillathread/kernel'
+import type { Address } from '@vanillathread/model'
+import { rankSuccessors, shouldHandOver, type OwnerCandidate } from '@vanillathread/policy'
+import { relayOptions, shardOptions } from './jobOptions.js'
+import type { JobsSettings } from './JobsSettings.js'
+import type { MemberDirectory } from './MemberDirectory.js'
+import type { Relay } from './RelayedVmClients.js'
+
+/** Options of {@link Succession.create}. */
+export interface SuccessionOptions {
+  readonly shard: string
+  readonly settings: JobsSettings
+  readonly timers: TimerService
+  readonly members: MemberDirectory
+}
+
+/** The owner of a shard and its fencing token, on which the order of succession depends. */
+export interface Reign {
+  /** Name of the owner, or undefined if none is known. */
+  readonly owner: string | undefined
+  readonly fencingToken: number
+}
+
+/** Ranks the daemons that this daemon knows. */
+export class Succession {
+  /** Times at which peers that reach the store last answered a heartbeat of this daemon, by name. */
+  private readonly answeredAtMs = new Map<string, number>()
+
+  /** Number of times at which this daemon, as the owner, sent heartbeats. */
+  private heartbeatCount = 0
+  private chosenRelays: readonly Relay[] = []
+
+  private constructor (private readonly options: SuccessionOptions) {}
+
+  static create (options: SuccessionOptions): Succession {
+    return new Succession(options)
+  }
+
+  /** Records that a peer that reaches the store has answered a heartbeat. */
+  recordAnswer (name: string): void {
+    this.answeredAtMs.set(name, this.options.timers.now())
+  }
+
+  /** Daemons that make calls to VMs for this daemon as the owner of many VMs, as of the last heartbeat. */
+  get relays (): readonly Relay[] {
+    return this.chosenRelays
+  }
+
+  /**
+   * Returns the addresses that get the owner's next heartbeat: the near successors each time, all daemons at every
+   * `restHeartbeatInterval`-th time.
+   */
+  nextHeartbeatTargets (reign: Reign): Address[] {
+    const isForAll = this.heartbeatCount++ % shardOptions.restHeartbeatInterval === 0
+    const near = new Set(this.listNear(reign))
+    return this.options.members.others.filter(({ name }) => isForAll || near.has(name)).map(({ address }) => address)
+  }
+
+  /**
+   * Returns the delay before this daemon tries to take over. Daemons try one after another, fast ones first, in an order
+   * that depends on the fencing token.
+   */
+  getTakeoverDelayMs (reign: Reign): number {
+    return Math.max(0, this.rank(reign).indexOf(this.ownName)) * shardOptions.takeoverRankDelayMs
+  }
+
+  /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
+  getSuspectAfterMs (reign: Reign): number {
+    const periodMs = shardOptions.heartbeatPeriodMs
+    const extraMs = this.listNear(reign).includes(this.ownName) ? 0 : (shardOptions.restHeartbeatInterval - 1) * periodMs
+    return shardOptions.suspectAfterMs + this.getTakeoverDelayMs(reign) + 3 * extraMs
+  }
+
+  /** Returns the first daemon in the order of succession that answers the owner, which is this daemon. */
+  chooseSuccessor (fencingToken: number): string | undefined {
+    return rankSuccessors(this.getKey(fencingToken), this.listAnswering())[0]
+  }
+
+  /** Chooses the relays of an owner with a number of VMs: fast daemons that answer, if there are many VMs. */
+  updateRelays (vmCount: number): void {
+    this.chosenRelays = vmCount >= relayOptions.minVms ? this.listFastAnswering() : []
+  }
+
+  /** Returns true if a daemon that answers this one is much faster. */
+  isFasterAnswering (): boolean {
+    return this.isMuchSlowerThan(this.listAnswering())
+  }
+
+  /** Returns true if any known daemon is much faster than this one. */
+  isFasterKnown (): boolean {
+    return this.isMuchSlowerThan(this.options.members.candidates)
+  }
+
+  /** Returns the fastest of the daemons that answer, up to the limit on relays. */
+  private listFastAnswering (): Relay[] {
+    const answering = this.listAnswering()
+    const fastest = Math.max(...answering.map(({ speed }) => speed))
+    const fast = answering.filter(({ speed }) => speed >= fastest * RELAY_SPEED_SHARE).map(({ name }) => name).sort()
+    const addresses = new Map(this.options.members.others.map(({ name, address }) => [name, address]))
+    return fast.slice(0, relayOptions.maxRelays).flatMap((name) => {
+      const address = addresses.get(name)
+      return address === undefined ? [] : [{ name, address }]
+    })
+  }
+
+  /** Returns the first daemons in the order of succession. */
+  private listNear (reign: Reign): string[] {
+    return this.rank(reign).slice(0, shardOptions.nearSuccessors)
+  }
+
+  private get ownName (): string {
+    return this.options.settings.name
+  }
+
+  private getKey (fencingToken: number): string {
+    return `${this.options.shard}/${fencingToken}`
+  }
+
+  private rank ({ owner, fencingToken }: Reign): string[] {
+    return rankSuccessors(this.getKey(fencingToken), this.options.members.candidates.filter(({ name }) => name !== owner))
+  }
+
+  /** Returns the other daemons that answered a heartbeat a short time ago. */
+  private listAnswering (): OwnerCandidate[] {
+    const nowMs = this.options.timers.now()
+    return this.options.members.candidates.filter(({ name }) => name !== this.ownName && nowMs - (this.answeredAtMs.get(name) ?? -Infinity) < shardOptions.suspectAfterMs)
+  }
+
+  private isMuchSlowerThan (others: readonly OwnerCandidate[]): boolean {
+    return shouldHandOver({ name: this.ownName, speed: this.options.settings.speed }, others)
+  }
+}
+
+/** Daemons with at least this share of the fastest one's speed may be relays. */
+const RELAY_SPEED_SHARE = 0.5
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/VmSessions.ts
@@ -0,0 +1,81 @@
+/**
+ * The owner's sessions with all VMs of its shard.
+ */
+import type { EventLog, TimerService } from '@vanillathread/kernel'
+import { EventCode } from '@vanillathread/model'
+import type { JobScheduler, Order, TrackedVm } from '@vanillathread/policy'
+import type { VmClients } from '@vanillathread/ports'
+import { VmSession } from './VmSession.js'
+
+/** Options of {@link VmSessions.create}. */
+export interface VmSessionsOptions {
+  readonly timers: TimerService
+  readonly log: EventLog
+  readonly vms: VmClients
+  readonly scheduler: JobScheduler
+  readonly fencingToken: number
+  readonly leaseMs: number
+  /** Called after a change that planning or committing may act on. */
+  onChange (): void
+  /** Called if a VM shows that another daemon owns the shard. */
+  onSuperseded (reason: string): void
+}
+
+/** Opens and closes a session for each VM that the scheduler knows. */
+export class VmSessions {
+  private readonly sessions = new Map<string, VmSession>()
+
+  private constructor (private readonly options: VmSessionsOptions) {}
+
+  static create (options: VmSessionsOptions): VmSessions {
+    return new VmSessions(options)
+  }
+
+  /** Opens a session with each VM that has none. */
+  openMissing (): void {
+    for (const vm of this.options.scheduler.state.vms.values()) {
+      if (!this.sessions.has(vm.id)) this.open(vm)
+    }
+  }
+
+  /** Closes the sessions with VMs that the scheduler has forgotten. */
+  closeForgotten (): void {
+    for (const [id, session] of this.sessions) {
+      if (this.options.scheduler.state.vms.has(id)) continue
+      session.dispose()
+      this.sessions.delete(id)
+    }
+  }
+
+  /** Sends an order. A forgotten VM has no session and no runs, so an order for it is dropped. */
+  execute (order: Order): void {
+    this.sessions.get(order.run.vmId)?.execute(order)
+  }
+
+  resumeAfterCommit (): void {
+    for (const session of this.sessions.values()) session.resumeAfterCommit()
+  }
+
+  /** Closes all sessions. */
+  dispose (): void {
+    for (const session of this.sessions.values()) session.dispose()
+    this.sessions.clear()
+  }
+
+  private open (vm: TrackedVm): void {
+    const { vms, log, scheduler, onSuperseded } = this.options
+    const session = VmSession.create({
+      ...this.options,
+      vm,
+      client: vms.open(vm.entry),
+      onFenced: (vmId) => onSuperseded(`VM ${vmId} has seen a higher fencing token`),
+      onReplaced: (vmId) => {
+        scheduler.forgetVm(vmId, 'another VM answers at its address')
+        this.closeForgotten()
+      },
+      onResponsive: (vmId, unresponsiveForMs) => log.write(EventCode.VmAnswers, { vm: vmId, silentMs: Math.round(unresponsiveForMs) }),
+    })
+    this.sessions.set(vm.id, session)
+    session.run()
+  }
+}
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -2,15 +2,18 @@
  * The scheduler of one shard, which its owner runs: it applies events to the shard's state and returns orders.
  */
 import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
-import { TrackedVm } from '../vms/TrackedVm.js'
+import type { TrackedVm } from '../vms/TrackedVm.js'
+import { VmRegistry } from '../vms/VmRegistry.js'
 import { ArrivalMeter, getJobWork, measureDemand, type PoolCapacityDemand } from '../machines/PoolCapacityDemand.js'
+import { applyStartOutcome } from './applyStartOutcome.js'
 import { describeSteps } from './describeSteps.js'
 import { evacuateVm } from './evacuateVm.js'
 import type { JobProgress } from './JobProgress.js'
-import { OrderKind, StartOutcome, type Order } from './orders.js'
+import { JobRetention } from './JobRetention.js'
+import { OrderKind, type Order, type StartOutcome } from './orders.js'
 import { PaceController } from './PaceController.js'
 import { placeTasks, type PlacementContext } from './placeTasks.js'
-import { beginIncarnation, reconcileReport } from './reconcileReport.js'
+import { reconcileReport } from './reconcileReport.js'
 import { restartOverdue } from './restartOverdue.js'
 import { SchedulerState, type DecisionLogger } from './SchedulerState.js'
 import { TrackedJob } from './TrackedJob.js'
@@ -19,12 +22,6 @@
 /** Size of the range of run numbers that one owner may use for a task. Each successor's range begins above the previous owner's. */
 const RUN_NUMBERS_PER_GENERATION = 1_000
 
-/**
- * Accepted starts are logged only if the answer took at least this long. Each start order has a log line already, and an
- * owner starts hundreds of tasks a second.
- */
-const SLOW_START_MS = 200
-
 /** Time after which an unanswered stop is sent again. */
 const STOP_RETRY_MS = 600
 
@@ -37,12 +34,6 @@
 /** Period of checking leases, overdue runs and unanswered stops, whose time limits are all far longer. */
 const CHECK_PERIOD_MS = 50
 
-/**
- * Time for which a dropped job can't be added again. A read that began before the drop may still return the job, and the
- * longest read of a whole table takes far less than this.
- */
-const DROPPED_JOB_RETENTION_MS = 60_000
-
 /** Options of {@link JobScheduler.create}. @public */
 export interface JobSchedulerOptions {
   /** Number of previous owners of the shard. */
@@ -71,14 +62,11 @@
 /** Scheduler of one shard. @public */
 export class JobScheduler {
   readonly state: SchedulerState
-  /** Ids of VMs that are forgotten here and whose records in the store can be removed, as a successor need not contact them. */
-  readonly forgottenVms = new Set<string>()
+  private readonly registry: VmRegistry
   private readonly pacing = PaceController.create()
   /** Time of the last checks that depend on time alone. */
   private checkedAtMs = -Infinity
   private readonly arrivals = ArrivalMeter.create()
-  /** Start times (`bornMs`) of retired VMs by id. Their registrations remain for a while and are ignored. */
-  private readonly retiredVms = new Map<string, number>()
   /** Times from which finite tasks are stopped, by the id of the VM that is evacuated. */
   private readonly evacuations = new Map<string, number>()
   /** Jobs with progress that is neither stored nor part of a commit in progress. */
@@ -87,11 +75,11 @@
   private readonly pendingCancels = new Set<string>()
   /** Ids of VMs that were called at least once, whether they answered or not. */
   private readonly calledVms = new Set<string>()
-  /** Times at which ended jobs were dropped, by id. */
-  private readonly droppedJobs = new Map<string, number>()
+  private readonly retention = JobRetention.create()
 
   private constructor (private readonly options: JobSchedulerOptions) {
     this.state = SchedulerState.create(options.logDecision)
+    this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
   }
 
   static create (options: JobSchedulerOptions): JobScheduler {
@@ -100,7 +88,7 @@
 
   /** Adds a job. @returns false if it is known already or was dropped a short time ago. */
   addJob (accepted: AcceptedJob, acceptedVersion: number, nowMs: number, progress?: JobProgress): boolean {
-    if (this.state.jobs.has(accepted.id) || this.droppedJobs.has(accepted.id)) return false
+    if (this.state.jobs.has(accepted.id) || this.retention.isDropped(accepted.id)) return false
     const predatesTakeover = acceptedVersion < this.options.fencingToken
     const job = TrackedJob.create(accepted, {
       acceptedVersion,
@@ -130,42 +118,19 @@
     this.state.cancelJob(job, nowMs)
   }
 
-  /** Applies a new or changed registration of a VM. */
+  /** Applies a new or changed registration of a VM, and begins to evacuate a VM that has begun to drain. */
   applyRegistration (entry: VmEntry, nowMs: number): void {
-    this.retireReplacedVm(entry)
-    if (this.retiredVms.get(entry.id) === entry.bornMs) return
-    this.retiredVms.delete(entry.id)
-    const vm = this.state.vms.get(entry.id)
-    if (vm === undefined) {
-      this.state.vms.set(entry.id, TrackedVm.create(entry))
-      this.forgottenVms.delete(entry.id)
-      this.state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
-      return
-    }
-    if (entry.draining && !vm.entry.draining) this.state.logDecision(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
-    if (entry.draining && !vm.entry.draining) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
-    if (entry.bornMs !== vm.entry.bornMs) beginIncarnation(this.state, vm, entry.bornMs)
-    vm.entry = entry
-    vm.unregisteredAtMs = undefined
+    if (this.registry.apply(entry)) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
   }
 
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregisterVm (id: string, nowMs: number): void {
-    const vm = this.state.vms.get(id)
-    if (vm === undefined || !vm.registered) return
-    vm.unregisteredAtMs = nowMs
-    this.state.logDecision(EventCode.VmUnregistered, { vm: id, runs: vm.runs.size })
+    this.registry.unregister(id, nowMs)
   }
 
   /** Removes a VM on which certainly nothing runs any more. Runs that are still tracked there are recorded as lost. */
   forgetVm (id: string, reason: string): void {
-    const vm = this.state.vms.get(id)
-    if (vm === undefined) return
-    this.state.loseRuns(vm, vm.runs.values(), reason)
-    this.state.vms.delete(id)
-    if (vm.recorded) this.forgottenVms.add(id)
-    this.evacuations.delete(id)
-    this.state.logDecision(EventCode.VmForgotten, { vm: id, reason })
+    this.registry.forget(id, reason)
   }
 
   /**
@@ -173,10 +138,12 @@
    * runs have ended.
    */
   retireVm (id: string, reason: string): void {
-    const vm = this.state.vms.get(id)
-    if (vm === undefined) return
-    this.retiredVms.set(id, vm.entry.bornMs)
-    this.forgetVm(id, reason)
+    this.registry.retire(id, reason)
+  }
+
+  /** Ids of VMs that are forgotten here and whose records in the store can be removed, as a successor need not contact them. */
+  get forgottenVms (): Set<string> {
+    return this.registry.forgotten
   }
 
   /** Returns the capacity that a pool's open jobs need. */
@@ -201,20 +168,7 @@
 
   /** Applies the outcome of a start order. */
   applyStart (run: TrackedRun, outcome: StartOutcome, nowMs: number, reason?: string): void {
-    const tookMs = nowMs - run.orderedAtMs
-    if (outcome !== StartOutcome.Accepted || tookMs >= SLOW_START_MS) this.state.logDecision(EventCode.TaskStartAnswered, { task: run.name, run: run.number, vm: run.vmId, outcome, reason, tookMs: Math.round(tookMs) })
-    if (outcome === StartOutcome.Accepted) {
-      run.confirmedAtMs ??= nowMs
-      run.task.begun = true
-      if (run.phase === RunPhase.Ordered || run.phase === RunPhase.Unknown) run.phase = RunPhase.Running
-      return
-    }
-    if (outcome === StartOutcome.Unknown) {
-      if (run.phase === RunPhase.Ordered) run.phase = RunPhase.Unknown
-      return
-    }
-    // If a stop was ordered meanwhile, its answer and the reports after it show whether the run exists.
-    if (run.phase === RunPhase.Ordered) this.state.releaseRun(run)
+    applyStartOutcome(this.state, run, outcome, nowMs, reason)
   }
 
   /** Applies the outcome of a stop order. */
@@ -263,7 +217,7 @@
     const isCheckDue = nowMs - this.checkedAtMs >= CHECK_PERIOD_MS
     if (isCheckDue) {
       this.checkedAtMs = nowMs
-      this.handleExpiredLeases(nowMs)
+      this.registry.handleExpiredLeases(nowMs)
     }
     for (const [vmId, stopFiniteAtMs] of this.evacuations) {
       const vm = this.state.vms.get(vmId)
@@ -287,25 +241,13 @@
 
   /** Returns up to `limit` jobs that ended at least `keepMs` ago and whose final state is stored. */
   listRemovableJobs (storeNowMs: number, keepMs: number, limit: number): TrackedJob[] {
-    const removable: TrackedJob[] = []
-    for (const job of this.state.jobs.values()) {
-      if (removable.length >= limit) break
-      if (isFinalState(job.storedState) && job.endedAtMs !== undefined && storeNowMs - job.endedAtMs >= keepMs) removable.push(job)
-    }
-    return removable
+    return this.retention.listRemovable(this.state.jobs.values(), storeNowMs - keepMs, limit)
   }
 
-  /**
-   * Forgets a job whose rows were removed from the store. Its id is kept for a while, so that a read that began earlier
-   * can't add the job again.
-   */
+  /** Forgets a job whose rows were removed from the store. */
   dropJob (job: TrackedJob, nowMs: number): void {
     this.state.jobs.delete(job.id)
-    for (const [id, droppedAtMs] of this.droppedJobs) {
-      if (nowMs - droppedAtMs < DROPPED_JOB_RETENTION_MS) break
-      this.droppedJobs.delete(id)
-    }
-    this.droppedJobs.set(job.id, nowMs)
+    this.retention.recordDrop(job.id, nowMs)
   }
 
   /** Records that the given progress of a job is stored. */
@@ -355,41 +297,6 @@
     return (job) => allKnown || (allCalled && !job.mayHavePreviousRuns)
   }
 
-  /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
-  private retireReplacedVm (entry: VmEntry): void {
-    if (entry.machine === undefined) return
-    for (const vm of this.state.vms.values()) {
-      if (vm.entry.machine !== entry.machine || vm.id === entry.id || vm.entry.bornMs >= entry.bornMs) continue
-      this.retireVm(vm.id, 'its machine runs a newer VM')
-    }
-  }
-
-  /**
-   * Records the runs of an unresponsive VM as lost once its lease has expired, and forgets the VM if it is not registered.
-   * A registered VM that has not answered this owner counts as reconciled, without runs, once all leases of previous owners
-   * have expired.
-   */
-  private handleExpiredLeases (nowMs: number): void {
-    for (const vm of [...this.state.vms.values()]) {
-      if (vm.isReconciled) {
-        if (vm.unresponsiveSinceMs === undefined || nowMs < vm.leaseExpiresAtMs) continue
-        if (vm.runs.size > 0) this.state.loseRuns(vm, vm.runs.values(), 'lease is over and the VM does not answer')
-        if (!vm.registered) this.forgetVm(vm.id, 'not registered and its lease has expired')
-      } else if (!vm.registered && nowMs >= this.getPreviousLeaseExpiryMs()) {
-        this.forgetVm(vm.id, 'not registered and every former lease is over')
-      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getPreviousLeaseExpiryMs()) {
-        // Every lease of a previous owner has expired, so the VM has no runs. `isReconciled` is set although the VM did not answer.
-        vm.isReconciled = true
-      }
-    }
-  }
-
-  /** Returns the time from which no VM has runs under a previous owner's lease. The factor allows for VM clocks that run slow. */
-  private getPreviousLeaseExpiryMs (): number {
-    const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
-    return startedAtMs + previousOwnerRenewalMs + leaseMs * 1.03
-  }
-
   /** Orders stops again that were not answered in time. */
   private resendStops (nowMs: number): void {
     for (const vm of this.state.vms.values()) {
--- /dev/null
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -0,0 +1,122 @@
+/**
+ * The VMs of a shard as they register, leave and are found to be gone.
+ */
+import { EventCode, type VmEntry } from '@vanillathread/model'
+import { beginIncarnation } from '../jobs/reconcileReport.js'
+import type { SchedulerState } from '../jobs/SchedulerState.js'
+import { TrackedVm } from './TrackedVm.js'
+
+/** Factor on a lease's duration that allows for VM clocks that run slow. */
+const SLOW_CLOCK_FACTOR = 1.03
+
+/** Options of {@link VmRegistry.create}. @public */
+export interface VmRegistryOptions {
+  readonly state: SchedulerState
+  /** Longest lease that this owner or a previous one gives to a VM. */
+  readonly leaseMs: number
+  /** Time from `startedAtMs` for which a previous owner may still extend leases of VMs that this owner cannot reach. */
+  readonly previousOwnerRenewalMs: number
+  /** Time at which this owner began. */
+  readonly startedAtMs: number
+  /** Called for each VM that is forgotten. */
+  onForget (id: string): void
+}
+
+/** Adds VMs to the scheduler's state and removes them once they certainly run nothing. @public */
+export class VmRegistry {
+  /** Ids of VMs that are forgotten here and whose records in the store can be removed. */
+  readonly forgotten = new Set<string>()
+  /** Start times (`bornMs`) of retired VMs by id. Their registrations remain for a while and are ignored. */
+  private readonly retired = new Map<string, number>()
+
+  private constructor (private readonly options: VmRegistryOptions) {}
+
+  static create (options: VmRegistryOptions): VmRegistry {
+    return new VmRegistry(options)
+  }
+
+  /** Applies a new or changed registration. @returns true if the VM has begun to drain. */
+  apply (entry: VmEntry): boolean {
+    const { state } = this.options
+    this.retireReplaced(entry)
+    if (this.retired.get(entry.id) === entry.bornMs) return false
+    this.retired.delete(entry.id)
+    const vm = state.vms.get(entry.id)
+    if (vm === undefined) {
+      state.vms.set(entry.id, TrackedVm.create(entry))
+      this.forgotten.delete(entry.id)
+      state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
+      return false
+    }
+    const beginsToDrain = entry.draining && !vm.entry.draining
+    if (beginsToDrain) state.logDecision(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
+    if (entry.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, entry.bornMs)
+    vm.entry = entry
+    vm.unregisteredAtMs = undefined
+    return beginsToDrain
+  }
+
+  /** Records that a VM is no longer registered. Its runs may still go on. */
+  unregister (id: string, nowMs: number): void {
+    const vm = this.options.state.vms.get(id)
+    if (vm === undefined || !vm.registered) return
+    vm.unregisteredAtMs = nowMs
+    this.options.state.logDecision(EventCode.VmUnregistered, { vm: id, runs: vm.runs.size })
+  }
+
+  /** Removes a VM on which certainly nothing runs any more. Runs that are still tracked there are recorded as lost. */
+  forget (id: string, reason: string): void {
+    const { state, onForget } = this.options
+    const vm = state.vms.get(id)
+    if (vm === undefined) return
+    state.loseRuns(vm, vm.runs.values(), reason)
+    state.vms.delete(id)
+    if (vm.recorded) this.forgotten.add(id)
+    onForget(id)
+    state.logDecision(EventCode.VmForgotten, { vm: id, reason })
+  }
+
+  /** Forgets a VM and ignores its registration from then on. */
+  retire (id: string, reason: string): void {
+    const vm = this.options.state.vms.get(id)
+    if (vm === undefined) return
+    this.retired.set(id, vm.entry.bornMs)
+    this.forget(id, reason)
+  }
+
+  /**
+   * Records the runs of an unresponsive VM as lost once its lease has expired, and forgets the VM if it is not registered.
+   * A registered VM that has not answered this owner counts as reconciled, without runs, once all leases of previous owners
+   * have expired.
+   */
+  handleExpiredLeases (nowMs: number): void {
+    const { state } = this.options
+    for (const vm of [...state.vms.values()]) {
+      if (vm.isReconciled) {
+        if (vm.unresponsiveSinceMs === undefined || nowMs < vm.leaseExpiresAtMs) continue
+        if (vm.runs.size > 0) state.loseRuns(vm, vm.runs.values(), 'lease is over and the VM does not answer')
+        if (!vm.registered) this.forget(vm.id, 'not registered and its lease has expired')
+      } else if (!vm.registered && nowMs >= this.getPreviousLeaseExpiryMs()) {
+        this.forget(vm.id, 'not registered and every former lease is over')
+      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getPreviousLeaseExpiryMs()) {
+        // Every lease of a previous owner has expired, so the VM has no runs. `isReconciled` is set although the VM did not answer.
+        vm.isReconciled = true
+      }
+    }
+  }
+
+  /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
+  private retireReplaced (entry: VmEntry): void {
+    if (entry.machine === undefined) return
+    for (const vm of this.options.state.vms.values()) {
+      if (vm.entry.machine !== entry.machine || vm.id === entry.id || vm.entry.bornMs >= entry.bornMs) continue
+      this.retire(vm.id, 'its machine runs a newer VM')
+    }
+  }
+
+  /** Returns the time from which no VM has runs under a previous owner's lease. */
+  private getPreviousLeaseExpiryMs (): number {
+    const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
+    return startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR
+  }
+}
