--- a/packages/daemon/src/lib/jobs/HedgedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/HedgedRowStore.ts
@@ -17,6 +17,12 @@
 const DEVIATION_WEIGHT = 1 / 4
 const DEVIATION_FACTOR = 4
 
+/** Weight of the latest attempt in the share of answered attempts, which reflects about the last ten. */
+const ANSWER_WEIGHT = 0.1
+
+/** Share of answered attempts below which none is sent again: the store is away or overloaded, and more calls make it worse. */
+const MIN_ANSWERED_SHARE = 0.35
+
 type CommitResult = Result<RowCommit, StoreFailure>
 
 /**
@@ -27,6 +33,7 @@
 export class HedgedRowStore implements RowStore {
   private latencyMs = 0
   private deviationMs = storeOptions.minHedgeMs / DEVIATION_FACTOR
+  private answeredShare = 1
 
   private constructor (private readonly options: HedgedRowStoreOptions) {}
 
@@ -39,7 +46,7 @@
     const attempts: Array<Promise<CommitResult>> = []
     for (;;) {
       attempts.push(this.attempt(transaction))
-      const isLast = attempts.length >= storeOptions.maxAttempts
+      const isLast = attempts.length >= storeOptions.maxAttempts || this.answeredShare < MIN_ANSWERED_SHARE
       const first = await Promise.race([getFirstDefinite(attempts), ...(isLast ? [] : [delay(this.options.timers, this.hedgeAfterMs)])])
       if (first !== undefined) return attempts.length === 1 ? first : resolveConflict(transaction, first)
     }
@@ -69,7 +76,9 @@
     const { rows, timers } = this.options
     const sentAtMs = timers.now()
     const res = await rows.transact(transaction)
-    if (res.ok || res.error.kind === StoreFailureKind.Conflict) this.observeLatency(timers.now() - sentAtMs)
+    if (isDefinite(res)) this.observeLatency(timers.now() - sentAtMs)
+    const isAnswered = res.ok || res.error.kind !== StoreFailureKind.Unknown
+    this.answeredShare += ANSWER_WEIGHT * ((isAnswered ? 1 : 0) - this.answeredShare)
     return res
   }
 
--- a/packages/integration/src/hedgedRowStore.test.ts
+++ b/packages/integration/src/hedgedRowStore.test.ts
@@ -118,4 +118,16 @@
     }
     assert.ok(sentAtMs.length <= 14, `${sentAtMs.length} calls for 10 transactions`)
   })
+
+  it('sends each transaction once while the store answers nothing, and again more often once it answers', async () => {
+    const timers = FakeTimerService.create()
+    const ends = [...Array.from({ length: 40 }, () => Attempt.Lost), Attempt.Answered]
+    const { hedged, sentAtMs } = createStore(timers, ends)
+    while (sentAtMs.length < 40) await play(timers, hedged.transact(put('a', 0)))
+    const callsBefore = sentAtMs.length
+    assert.ok(sentAtMs.slice(-10).every((atMs, index, last) => index === 0 || atMs - (last[index - 1] ?? 0) >= TIMEOUT_MS), 'the last ten calls are one by one')
+    const { res } = await play(timers, hedged.transact(put('a', 0)))
+    assert.ok(res.ok)
+    assert.is(sentAtMs.length, callsBefore + 1)
+  })
 })
