--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -64,6 +64,8 @@
   private readonly planner: CapacityPlanner
   private readonly timer: Subscription
   private readonly wavePlanner: WavePlanner
+  /** First VM on each machine, see `indexVms`. */
+  private readonly vmsByMachine = new Map<string, TrackedVm>()
   /** Time at which the last list was requested, or minus infinity before the first one. */
   private listedAtMs = -Infinity
   private listInFlight = false
@@ -95,6 +97,7 @@
   /** Evacuates VMs that have started on machines with a pending operation, as its order ends every run on the machine. */
   evacuateNewVms (): void {
     const nowMs = this.options.timers.now()
+    this.indexVms()
     for (const operation of this.operations.values()) {
       const vm = this.findVm(operation.machine)
       if (vm === undefined || vm.id === operation.vmId || operation.phase === 'underway') continue
@@ -117,6 +120,7 @@
     this.refreshMachines(nowMs)
     if (this.listedAtMs < 0) return
     if (this.options.rows.getTimeSinceAnswerMs() > machineOptions.storeSilentMs) return
+    this.indexVms()
     for (const { machine, wave } of this.wavePlanner.plan(nowMs)) this.beginOperation({ machine, wave }, nowMs)
     this.planMoves(nowMs)
     this.evacuateNewVms()
@@ -270,17 +274,23 @@
 
   private finish (operation: MachineOperation): void {
     this.operations.delete(operation.machine)
-    const vm = this.findVm(operation.machine)
-    if (vm !== undefined) this.options.scheduler.endEvacuation(vm.id)
+    const vms = [...this.options.scheduler.state.vms.values()].filter((vm) => vm.entry.machine === operation.machine)
+    for (const { id } of vms) this.options.scheduler.endEvacuation(id)
     if (operation.vmId !== undefined) this.options.scheduler.endEvacuation(operation.vmId)
     this.options.onChange()
   }
 
-  private findVm (machine: string): TrackedVm | undefined {
+  /** Indexes the VMs by their machine. An index is used only in the call that made it, as VMs come and go. */
+  private indexVms (): void {
+    this.vmsByMachine.clear()
     for (const vm of this.options.scheduler.state.vms.values()) {
-      if (vm.entry.machine === machine) return vm
+      const { machine } = vm.entry
+      if (machine !== undefined && !this.vmsByMachine.has(machine)) this.vmsByMachine.set(machine, vm)
     }
-    return undefined
+  }
+
+  private findVm (machine: string): TrackedVm | undefined {
+    return this.vmsByMachine.get(machine)
   }
 }
 
--- a/packages/daemon/src/lib/jobs/RelayedVmClients.ts
+++ b/packages/daemon/src/lib/jobs/RelayedVmClients.ts
@@ -146,26 +146,26 @@
   }
 
   start (call: StartCall): Promise<VmAnswer<void>> {
-    return this.pass({ kind: VmCallKind.Start, call }, relayOptions.orderTimeoutMs) ?? this.open().start(call)
+    return this.callThroughRelay({ kind: VmCallKind.Start, call }, relayOptions.orderTimeoutMs) ?? this.open().start(call)
   }
 
   stop (call: RunReference): Promise<VmAnswer<void>> {
-    return this.pass({ kind: VmCallKind.Stop, call }, relayOptions.orderTimeoutMs) ?? this.open().stop(call)
+    return this.callThroughRelay({ kind: VmCallKind.Stop, call }, relayOptions.orderTimeoutMs) ?? this.open().stop(call)
   }
 
   pace (call: RunReference & { readonly percent: number }): Promise<VmAnswer<void>> {
-    return this.pass({ kind: VmCallKind.Pace, call }, relayOptions.orderTimeoutMs) ?? this.open().pace(call)
+    return this.callThroughRelay({ kind: VmCallKind.Pace, call }, relayOptions.orderTimeoutMs) ?? this.open().pace(call)
   }
 
   renew (call: RenewCall): Promise<VmAnswer<VmReport>> {
-    return this.pass({ kind: VmCallKind.Renew, call }, call.waitMs + relayOptions.orderTimeoutMs) ?? this.open().renew(call)
+    return this.callThroughRelay({ kind: VmCallKind.Renew, call }, call.waitMs + relayOptions.orderTimeoutMs) ?? this.open().renew(call)
   }
 
   dispose (): void {
     this.directClient?.dispose()
   }
 
-  private pass<T> (call: VmCall, limitMs: number): Promise<VmAnswer<T>> | undefined {
+  private callThroughRelay<T> (call: VmCall, limitMs: number): Promise<VmAnswer<T>> | undefined {
     const relay = this.clients.findRelay(this.entry.id)
     return relay === undefined ? undefined : this.clients.call<T>(relay, this.entry, call, limitMs)
   }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -13,7 +13,7 @@
 import { RelayedVmClients } from './RelayedVmClients.js'
 import type { OwnerRow } from './rows.js'
 import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
-import { Succession, type Reign } from './Succession.js'
+import { Succession, type OwnerTerm } from './Succession.js'
 
 /** Options of {@link ShardOwnership.create}. */
 export interface ShardOwnershipOptions {
@@ -115,7 +115,7 @@
     return this.row?.version ?? 0
   }
 
-  private get reign (): Reign {
+  private get ownerTerm (): OwnerTerm {
     return { owner: this.row?.value.owner, fencingToken: this.knownFencingToken }
   }
 
@@ -136,15 +136,15 @@
    */
   private async checkKnownOwner (): Promise<void> {
     if (!this.rowCurrent && !await this.readRow()) return
-    const { watch, succession, reign } = this
+    const { watch, succession, ownerTerm } = this
     const owner = this.row?.value.owner ?? ''
-    if (owner === this.name) return succession.isFasterKnown() ? this.release(this.knownFencingToken) : this.takeOver('this daemon held the shard before it restarted')
+    if (owner === this.name) return succession.isMuchFasterDaemonKnown() ? this.release(this.knownFencingToken) : this.takeOver('this daemon held the shard before it restarted')
     if (owner === '') {
-      if (watch.getVacantForMs() >= succession.getTakeoverDelayMs(reign)) await this.takeOver('no owner')
+      if (watch.getVacantForMs() >= succession.getTakeoverDelayMs(ownerTerm)) await this.takeOver('no owner')
       return
     }
     watch.recordOccupied()
-    const heartbeatsOverdue = watch.sinceHeartbeatMs > shardOptions.suspectAfterMs && watch.sinceHeartbeatMs > succession.getSuspectAfterMs(reign)
+    const heartbeatsOverdue = watch.sinceHeartbeatMs > shardOptions.suspectAfterMs && watch.sinceHeartbeatMs > succession.getSuspectAfterMs(ownerTerm)
     if (!heartbeatsOverdue && !watch.isStoreOverdue()) watch.endSuspicion()
     else if (watch.beginCheck()) await this.checkSuspectedOwner(heartbeatsOverdue)
   }
@@ -165,7 +165,7 @@
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
     const heartbeat = await this.record.readHeartbeat()
-    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.reign))) await this.takeOver('owner does not reach the store')
+    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.ownerTerm))) await this.takeOver('owner does not reach the store')
   }
 
   /** Takes the shard over by writing the owner row, on condition that it is still the known one. */
@@ -175,7 +175,6 @@
     const { settings, log } = context
     const generation = this.row === undefined ? 0 : this.row.value.generation + 1
     const value: OwnerRow = { owner: this.name, ...settings.peer, generation }
-    const former = this.row?.value.owner
     const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
@@ -183,8 +182,8 @@
       if (res.error.kind !== StoreFailureKind.NotDone) this.rowCurrent = false
       return
     }
+    log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former: this.row?.value.owner, reason })
     this.row = { value, version: res.value.version }
-    log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former, reason })
     if (this.stopping) return
     this.localOwner = ShardOwner.create({
       ...context,
@@ -272,7 +271,7 @@
       fencingToken: this.localOwner.fencingToken,
       storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()),
     } as const
-    for (const address of this.succession.nextHeartbeatTargets(this.reign)) network.sendExpectingReply(address, message)
+    for (const address of this.succession.listNextHeartbeatTargets(this.ownerTerm)) network.sendExpectingReply(address, message)
     this.succession.updateRelays(this.localOwner.scheduler.state.vms.size)
   }
 
@@ -286,7 +285,7 @@
   /** Hands the shard over if a much faster daemon answers heartbeats and reaches the store. */
   private async handOverIfSlow (localOwner: ShardOwner): Promise<void> {
     const { settings, log } = this.options.context
-    if (localOwner.ageMs < shardOptions.handOverAfterMs || !this.succession.isFasterAnswering()) return
+    if (localOwner.ageMs < shardOptions.handOverAfterMs || !this.succession.isMuchFasterDaemonAnswering()) return
     log.write(EventCode.ShardHandedOver, { shard: this.options.shard, fencingToken: localOwner.fencingToken, speed: settings.speed, reason: 'a much faster daemon is available' })
     await this.handOver(localOwner, shardOptions.handOverLimitMs)
   }
--- a/packages/daemon/src/lib/jobs/Succession.ts
+++ b/packages/daemon/src/lib/jobs/Succession.ts
@@ -17,8 +17,8 @@
   readonly members: MemberDirectory
 }
 
-/** The owner of a shard and its fencing token, on which the order of succession depends. */
-export interface Reign {
+/** The time in which a shard has one owner; the order of succession depends on its fencing token. */
+export interface OwnerTerm {
   /** Name of the owner, or undefined if none is known. */
   readonly owner: string | undefined
   readonly fencingToken: number
@@ -28,7 +28,6 @@
 export class Succession {
   /** Times at which peers that reach the store last answered a heartbeat of this daemon, by name. */
   private readonly answeredAtMs = new Map<string, number>()
-
   /** Number of times at which this daemon, as the owner, sent heartbeats. */
   private heartbeatCount = 0
   private chosenRelays: readonly Relay[] = []
@@ -53,9 +52,9 @@
    * Returns the addresses that get the owner's next heartbeat: the near successors each time, all daemons at every
    * `restHeartbeatInterval`-th time.
    */
-  nextHeartbeatTargets (reign: Reign): Address[] {
+  listNextHeartbeatTargets (ownerTerm: OwnerTerm): Address[] {
     const isForAll = this.heartbeatCount++ % shardOptions.restHeartbeatInterval === 0
-    const near = new Set(this.listNear(reign))
+    const near = new Set(this.listNear(ownerTerm))
     return this.options.members.others.filter(({ name }) => isForAll || near.has(name)).map(({ address }) => address)
   }
 
@@ -63,15 +62,15 @@
    * Returns the delay before this daemon tries to take over. Daemons try one after another, fast ones first, in an order
    * that depends on the fencing token.
    */
-  getTakeoverDelayMs (reign: Reign): number {
-    return Math.max(0, this.rank(reign).indexOf(this.ownName)) * shardOptions.takeoverRankDelayMs
+  getTakeoverDelayMs (ownerTerm: OwnerTerm): number {
+    return Math.max(0, this.rank(ownerTerm).indexOf(this.ownName)) * shardOptions.takeoverRankDelayMs
   }
 
   /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
-  getSuspectAfterMs (reign: Reign): number {
+  getSuspectAfterMs (ownerTerm: OwnerTerm): number {
     const periodMs = shardOptions.heartbeatPeriodMs
-    const extraMs = this.listNear(reign).includes(this.ownName) ? 0 : (shardOptions.restHeartbeatInterval - 1) * periodMs
-    return shardOptions.suspectAfterMs + this.getTakeoverDelayMs(reign) + 3 * extraMs
+    const extraMs = this.listNear(ownerTerm).includes(this.ownName) ? 0 : (shardOptions.restHeartbeatInterval - 1) * periodMs
+    return shardOptions.suspectAfterMs + this.getTakeoverDelayMs(ownerTerm) + 3 * extraMs
   }
 
   /** Returns the first daemon in the order of succession that answers the owner, which is this daemon. */
@@ -85,12 +84,12 @@
   }
 
   /** Returns true if a daemon that answers this one is much faster. */
-  isFasterAnswering (): boolean {
+  isMuchFasterDaemonAnswering (): boolean {
     return this.isMuchSlowerThan(this.listAnswering())
   }
 
   /** Returns true if any known daemon is much faster than this one. */
-  isFasterKnown (): boolean {
+  isMuchFasterDaemonKnown (): boolean {
     return this.isMuchSlowerThan(this.options.members.candidates)
   }
 
@@ -107,8 +106,8 @@
   }
 
   /** Returns the first daemons in the order of succession. */
-  private listNear (reign: Reign): string[] {
-    return this.rank(reign).slice(0, shardOptions.nearSuccessors)
+  private listNear (ownerTerm: OwnerTerm): string[] {
+    return this.rank(ownerTerm).slice(0, shardOptions.nearSuccessors)
   }
 
   private get ownName (): string {
@@ -119,7 +118,7 @@
     return `${this.options.shard}/${fencingToken}`
   }
 
-  private rank ({ owner, fencingToken }: Reign): string[] {
+  private rank ({ owner, fencingToken }: OwnerTerm): string[] {
     return rankSuccessors(this.getKey(fencingToken), this.options.members.candidates.filter(({ name }) => name !== owner))
   }
 
--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -12,7 +12,7 @@
   plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[]
 }
 
-/** A period in which some machines serve nobody. Times are counted from the first arrival. */
+/** A period in which some machines provide no capacity. Times are counted from the first arrival. */
 export interface Absence {
   readonly fromMs: number
   readonly toMs: number
--- a/packages/policy/src/lib/jobs/DurationEstimates.ts
+++ b/packages/policy/src/lib/jobs/DurationEstimates.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * Predicts durations of tasks. A client's estimate is rough and may be biased, but often tells more about a task than the mean
- * of its queue; whichever of the two has predicted better so far is used.
+ * Predicts durations of tasks by the client's estimate, corrected for its bias, or by the mean of the queue, whichever has
+ * predicted better so far.
  * @public
  */
 export class DurationEstimates {
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -10,21 +10,19 @@
 import { evacuateVm } from './evacuateVm.js'
 import type { JobProgress } from './JobProgress.js'
 import { JobRetention } from './JobRetention.js'
-import { OrderKind, type Order, type StartOutcome } from './orders.js'
+import type { Order, StartOutcome } from './orders.js'
 import { PaceController } from './PaceController.js'
 import { placeTasks, type PlacementContext } from './placeTasks.js'
 import { reconcileReport } from './reconcileReport.js'
+import { resendStops } from './resendStops.js'
 import { restartOverdue } from './restartOverdue.js'
 import { SchedulerState, type DecisionLogger } from './SchedulerState.js'
 import { TrackedJob } from './TrackedJob.js'
-import { RunPhase, type TrackedRun } from './TrackedRun.js'
+import type { TrackedRun } from './TrackedRun.js'
 
 /** Size of the range of run numbers that one owner may use for a task. Each successor's range begins above the previous owner's. */
 const RUN_NUMBERS_PER_GENERATION = 1_000
 
-/** Time after which an unanswered stop is sent again. */
-const STOP_RETRY_MS = 600
-
 /**
  * Time for which finite tasks run on when their VM drains: most of them end within it, and the VM leaves after two seconds
  * at the earliest.
@@ -230,7 +228,7 @@
       const mayStart = this.createStartCheck(vms)
       placeTasks(this.state, pool, { ...clocks, vms, getTickets, mayStart })
     }
-    if (isCheckDue) this.resendStops(nowMs)
+    if (isCheckDue) resendStops(this.state, nowMs)
     return this.state.takeOrders()
   }
 
@@ -287,7 +285,7 @@
   }
 
   /**
-   * Returns a function that tells whether tasks of a job of the pool with the given VMs may be started. A job that a previous
+   * Returns a predicate for whether tasks of a job of the pool with the given VMs may be started. A job that a previous
    * owner may have started waits until the runs of each VM are known. For any other job it suffices that each VM was called once.
    */
   private createStartCheck (vms: readonly TrackedVm[]): (job: TrackedJob) => boolean {
@@ -296,16 +294,4 @@
     const allCalled = unreconciled.every((vm) => this.calledVms.has(vm.id))
     return (job) => allKnown || (allCalled && !job.mayHavePreviousRuns)
   }
-
-  /** Orders stops again that were not answered in time. */
-  private resendStops (nowMs: number): void {
-    for (const vm of this.state.vms.values()) {
-      for (const run of vm.runs.values()) {
-        if (run.phase !== RunPhase.Stopping || run.stopAnsweredAtMs !== undefined) continue
-        if (nowMs - (run.stopSentAtMs ?? 0) < STOP_RETRY_MS) continue
-        run.stopSentAtMs = nowMs
-        this.state.orders.push({ kind: OrderKind.Stop, run })
-      }
-    }
-  }
 }
