--- a/packages/integration/src/jobVms.test.ts
+++ b/packages/integration/src/jobVms.test.ts
@@ -4,7 +4,8 @@
 import { assert, describe } from '@vanillathread/testing'
 import { EventCode } from '@vanillathread/model'
 import { StoreFault, VmFault } from '@vanillathread/stand-ins'
-import { createJob, createStep, JobLab, NaiveOwner } from './lib/jobs/JobLab.js'
+import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+import { NaiveOwner } from './lib/jobs/labVmClients.js'
 import { expectNoViolations, simulateWithFault, SEEDS } from './lib/jobs/simulateWithFault.js'
 
 describe('jobs under faults of VMs', ({ it }) => {
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -4,22 +4,13 @@
 import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { JobState, parseTaskName, STEP_DEFAULTS, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
-import { IngressAnswerKind, VmAnswerKind, type ClientApi, type VmClient, type VmClients } from '@vanillathread/ports'
+import { IngressAnswerKind, type ClientApi } from '@vanillathread/ports'
 import { RandomSource } from '@vanillathread/policy'
 import { FleetFeedsStandIn, FleetStandIn, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
+import { countCalls, createNaiveClients, type NaiveOwner } from './labVmClients.js'
 import { JobHistory, type SubmittedJob } from './JobHistory.js'
 import { MemoryPeerNetwork } from './MemoryPeerNetwork.js'
 
-/** Deliberately incorrect behaviours of the owner, which the history must detect. */
-export enum NaiveOwner {
-  /** Treats a start order with an unknown outcome as refused, and starts the task again. */
-  RestartsWithoutAnswer = 'restarts-on-silence',
-  /** Sends every order with the same fencing token, so VMs never reject orders of a previous owner. */
-  WithoutFencingToken = 'without-fence',
-  /** Acknowledges end entries, which VMs then forget, before the ends are in the store. */
-  AcknowledgesEarly = 'notes-early',
-}
-
 /** Options of {@link JobLab.create}. */
 export interface JobLabOptions {
   readonly seed: number
@@ -120,7 +111,7 @@
       platform: {
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
-        vms: this.countCalls(entry.name, this.wrapVmClients(fleet)),
+        vms: countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)),
         machines: fleet,
         network: peers.connect(entry.address),
         openIngress: (api) => {
@@ -198,6 +189,10 @@
     await this.timers.advance(1)
   }
 
+  private countCall (daemon: string): void {
+    this.vmCalls.set(daemon, (this.vmCalls.get(daemon) ?? 0) + 1)
+  }
+
   countStandbyMachines (): number {
     return [...this.fleet.machines.values()].filter(({ machine }) => machine.pool === STANDBY_POOL).length
   }
@@ -240,49 +235,6 @@
       memoryMb: step?.need.memoryMb ?? 0,
     }
   }
-
-  /** Wraps clients of VMs so that the calls of a daemon are counted. */
-  private countCalls (daemon: string, vms: VmClients): VmClients {
-    const count = <A, T>(call: (argument: A) => T) => (argument: A): T => {
-      this.vmCalls.set(daemon, (this.vmCalls.get(daemon) ?? 0) + 1)
-      return call(argument)
-    }
-    return {
-      open: (entry) => {
-        const client = vms.open(entry)
-        return {
-          start: count((call) => client.start(call)),
-          stop: count((call) => client.stop(call)),
-          pace: count((call) => client.pace(call)),
-          renew: count((call) => client.renew(call)),
-          dispose: () => client.dispose(),
-        }
-      },
-    }
-  }
-
-  private wrapVmClients (vms: VmClients): VmClients {
-    const { naive } = this.options
-    return naive === undefined ? vms : { open: (entry) => createNaiveClient(vms.open(entry), naive) }
-  }
-}
-
-/** Wraps a VM client so that its calls are those of an owner with the given incorrect behaviour. */
-function createNaiveClient (client: VmClient, naive: NaiveOwner): VmClient {
-  const getToken = (call: { fencingToken: number }): number => naive === NaiveOwner.WithoutFencingToken ? 1 : call.fencingToken
-  return {
-    start: async (call) => {
-      const answer = await client.start({ ...call, fencingToken: getToken(call) })
-      if (naive !== NaiveOwner.RestartsWithoutAnswer || answer.kind !== VmAnswerKind.Unknown) return answer
-      return { kind: VmAnswerKind.Refused, refusal: 'unhealthy' as never }
-    },
-    stop: (call) => client.stop({ ...call, fencingToken: getToken(call) }),
-    pace: (call) => client.pace({ ...call, fencingToken: getToken(call) }),
-    renew: (call) => client.renew({
-      ...call, fencingToken: getToken(call), acknowledgedEnd: naive === NaiveOwner.AcknowledgesEarly ? Number.MAX_SAFE_INTEGER : call.acknowledgedEnd,
-    }),
-    dispose: () => client.dispose(),
-  }
 }
 
 /** Builds a step. Fields that are not given get default values. */
--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -2,10 +2,11 @@
  * Plays a day of load through the scheduler and the capacity planner on a simulated clock, without processes or a network.
  * It answers what callers get: jobs in time, late and missed, by queue and by window.
  */
-import type { Capacity, EndEntry, VmEntry } from '@vanillathread/model'
-import { RunEnd } from '@vanillathread/model'
+import { RunEnd, type Capacity, type EndEntry, type VmEntry } from '@vanillathread/model'
 import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type TrackedRun } from '@vanillathread/policy'
-import { createLongRunningJobs, generateJobs, getObjectiveMs, type LoadJob, type LoadSite } from './LoadSite.js'
+import { EventQueue } from './EventQueue.js'
+import { createLongRunningJobs, generateJobs, type LoadJob, type LoadSite } from './LoadSite.js'
+import { summarizeLoadDay, type LoadDayResult } from './summarizeLoadDay.js'
 
 /** Decides on moves of machines. */
 export interface MovePlanner {
@@ -26,30 +27,6 @@
   readonly planner: MovePlanner
   /** Periods in which machines are evacuated and then away, as for maintenance. */
   readonly absences?: readonly Absence[]
-  /** Processor time that the owner needs for each start, in milliseconds; 0 if not given. */
-  readonly startCostMs?: number
-}
-
-/** What the callers of one queue got. */
-export interface QueueOutcome {
-  jobs: number
-  inTime: number
-  late: number
-  worth: number
-  earned: number
-}
-
-/** Result of a day. */
-export interface LoadDayResult {
-  readonly byQueue: ReadonlyMap<string, QueueOutcome>
-  /** Earned share of the worth of the jobs that arrived in each window, in order. */
-  readonly windows: readonly number[]
-  /** Earned share of the worth of all jobs. */
-  readonly served: number
-  readonly machineSeconds: number
-  readonly moves: number
-  /** Earned share less the cost of machines and moves, with the weights of the users' goal. */
-  readonly net: number
 }
 
 /** Times of the platform and of the owner's calls, in milliseconds. */
@@ -65,16 +42,8 @@
 const STOP_MS = 200
 const WARM_UP_MS = 8_000
 const DRAIN_MS = 16_000
-const WINDOW_MS = 2_000
 const LEASE_MS = 5_000
 
-/** A job that ends within this multiple of its objective earns `LATE_SHARE` of its worth. */
-const LATE_FACTOR = 3
-const LATE_SHARE = 0.07
-
-/** Weights of the whole day, the two worst windows and the worst queue in the users' goal. */
-const GOAL = { day: 0.7, windows: 0.15, queue: 0.15 } as const
-
 interface SimulatedMachine {
   readonly id: string
   pool: string
@@ -95,17 +64,10 @@
   reportDue: boolean
 }
 
-interface TimedEvent {
-  readonly atMs: number
-  readonly order: number
-  readonly run: () => void
-}
-
 /** A day in progress. */
 export class LoadDay {
   private nowMs = 0
-  private nextOrder = 0
-  private readonly heap: TimedEvent[] = []
+  private readonly events = EventQueue.create()
   private readonly scheduler: JobScheduler
   private readonly machines: SimulatedMachine[] = []
   private readonly vms = new Map<string, SimulatedVm>()
@@ -113,7 +75,6 @@
   private readonly completedAtMs = new Map<string, number>()
   private planScheduled = false
   private commitScheduled = false
-  private ownerFreeAtMs = 0
   private machineSeconds = 0
   private moves = 0
   private readonly random: RandomSource
@@ -143,11 +104,11 @@
     const endMs = WARM_UP_MS + site.lengthMs + DRAIN_MS
     for (let atMs = 100; atMs < endMs; atMs += MACHINE_PERIOD_MS) this.at(atMs, () => this.planMachines())
     for (let atMs = 100; atMs < endMs; atMs += 100) this.at(atMs, () => this.requestPlan())
-    for (let event = this.pop(); event !== undefined && event.atMs < endMs; event = this.pop()) {
+    for (let event = this.events.takeNext(); event !== undefined && event.atMs < endMs; event = this.events.takeNext()) {
       this.nowMs = event.atMs
       event.run()
     }
-    return this.summarize()
+    return summarizeLoadDay({ site, startedAtMs: WARM_UP_MS, jobs: this.jobs.values(), completedAtMs: this.completedAtMs, machineSeconds: this.machineSeconds, moves: this.moves })
   }
 
   private accept (accepted: LoadJob['accepted']): void {
@@ -158,20 +119,15 @@
   private requestPlan (): void {
     if (this.planScheduled) return
     this.planScheduled = true
-    this.at(Math.max(this.nowMs + PLAN_SPACING_MS, this.ownerFreeAtMs), () => this.plan())
+    this.at(this.nowMs + PLAN_SPACING_MS, () => this.plan())
   }
 
   private plan (): void {
     this.planScheduled = false
     const orders = this.scheduler.plan({ nowMs: this.nowMs, storeNowMs: this.nowMs, wallClockMs: this.nowMs }, () => undefined)
-    this.ownerFreeAtMs = Math.max(this.ownerFreeAtMs, this.nowMs)
     for (const order of orders) {
-      if (order.kind === OrderKind.Start) {
-        this.ownerFreeAtMs += this.options.startCostMs ?? 0
-        this.at(this.ownerFreeAtMs + CALL_MS, () => this.start(order.run))
-      } else if (order.kind === OrderKind.Stop) {
-        this.at(this.nowMs + CALL_MS, () => this.stop(order.run))
-      }
+      if (order.kind === OrderKind.Start) this.at(this.nowMs + CALL_MS, () => this.start(order.run))
+      else if (order.kind === OrderKind.Stop) this.at(this.nowMs + CALL_MS, () => this.stop(order.run))
     }
   }
 
@@ -311,7 +267,7 @@
   }
 
   private describe (machine: SimulatedMachine): PlannedMachine {
-    const { capacity } = { capacity: this.options.site.machine }
+    const capacity = this.options.site.machine
     const idle = { id: machine.id, capacity, drainable: false, usedCpuMillis: 0 }
     if (machine.toPool !== undefined) return { ...idle, pool: machine.toPool, movable: false }
     const vm = machine.vmId === undefined ? undefined : this.scheduler.state.vms.get(machine.vmId)
@@ -320,86 +276,11 @@
     return { id: machine.id, capacity, pool: machine.pool, movable: vm.isUsable(this.nowMs) && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
   }
 
-  private summarize (): LoadDayResult {
-    const byQueue = new Map<string, QueueOutcome>()
-    const windows: Array<{ worth: number, earned: number, jobs: number }> = []
-    let worth = 0
-    let earned = 0
-    for (const job of this.jobs.values()) {
-      const share = this.getEarnedShare(job)
-      const outcome = byQueue.get(job.queue.name) ?? { jobs: 0, inTime: 0, late: 0, worth: 0, earned: 0 }
-      byQueue.set(job.queue.name, outcome)
-      const window = windows[Math.floor((job.accepted.acceptedAtMs - WARM_UP_MS) / WINDOW_MS)] ??= { worth: 0, earned: 0, jobs: 0 }
-      outcome.jobs += 1
-      if (share === 1) outcome.inTime += 1
-      else if (share > 0) outcome.late += 1
-      for (const sum of [outcome, window]) {
-        sum.worth += job.worth
-        sum.earned += share * job.worth
-      }
-      worth += job.worth
-      earned += share * job.worth
-    }
-    const { site } = this.options
-    const shares = windows.filter((window) => window !== undefined).map((window) => window.earned / window.worth)
-    const worst = [...shares].sort((a, b) => a - b).slice(0, 2)
-    const worstQueue = Math.min(...[...byQueue.values()].map((queue) => queue.earned / queue.worth))
-    const gross = GOAL.day * earned / worth + GOAL.windows * worst.reduce((sum, share) => sum + share, 0) / worst.length + GOAL.queue * worstQueue
-    const cost = this.machineSeconds * site.machineSecondCost + this.moves * site.moveCost
-    return { byQueue, windows: shares, served: earned / worth, machineSeconds: this.machineSeconds, moves: this.moves, net: gross - cost / worth }
-  }
-
-  private getEarnedShare (job: LoadJob): number {
-    const endMs = this.completedAtMs.get(job.accepted.id)
-    if (endMs === undefined) return 0
-    const tookMs = endMs - job.accepted.acceptedAtMs
-    if (tookMs <= getObjectiveMs(job)) return 1
-    return tookMs <= LATE_FACTOR * getObjectiveMs(job) ? LATE_SHARE : 0
-  }
-
   private at (atMs: number, run: () => void): void {
-    const event = { atMs, order: this.nextOrder++, run }
-    const { heap } = this
-    heap.push(event)
-    for (let index = heap.length - 1; index > 0;) {
-      const parent = (index - 1) >> 1
-      if (!isBefore(heap[index], heap[parent])) break
-      swap(heap, index, parent)
-      index = parent
-    }
-  }
-
-  private pop (): TimedEvent | undefined {
-    const { heap } = this
-    const first = heap[0]
-    const last = heap.pop()
-    if (last === undefined || heap.length === 0) return first
-    heap[0] = last
-    for (let index = 0; ;) {
-      let least = index
-      for (const child of [2 * index + 1, 2 * index + 2]) {
-        if (child < heap.length && isBefore(heap[child], heap[least])) least = child
-      }
-      if (least === index) break
-      swap(heap, index, least)
-      index = least
-    }
-    return first
+    this.events.add(atMs, run)
   }
 }
 
-function isBefore (a: TimedEvent | undefined, b: TimedEvent | undefined): boolean {
-  if (a === undefined || b === undefined) return false
-  return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order)
-}
-
-function swap (heap: TimedEvent[], a: number, b: number): void {
-  const [first, second] = [heap[a], heap[b]]
-  if (first === undefined || second === undefined) return
-  heap[a] = second
-  heap[b] = first
-}
-
 function isStandby (site: LoadSite, pool: string): boolean {
   return site.pools.some((each) => each.standby && each.name === pool)
 }
--- a/packages/integration/src/load.test.ts
+++ b/packages/integration/src/load.test.ts
@@ -3,9 +3,10 @@
  */
 import { CapacityPlanner, type PlannedMachine, type PlannedMove, type PlannedPool } from '@vanillathread/policy'
 import { assert, describe } from '@vanillathread/testing'
-import { LoadDay, type Absence, type LoadDayResult, type MovePlanner } from './lib/load/LoadDay.js'
+import { LoadDay, type Absence, type MovePlanner } from './lib/load/LoadDay.js'
 import { SHORT_TASK_SITE, SMALL_SITE } from './lib/load/sites.js'
 import type { LoadSite } from './lib/load/LoadSite.js'
+import type { LoadDayResult } from './lib/load/summarizeLoadDay.js'
 
 const SEEDS = [1, 2, 3]
 
