Say in comments what a newcomer would get wrong

Cause: reading the diff found comments that the code does not fit: relays are fast daemons by name, not the fastest; heartbeats to other daemons are a fourth, not constant; a late copy of a store heartbeat may set an older time; the factor 3 in the suspicion of daemons that get fewer heartbeats had no reason.

--- a/packages/daemon/src/lib/jobs/HedgedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/HedgedRowStore.ts
@@ -27,8 +27,8 @@
 
 /**
  * A lost answer costs the timeout of a call, while the store answers within milliseconds. The transactions of this product may
- * be sent again: their conditions on the rows that they write let at most one copy succeed, or the rows they write do not
- * depend on how often they are written.
+ * be sent again: their conditions on the rows that they write let at most one copy succeed, or a second copy does no harm. A
+ * late copy of a store heartbeat may set an older time until the next heartbeat, as a late first attempt may.
  */
 export class HedgedRowStore implements RowStore {
   private latencyMs = 0
--- a/packages/daemon/src/lib/jobs/Succession.ts
+++ b/packages/daemon/src/lib/jobs/Succession.ts
@@ -69,6 +69,7 @@
   /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
   getSuspectAfterMs (ownerTerm: OwnerTerm): number {
     const periodMs = shardOptions.heartbeatPeriodMs
+    // A daemon that gets one heartbeat in `restHeartbeatInterval` waits for three of these to be lost.
     const extraMs = this.listNear(ownerTerm).includes(this.ownName) ? 0 : (shardOptions.restHeartbeatInterval - 1) * periodMs
     return shardOptions.suspectAfterMs + this.getTakeoverDelayMs(ownerTerm) + 3 * extraMs
   }
@@ -93,7 +94,7 @@
     return this.isMuchSlowerThan(this.options.members.candidates)
   }
 
-  /** Returns the fastest of the daemons that answer, up to the limit on relays. */
+  /** Returns fast daemons that answer, in the order of their names, up to the limit on relays. */
   private listFastAnswering (): Relay[] {
     const answering = this.listAnswering()
     const fastest = Math.max(...answering.map(({ speed }) => speed))
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -8,7 +8,7 @@
   heartbeatPeriodMs: 250,
   /**
    * Number of daemons, in the order of succession, that get every heartbeat and are the first to suspect the owner. All others
-   * get one in `restHeartbeatInterval`, so that the owner's messages do not grow with the number of daemons.
+   * get one in `restHeartbeatInterval`, so that the owner's messages grow less with the number of daemons.
    */
   nearSuccessors: 8,
   restHeartbeatInterval: 4,
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -1,5 +1,5 @@
 /**
- * The VMs of a shard as they register, leave and are found to be gone.
+ * Adds the VMs of a shard as they register, and removes them once they have certainly ended.
  */
 import { EventCode, type VmEntry } from '@vanillathread/model'
 import { beginIncarnation } from '../jobs/reconcileReport.js'
