--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -128,6 +128,11 @@
   VmAvoided = 727,
   /** The registration of a VM cannot be decoded and is ignored. */
   VmEntryInvalid = 728,
+  /**
+   * Starts in a pool have waited for a while: until the runs of `vmCount` VMs are known, tasks of `jobs` jobs may already run
+   * there under a previous owner. `vms` names some of the VMs; the wait ends in `untilInMs` at the latest.
+   */
+  StartsWait = 729,
   /** The daemon has become the owner of a shard; `former` names the previous owner. */
   ShardTaken = 730,
   /** The daemon has learned that it is not the owner of a shard any more. */
@@ -142,6 +147,8 @@
   OwnerKnown = 735,
   /** The owner begins to hand its shard over to a much faster daemon. */
   ShardHandedOver = 736,
+  /** The runs of all VMs of a pool are known, so that starts there do not wait any more; they did for `waitedMs`. */
+  StartsResumed = 737,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
   /** The store answers again after `awayMs`. */
@@ -237,6 +244,7 @@
   [EventCode.VmRestarted]: { level: EventLevel.Warn, message: 'VM restarted and its former runs have ended' },
   [EventCode.VmAvoided]: { level: EventLevel.Warn, message: 'VM gets no new tasks for a while because tasks of several jobs failed or are overdue on it' },
   [EventCode.VmEntryInvalid]: { level: EventLevel.Warn, message: 'VM registration cannot be read and is ignored' },
+  [EventCode.StartsWait]: { level: EventLevel.Warn, message: 'starts in a pool wait until the runs of VMs are known' },
   [EventCode.ShardTaken]: { level: EventLevel.Info, message: 'daemon has become the owner of a shard' },
   [EventCode.ShardLost]: { level: EventLevel.Warn, message: 'daemon is no longer the owner of a shard' },
   [EventCode.ShardReleased]: { level: EventLevel.Info, message: 'owner asked the store to release a shard' },
@@ -244,6 +252,7 @@
   [EventCode.OwnerDoubted]: { level: EventLevel.Warn, message: 'owner of a shard is suspected' },
   [EventCode.OwnerKnown]: { level: EventLevel.Info, message: 'daemon has learned which daemon owns a shard' },
   [EventCode.ShardHandedOver]: { level: EventLevel.Info, message: 'owner hands its shard over to a faster daemon' },
+  [EventCode.StartsResumed]: { level: EventLevel.Info, message: 'starts in a pool do not wait for VMs any more' },
   [EventCode.StoreLost]: { level: EventLevel.Warn, message: 'platform store does not answer' },
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler of one shard, which its owner runs: it applies events to the shard's state and returns orders.
  */
 import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
+import { StartGate } from '../vms/StartGate.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { VmRegistry } from '../vms/VmRegistry.js'
 import { ArrivalMeter, getJobWork, measureDemand, type PoolCapacityDemand } from '../machines/PoolCapacityDemand.js'
@@ -71,13 +72,13 @@
   private readonly changedJobs = new Set<TrackedJob>()
   /** Ids of jobs that were cancelled before the owner knew them. */
   private readonly pendingCancels = new Set<string>()
-  /** Ids of VMs that were called at least once, whether they answered or not. */
-  private readonly calledVms = new Set<string>()
+  private readonly startGate: StartGate
   private readonly retention = JobRetention.create()
 
   private constructor (private readonly options: JobSchedulerOptions) {
     this.state = SchedulerState.create(options.logDecision)
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
+    this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
 
   static create (options: JobSchedulerOptions): JobScheduler {
@@ -151,17 +152,17 @@
 
   /** Applies a VM's report. `sentAtMs` is the time at which it was requested. */
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
-    this.calledVms.add(vm.id)
+    this.startGate.recordCall(vm.id)
     reconcileReport(this.state, vm, report, sentAtMs, nowMs)
     this.pacing.control(this.state, vm, nowMs)
   }
 
   /** Records that a VM does not answer calls. */
   markUnresponsive (vm: TrackedVm, nowMs: number): void {
-    this.calledVms.add(vm.id)
+    this.startGate.recordCall(vm.id)
     if (vm.unresponsiveSinceMs !== undefined) return
     vm.unresponsiveSinceMs = nowMs
-    this.state.logDecision(EventCode.VmSilent, { vm: vm.id, runs: vm.runs.size, leaseOverInMs: Math.round(vm.leaseExpiresAtMs - nowMs) })
+    this.state.logDecision(EventCode.VmSilent, { vm: vm.id, runs: vm.runs.size, leaseOverInMs: Math.round(this.registry.getLeaseExpiryMs(vm) - nowMs) })
   }
 
   /** Applies the outcome of a start order. */
@@ -225,7 +226,7 @@
     const vmsByPool = this.groupVmsByPool()
     for (const pool of this.state.openJobs.keys()) {
       const vms = vmsByPool.get(pool) ?? []
-      const mayStart = this.createStartCheck(vms)
+      const mayStart = this.startGate.createCheck(pool, vms, nowMs)
       placeTasks(this.state, pool, { ...clocks, vms, getTickets, mayStart })
     }
     if (isCheckDue) resendStops(this.state, nowMs)
@@ -283,15 +284,4 @@
     }
     return vmsByPool
   }
-
-  /**
-   * Returns a predicate for whether tasks of a job of the pool with the given VMs may be started. A job that a previous
-   * owner may have started waits until the runs of each VM are known. For any other job it suffices that each VM was called once.
-   */
-  private createStartCheck (vms: readonly TrackedVm[]): (job: TrackedJob) => boolean {
-    const unreconciled = vms.filter((vm) => !vm.isReconciled)
-    const allKnown = unreconciled.length === 0
-    const allCalled = unreconciled.every((vm) => this.calledVms.has(vm.id))
-    return (job) => allKnown || (allCalled && !job.mayHavePreviousRuns)
-  }
 }
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -105,6 +105,11 @@
     }
   }
 
+  /** Returns the time from which a VM that does not answer certainly has no runs. */
+  getLeaseExpiryMs (vm: TrackedVm): number {
+    return vm.isReconciled ? vm.leaseExpiresAtMs : this.getPreviousLeaseExpiryMs()
+  }
+
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
   private retireReplaced (entry: VmEntry): void {
     if (entry.machine === undefined) return
