Record when the lease of an unresponsive VM is over, so that a successor need not wait anew

When its lease was over was known to the owner alone; the successor counted the longest possible wait (7.15 s) from its own takeover, so each hand-over or kill began the wait again. Change: the roster row of an unresponsive VM holds the time on the store's clock from which it certainly has no runs, taken from an answer to a request that was sent after its last lease; a successor waits for the earlier of that and its own bound. A VM that answers again gets no lease and no tasks until the row without that time is stored; the owner row says whether its owner keeps these records, so a row that an earlier build left alone is not trusted. Why it works: only the owner writes the rows, conditionally on its fencing token, and the order (withdraw, then lease) means that a recorded time is never earlier than the end of a lease in force.

--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -38,6 +38,7 @@
     const transactions: RowTransaction[] = []
     const rows = {
       getStoreClockMs: () => timers.now(),
+      getStoreClockReading: () => undefined,
       transact: async (transaction: RowTransaction) => {
         transactions.push(transaction)
         return Result.ok({ version: transactions.length + 1 })
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -4,7 +4,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import type { JobProgress, JobScheduler, TrackedJob, TrackedVm } from '@vanillathread/policy'
+import type { JobProgress, JobScheduler, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
 import { StoreFailureKind, type RowCondition, type RowKey, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { encodeRow, Table } from './rows.js'
@@ -29,8 +29,8 @@
 /** Content of one transaction. */
 interface Batch {
   readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress }>
-  /** VMs to add to the roster, the stored list of VMs that may hold runs of the shard. */
-  readonly roster: readonly TrackedVm[]
+  /** Records for the roster, the stored list of VMs that may hold runs of the shard. */
+  readonly roster: readonly RosterWrite[]
   /** VMs that are certain to hold no runs any more, whose roster rows are removed. */
   readonly left: readonly string[]
   /** Number up to which each VM's end entries are stored once this batch is committed. */
@@ -55,6 +55,11 @@
     if (!this.running) this.run()
   }
 
+  /** Requests a commit if records of VMs are to be written, which some are after a time without any event. */
+  requestDueRecords (): void {
+    if (this.listRosterWrites().length > 0) this.request()
+  }
+
   /** Commits until no change is left or `limitMs` has passed. */
   async flush (limitMs: number): Promise<void> {
     const endMs = this.options.timers.now() + limitMs
@@ -78,6 +83,11 @@
     this.running = false
   }
 
+  private listRosterWrites (): RosterWrite[] {
+    const { scheduler, rows, timers } = this.options
+    return scheduler.listRosterWrites({ nowMs: timers.now(), storeReading: rows.getStoreClockReading() })
+  }
+
   private collectBatch (): Batch {
     const { scheduler, rows } = this.options
     const changed = scheduler.listJobsToStore()
@@ -86,10 +96,13 @@
       return { job, progress: job.toProgress(rows.getStoreClockMs()) }
     })
     const vms = [...scheduler.state.vms.values()]
-    const roster = vms.filter((vm) => !vm.recorded).slice(0, MAX_ROSTER_ROWS)
+    const rosterWrites = this.listRosterWrites()
+    const roster = rosterWrites.slice(0, MAX_ROSTER_ROWS)
+    // The write may be carried out even if its answer is lost.
+    for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
     const left = [...scheduler.forgottenVms].slice(0, MAX_ROSTER_ROWS)
     const complete = changed.length === jobs.length
-    if (!complete || vms.some((vm) => !vm.recorded && !roster.includes(vm))) this.commitRequested = true
+    if (!complete || rosterWrites.length > roster.length) this.commitRequested = true
     // End entries are acknowledged only if the batch holds every changed job, as any of these may depend on them.
     const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.acknowledgedEnd).map((vm) => [vm, vm.appliedEnd]) : [])
     return { jobs, roster, left, ends }
@@ -116,6 +129,7 @@
       return true
     }
     for (const { job } of batch.jobs) job.changed = true
+    for (const { vm } of batch.roster) vm.recordUnconfirmed = true
     this.applyFailure(res.error, conditions)
     return false
   }
@@ -123,14 +137,18 @@
   private listPuts (batch: Batch): RowPut[] {
     const { shard } = this.options
     const jobs = batch.jobs.map(({ job, progress }) => ({ table: Table.Progress, part: shard, key: job.id, value: encodeRow(progress) }))
-    const roster = batch.roster.map((vm) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow(vm.entry) }))
+    const roster = batch.roster.map(({ vm, record: { entry, ...rest } }) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow({ ...entry, ...rest }) }))
     return [...jobs, ...roster]
   }
 
   private markCommitted (batch: Batch): void {
     const { scheduler } = this.options
     for (const { job, progress } of batch.jobs) scheduler.markStored(job, progress)
-    for (const vm of batch.roster) vm.recorded = true
+    for (const { vm, record } of batch.roster) {
+      vm.recorded = true
+      vm.recordedLeaseEndMs = record.leaseEndMs
+      vm.recordUnconfirmed = false
+    }
     for (const [vm, end] of batch.ends) {
       // A restarted VM numbers its end entries from the start again, so `end` may belong to the previous incarnation.
       if (vm.appliedEnd >= end) vm.acknowledgedEnd = end
--- a/packages/daemon/src/lib/jobs/HedgedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/HedgedRowStore.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type TimerService } from '@vanillathread/kernel'
 import { Result } from '@vanillathread/model'
-import { StoreFailureKind, type RowCommit, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoredRow, type StoreFailure } from '@vanillathread/ports'
+import { StoreFailureKind, type RowCommit, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoreClockReading, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 import { storeOptions } from './jobOptions.js'
 
 /** Options of {@link HedgedRowStore.create}. */
@@ -64,6 +64,10 @@
     return this.options.rows.getStoreClockMs()
   }
 
+  getStoreClockReading (): StoreClockReading | undefined {
+    return this.options.rows.getStoreClockReading()
+  }
+
   getTimeSinceAnswerMs (): number {
     return this.options.rows.getTimeSinceAnswerMs()
   }
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -48,6 +48,11 @@
     return this.rows.transact({ conditions: [{ ...this.key, version: expectedVersion }], puts, removes: [] })
   }
 
+  /** Writes a row without an owner after the given one, on condition that the row has the expected version. */
+  release (former: OwnerRow | undefined, expectedVersion: number): Promise<Result<RowCommit, StoreFailure>> {
+    return this.write({ owner: '', host: '', port: 0, generation: former?.generation ?? 0, recordsLeaseEnds: former?.recordsLeaseEnds }, expectedVersion, false)
+  }
+
   /** Writes a store heartbeat. Returns false if the store shows another owner. */
   async writeHeartbeat (fencingToken: number): Promise<boolean> {
     const res = await this.rows.transact({ conditions: [{ ...this.key, version: fencingToken }], puts: [this.createHeartbeat()], removes: [] })
--- a/packages/daemon/src/lib/jobs/ShardLoader.ts
+++ b/packages/daemon/src/lib/jobs/ShardLoader.ts
@@ -2,8 +2,8 @@
  * Reads a shard's rows from the store.
  */
 import type { EventLog } from '@vanillathread/kernel'
-import { EventCode, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
-import type { JobProgress } from '@vanillathread/policy'
+import { EventCode, Result, type AcceptedJob } from '@vanillathread/model'
+import type { JobProgress, RosterRecord } from '@vanillathread/policy'
 import { readTable, type RowStore, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 import { formatRowName } from './CommitLoop.js'
 import { CANCEL_PREFIX, decodeJobRow, decodeProgressRow, decodeRosterRow, JOB_PREFIX, Table } from './rows.js'
@@ -16,7 +16,7 @@
   /** Progress by job id. */
   readonly progress: ReadonlyMap<string, JobProgress>
   /** VMs that may hold runs of the shard. */
-  readonly roster: readonly VmEntry[]
+  readonly roster: readonly RosterRecord[]
   /** Versions of the progress and roster rows, by table and key. */
   readonly versions: Map<string, number>
   /** Store version from which the feed of jobs is to be read. */
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -37,6 +37,8 @@
   readonly generation: number
   /** The shard's owner row; its version is the fencing token. */
   readonly ownerRow: RowCondition
+  /** True if the previous owner kept the ends of leases in the roster up to date. */
+  readonly trustsLeaseEnds: boolean
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
@@ -178,17 +180,16 @@
     })
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
-    for (const entry of content.roster) {
-      scheduler.applyRegistration(entry, nowMs)
-      const vm = scheduler.state.vms.get(entry.id)
-      if (vm !== undefined) vm.recorded = true
+    const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
+    for (const { entry, leaseEndMs } of content.roster) {
+      scheduler.restoreVm(options.trustsLeaseEnds ? { entry, leaseEndMs } : { entry }, clocks)
     }
     for (const change of vms) {
       // A registration may prove that a VM of the roster has ended.
       if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
     }
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
-    for (const entry of content.roster) {
+    for (const { entry } of content.roster) {
       if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
     }
     this.loaded = true
@@ -196,7 +197,10 @@
     options.log.write(EventCode.ShardReady, {
       shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
     })
-    this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
+    this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => {
+      this.requestPlan()
+      this.commitLoop?.requestDueRecords()
+    })
     this.endedJobRemover = EndedJobRemover.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateRetentionFactor })
     this.createMachineController()
     this.feeds = ShardFeeds.create({
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -173,8 +173,9 @@
     if (this.stopping) return
     const { context, shard } = this.options
     const { settings, log } = context
-    const generation = this.row === undefined ? 0 : this.row.value.generation + 1
-    const value: OwnerRow = { owner: this.name, ...settings.peer, generation }
+    const former = this.row?.value
+    const generation = former === undefined ? 0 : former.generation + 1
+    const value: OwnerRow = { owner: this.name, ...settings.peer, generation, recordsLeaseEnds: true }
     const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
@@ -182,7 +183,7 @@
       if (res.error.kind !== StoreFailureKind.NotDone) this.rowCurrent = false
       return
     }
-    log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former: this.row?.value.owner, reason })
+    log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former: former?.owner, reason })
     this.row = { value, version: res.value.version }
     if (this.stopping) return
     this.localOwner = ShardOwner.create({
@@ -191,6 +192,7 @@
       shard,
       generation,
       ownerRow: { ...this.record.key, version: res.value.version },
+      trustsLeaseEnds: former?.recordsLeaseEnds === true,
       onSuperseded: (why) => this.stepDown(why),
     })
     this.sendHeartbeats()
@@ -211,8 +213,7 @@
   /** Writes an owner row without an owner, so that other daemons can take over without suspecting this one first. */
   private async release (fencingToken: number): Promise<void> {
     const { context, shard, network, members } = this.options
-    const generation = this.row?.value.generation ?? 0
-    const res = await this.record.write({ owner: '', host: '', port: 0, generation }, fencingToken, false)
+    const res = await this.record.release(this.row?.value, fencingToken)
     this.rowCurrent = false
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -46,7 +46,8 @@
       await this.renew()
       if (this.disposed) return
       // A VM lists its end entries again until they are acknowledged, so the next long poll waits for their commit.
-      if (vm.appliedEnd > vm.acknowledgedEnd) await this.waitForCommit()
+      // The VM gets no lease until the recorded end of its former one is withdrawn.
+      if (vm.appliedEnd > vm.acknowledgedEnd || (vm.unresponsiveSinceMs === undefined && !vm.mayBeLeased)) await this.waitForCommit()
       else if (vm.unresponsiveSinceMs !== undefined) await delay(timers, taskOptions.unresponsiveRetryMs)
     }
   }
@@ -77,9 +78,7 @@
     const sentAtMs = timers.now()
     const answer = await client.renew({
       fencingToken,
-      // A lease sent to an unresponsive VM may have arrived, so extending it would postpone the time at which it has
-      // certainly expired.
-      leaseUntilMs: vm.knowsClock && vm.unresponsiveSinceMs === undefined ? vm.extendLease(sentAtMs, leaseMs) : undefined,
+      leaseUntilMs: vm.knowsClock && vm.mayBeLeased ? vm.extendLease(sentAtMs, leaseMs) : undefined,
       acknowledgedEnd: vm.acknowledgedEnd,
       waitMs: this.lostRenewals > 0 ? 0 : this.getPollWaitMs(),
     })
@@ -98,7 +97,7 @@
   /** Returns the longest wait of the next long poll: short if the VM's tasks or their stops must be followed closely. */
   private getPollWaitMs (): number {
     const { vm, timers, scheduler } = this.options
-    if (!vm.isReconciled) return 0
+    if (!vm.isReconciled || !vm.mayBeLeased) return 0
     const nowMs = timers.now()
     let hasLatencySensitiveTasks = false
     let hasBestEffortTasks = false
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -4,7 +4,7 @@
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
 import type { AcceptedJob, VmEntry } from '@vanillathread/model'
-import type { JobProgress } from '@vanillathread/policy'
+import type { JobProgress, RosterRecord } from '@vanillathread/policy'
 
 /** Tables. The rows of a shard have the shard's name as their part. */
 export enum Table {
@@ -36,6 +36,8 @@
   port: z.number(),
   /** Number of takeovers before this one. */
   generation: z.number(),
+  /** True if the owner keeps the ends of leases in the roster up to date; builds that lack the field do not. */
+  recordsLeaseEnds: z.boolean().optional(),
 })
 
 /** Owner of a shard; an empty name means that the shard has no owner. */
@@ -47,7 +49,7 @@
 export type MemberRow = z.infer<typeof memberRowSchema>
 
 /** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | VmEntry | WaveMachineRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | RosterRow | WaveMachineRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -79,10 +81,15 @@
   return typeof progress?.state === 'string' && Array.isArray(progress.occurrences) ? progress : undefined
 }
 
+/** A VM of a roster. The lease end stands beside the fields of the entry, which earlier builds read. */
+export type RosterRow = VmEntry & { readonly leaseEndMs?: number }
+
 /** Decodes a VM of a roster. */
-export function decodeRosterRow (bytes: Uint8Array): VmEntry | undefined {
-  const entry = decode(bytes) as VmEntry | undefined
-  return typeof entry?.id === 'string' && typeof entry.pool === 'string' ? entry : undefined
+export function decodeRosterRow (bytes: Uint8Array): RosterRecord | undefined {
+  const row = decode(bytes) as RosterRow | undefined
+  if (typeof row?.id !== 'string' || typeof row.pool !== 'string') return undefined
+  const { leaseEndMs, ...entry } = row
+  return typeof leaseEndMs === 'number' ? { entry, leaseEndMs } : { entry }
 }
 
 /** Progress of one machine of a maintenance wave, whose maintenance was ordered or may have been ordered. */
--- a/packages/integration/src/lostAfterHandOver.test.ts
+++ b/packages/integration/src/lostAfterHandOver.test.ts
@@ -1,6 +1,7 @@
 /**
  * Long-running tasks of a VM that is gone start again in time, although owners change while its lease runs out.
  */
+import { VmFault } from '@vanillathread/stand-ins'
 import { assert, describe } from '@vanillathread/testing'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
 
@@ -48,6 +49,53 @@
   return downMs
 }
 
+/**
+ * Cuts a VM with three tasks off until the end of its lease is recorded, lets it answer for 3 s, then cuts it off again and kills
+ * the owner, after the recorded end but while the VM runs its tasks under a newer lease, if it got one.
+ */
+async function simulateSecondCut (seed: number, refusesWrites: boolean): Promise<{ lab: JobLab, runsAtKill: number }> {
+  const lab = JobLab.create({ seed, daemons: 5 })
+  await lab.start()
+  lab.submit(createJob(createStep({ taskCount: TASKS, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+  // Keeps a third VM in the pool, on which the tasks of the first one have room.
+  lab.submit(createJob(createStep({ taskCount: 3, longRunning: true, maxTasksPerVm: 1 })))
+  await lab.run(4_000)
+  const vm = lab.fleet.vms.find((each) => each.runs.size > 2)
+  const owner = lab.findOwner()
+  const ownerStore = lab.daemons[owner]?.store
+  if (vm === undefined || ownerStore === undefined) throw new Error('no VM with three tasks, or no owner')
+  vm.fault = VmFault.Partitioned
+  await lab.run(2_900)
+  ownerStore.refusesWrites = refusesWrites
+  await lab.run(100)
+  vm.fault = VmFault.None
+  await lab.run(3_000)
+  vm.fault = VmFault.Partitioned
+  const runsAtKill = vm.runs.size
+  await lab.crashDaemon(owner)
+  await lab.run(12_000)
+  vm.fault = VmFault.None
+  await lab.finish(8_000)
+  return { lab, runsAtKill }
+}
+
+describe('long-running tasks of a VM that was unresponsive and answers again', ({ it }) => {
+  it('do not run twice if the VM is cut off again and the owner is killed after the recorded end of the first lease', async () => {
+    for (const seed of SEEDS) {
+      const { lab, runsAtKill } = await simulateSecondCut(seed, false)
+      assert.is(runsAtKill, 3, 'the VM has a new lease')
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+
+  it('do not run twice either if the owner cannot withdraw the recorded end', async () => {
+    for (const seed of SEEDS) {
+      const { lab } = await simulateSecondCut(seed, true)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+})
+
 describe('long-running tasks of a VM that has left', ({ describe }) => {
   const cases: ReadonlyArray<readonly [string, OwnerChanges]> = [
     ['the owner is stopped 4 s later', { stopsAtMs: [4_000] }],
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,6 +32,7 @@
 export { EMPTY_BUDGET, FleetStepKind, countAvailable, planPool, type DeclaredVm, type FleetStep, type PoolView, type VmObservation } from './lib/fleet/planPool.js'
 export { buildStepChanges, type StepContext } from './lib/fleet/buildStepChanges.js'
 export { CapacityPolicy, type CapacityPolicyOptions, type CapacityWeights, type LendableVm, type LoanDecision, type PoolDemand } from './lib/fleet/CapacityPolicy.js'
+export type { RosterClocks, RosterRecord, RosterWrite } from './lib/vms/rosterRecords.js'
 export { TrackedVm } from './lib/vms/TrackedVm.js'
 export { JobScheduler, type JobSchedulerOptions, type ClockReadings } from './lib/jobs/JobScheduler.js'
 export type { JobProgress, OccurrenceProgress } from './lib/jobs/JobProgress.js'
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler of one shard, which its owner runs: it applies events to the shard's state and returns orders.
  */
 import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
+import type { RosterClocks, RosterRecord, RosterWrite } from '../vms/rosterRecords.js'
 import { StartGate } from '../vms/StartGate.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { VmRegistry } from '../vms/VmRegistry.js'
@@ -122,6 +123,16 @@
     if (this.registry.apply(entry)) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
   }
 
+  /** Adds a VM that the store's roster lists at the takeover. */
+  restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
+    this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)
+  }
+
+  /** Returns the records of VMs that the store's roster lacks or that have changed. */
+  listRosterWrites (clocks: RosterClocks): RosterWrite[] {
+    return this.registry.listRosterWrites(clocks)
+  }
+
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregisterVm (id: string, nowMs: number): void {
     this.registry.unregister(id, nowMs)
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -27,6 +27,15 @@
   isReconciled = false
   /** True once the store lists this VM among those that may have runs. */
   recorded = false
+  /**
+   * Time on the store's clock from which the VM has no runs, as the store's list tells a successor, or may tell it once a write
+   * in flight is carried out. While it is set, the VM gets no leases.
+   */
+  recordedLeaseEndMs: number | undefined
+  /** True if the last write of `recordedLeaseEndMs` failed or had an unknown outcome. */
+  recordUnconfirmed = false
+  /** Time from which a VM that the store listed at the takeover certainly has no runs of previous owners, if that was recorded. */
+  previousLeaseExpiresAtMs: number | undefined
   /** Time at which the registration disappeared, or undefined while the VM is registered. */
   unregisteredAtMs: number | undefined
   /** Time since which the VM has been unresponsive, or undefined while it answers. */
@@ -68,8 +77,16 @@
 
   /** Returns true if new tasks may be placed on the VM. */
   isUsable (nowMs: number): boolean {
-    return this.isReconciled && this.recorded && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining && !this.evacuating &&
-      this.unresponsiveSinceMs === undefined && nowMs >= this.pausedUntilMs
+    return this.isReconciled && this.recorded && this.mayBeLeased && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
+      !this.evacuating && nowMs >= this.pausedUntilMs
+  }
+
+  /**
+   * Returns true if the VM may get leases: it answers, and no end of its lease is recorded, which a successor would trust. A
+   * lease sent to an unresponsive VM may arrive, and would postpone the time at which it has certainly expired.
+   */
+  get mayBeLeased (): boolean {
+    return this.unresponsiveSinceMs === undefined && this.recordedLeaseEndMs === undefined
   }
 
   get registered (): boolean {
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -4,6 +4,7 @@
 import { EventCode, type VmEntry } from '@vanillathread/model'
 import { beginIncarnation } from '../jobs/reconcileReport.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
+import { planRosterWrite, type RosterClocks, type RosterRecord, type RosterWrite } from './rosterRecords.js'
 import { TrackedVm } from './TrackedVm.js'
 
 /** Factor on a lease's duration that allows for VM clocks that run slow. */
@@ -56,6 +57,21 @@
     return beginsToDrain
   }
 
+  /** Adds a VM that the store's roster lists at the takeover. @param storeNowMs - the store's clock, or less. */
+  restore ({ entry, leaseEndMs }: RosterRecord, nowMs: number, storeNowMs: number): void {
+    this.apply(entry)
+    const vm = this.options.state.vms.get(entry.id)
+    if (vm === undefined) return
+    vm.recorded = true
+    vm.recordedLeaseEndMs = leaseEndMs
+    if (leaseEndMs !== undefined) vm.previousLeaseExpiresAtMs = nowMs + leaseEndMs - storeNowMs
+  }
+
+  /** Returns the roster records to write. */
+  listRosterWrites (clocks: RosterClocks): RosterWrite[] {
+    return [...this.options.state.vms.values()].map((vm) => planRosterWrite(vm, this.getLeaseExpiryMs(vm), clocks)).filter((write) => write !== undefined)
+  }
+
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregister (id: string, nowMs: number): void {
     const vm = this.options.state.vms.get(id)
@@ -96,9 +112,9 @@
         if (vm.unresponsiveSinceMs === undefined || nowMs < vm.leaseExpiresAtMs) continue
         if (vm.runs.size > 0) state.loseRuns(vm, vm.runs.values(), 'lease is over and the VM does not answer')
         if (!vm.registered) this.forget(vm.id, 'not registered and its lease has expired')
-      } else if (!vm.registered && nowMs >= this.getPreviousLeaseExpiryMs()) {
+      } else if (!vm.registered && nowMs >= this.getLeaseExpiryMs(vm)) {
         this.forget(vm.id, 'not registered and every former lease is over')
-      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getPreviousLeaseExpiryMs()) {
+      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getLeaseExpiryMs(vm)) {
         // Every lease of a previous owner has expired, so the VM has no runs. `isReconciled` is set although the VM did not answer.
         vm.isReconciled = true
       }
@@ -107,7 +123,7 @@
 
   /** Returns the time from which a VM that does not answer certainly has no runs. */
   getLeaseExpiryMs (vm: TrackedVm): number {
-    return vm.isReconciled ? vm.leaseExpiresAtMs : this.getPreviousLeaseExpiryMs()
+    return vm.isReconciled ? vm.leaseExpiresAtMs : Math.min(vm.previousLeaseExpiresAtMs ?? Infinity, this.getPreviousLeaseExpiryMs())
   }
 
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
@@ -119,7 +135,7 @@
     }
   }
 
-  /** Returns the time from which no VM has runs under a previous owner's lease. */
+  /** Returns the time from which no VM has runs under a previous owner's lease, whatever is recorded. */
   private getPreviousLeaseExpiryMs (): number {
     const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
     return startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR
--- a/packages/ports/src/lib/jobs/RowStore.ts
+++ b/packages/ports/src/lib/jobs/RowStore.ts
@@ -88,6 +88,16 @@
   readonly bulk?: boolean
 }
 
+/**
+ * A reading of the store's steady clock. The store took it at some time between sending the request and receiving the answer.
+ * @public
+ */
+export interface StoreClockReading {
+  readonly clockMs: number
+  /** Time since the request was sent, in milliseconds. */
+  readonly sentAgoMs: number
+}
+
 /** Port to the row store. @public */
 export interface RowStore {
   /** Executes a transaction if all its conditions hold. */
@@ -96,8 +106,13 @@
   readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>>
   /** Long poll: returns the rows of a table that changed after a version, or none if none changes within `waitMs`. */
   readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>>
-  /** Returns the store's steady clock in milliseconds, estimated from its latest answer. */
+  /**
+   * Returns the store's steady clock in milliseconds, estimated from its latest answer. The clock may be ahead of the estimate
+   * by the time that the answer took, never behind.
+   */
   getStoreClockMs (): number
+  /** Returns the clock in the latest answer to a call that does not wait for changes, or undefined before the first one. */
+  getStoreClockReading (): StoreClockReading | undefined
   /** Returns the time since the store last answered a call, in milliseconds. */
   getTimeSinceAnswerMs (): number
 }
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -4,7 +4,7 @@
 import { delay, type TimerService } from '@vanillathread/kernel'
 import { Result } from '@vanillathread/model'
 import type { RandomSource } from '@vanillathread/policy'
-import { StoreFailureKind, type RowCommit, type RowCondition, type RowKey, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoredRow, type StoreFailure } from '@vanillathread/ports'
+import { StoreFailureKind, type RowCommit, type RowCondition, type RowKey, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoreClockReading, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 
 /** Latency of a call without a fault. */
 const CALL_LATENCY_MS = 4
@@ -32,6 +32,9 @@
 /** Latency of a call while the store is slow. */
 const SLOW_CALL_LATENCY_MS = 240
 
+/** Difference between the store's clock and those of the daemons. */
+const CLOCK_OFFSET_MS = 7_000_000
+
 /** Maximum number of entries (conditions, puts and removes) of a transaction, as specified by the platform. */
 const MAX_ENTRIES = 100
 
@@ -59,6 +62,11 @@
     return StoreClientStandIn.create(this)
   }
 
+  /** The store's steady clock, which differs from that of the daemons. */
+  get clockMs (): number {
+    return this.timers.now() + CLOCK_OFFSET_MS
+  }
+
   /** Writes a row as the operator or a VM does; faults do not affect it. */
   put (key: RowKey, value: Uint8Array): number {
     return this.apply({ conditions: [], puts: [{ ...key, value }], removes: [] })
@@ -140,6 +148,8 @@
   /** True if writes are refused as not done while reads work. */
   refusesWrites = false
   private lastAnswerAtMs = 0
+  /** Clock in the latest answer to a call that does not wait, and the time at which that call was sent. */
+  private clockReading: { readonly clockMs: number, readonly sentAtMs: number } | undefined
 
   private constructor (private readonly store: StoreStandIn) {}
 
@@ -148,7 +158,12 @@
   }
 
   getStoreClockMs (): number {
-    return this.store.timers.now()
+    return this.store.clockMs
+  }
+
+  getStoreClockReading (): StoreClockReading | undefined {
+    const { clockReading } = this
+    return clockReading === undefined ? undefined : { clockMs: clockReading.clockMs, sentAgoMs: this.store.timers.now() - clockReading.sentAtMs }
   }
 
   getTimeSinceAnswerMs (): number {
@@ -157,6 +172,7 @@
 
   async transact (transaction: RowTransaction): Promise<Result<RowCommit, StoreFailure>> {
     const { timers, random } = this.store
+    const sentAtMs = timers.now()
     const failure = await this.applyFault(true)
     if (failure !== undefined) return failure
     if (this.refusesWrites) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 429' })
@@ -165,11 +181,12 @@
       await delay(timers, CALL_TIMEOUT_MS)
       return Result.err({ kind: StoreFailureKind.Unknown, reason: 'no answer' })
     }
-    return this.answered(this.store.transact(transaction))
+    return this.answered(this.store.transact(transaction), sentAtMs)
   }
 
   async readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>> {
-    return await this.applyFault(false) ?? this.answered(Result.ok(this.store.readRange(range)))
+    const sentAtMs = this.store.timers.now()
+    return await this.applyFault(false) ?? this.answered(Result.ok(this.store.readRange(range)), sentAtMs)
   }
 
   async readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>> {
@@ -209,9 +226,10 @@
     }
   }
 
-  /** Records the time of an answer and returns the answer. */
-  private answered<T> (res: Result<T, StoreFailure>): Result<T, StoreFailure> {
+  /** Records the time of an answer, and the clock in it if the call did not wait, and returns the answer. */
+  private answered<T> (res: Result<T, StoreFailure>, sentAtMs?: number): Result<T, StoreFailure> {
     this.lastAnswerAtMs = this.store.timers.now()
+    if (sentAtMs !== undefined) this.clockReading = { clockMs: this.store.clockMs, sentAtMs }
     return res
   }
 }
