A successor of an owner that has ended does not wait for renewals by it

Cause: two tests of lostAfterHandOver were red: after a hand-over, or a kill, the wait for a VM that is gone was 2 s longer than its lease, the time for which a superseded owner that lives may go on. An owner that released the shard, or whose process is gone, renews nothing.

--- /dev/null
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -0,0 +1,69 @@
+/**
+ * Heartbeats of a shard's owner: to other daemons, which suspect it without them, and to the store, which prove that it reaches the store.
+ */
+import type { Subscription } from '@vanillathread/kernel'
+import { PeerMessageKind } from '../peer/messages.js'
+import type { PeerTransport } from '../peer/PeerTransport.js'
+import { shardOptions } from './jobOptions.js'
+import type { OwnerRecord } from './OwnerRecord.js'
+import type { ShardOwner, ShardOwnerContext } from './ShardOwner.js'
+import type { OwnerTerm, Succession } from './Succession.js'
+
+/** Options of {@link OwnerHeartbeats.create}. */
+export interface OwnerHeartbeatsOptions {
+  readonly shard: string
+  readonly context: ShardOwnerContext
+  readonly network: PeerTransport
+  readonly record: OwnerRecord
+  readonly succession: Succession
+  /** Returns this daemon's ownership, or undefined if it does not own the shard. */
+  getOwner (): ShardOwner | undefined
+  getOwnerTerm (): OwnerTerm
+  /** Called if the store shows another owner than the given one. */
+  onSuperseded (owner: ShardOwner): void
+}
+
+/** Sends heartbeats while this daemon owns the shard. */
+export class OwnerHeartbeats {
+  private readonly subscriptions: readonly Subscription[]
+
+  private constructor (private readonly options: OwnerHeartbeatsOptions) {
+    const { timers } = options.context
+    this.subscriptions = [
+      timers.every(shardOptions.heartbeatPeriodMs, () => this.send()),
+      timers.every(shardOptions.storeHeartbeatPeriodMs, () => { this.writeToStore() }),
+    ]
+  }
+
+  static create (options: OwnerHeartbeatsOptions): OwnerHeartbeats {
+    return new OwnerHeartbeats(options)
+  }
+
+  dispose (): void {
+    for (const subscription of this.subscriptions) subscription.dispose()
+  }
+
+  /** Sends the next heartbeats to other daemons now. */
+  send (): void {
+    const { context, network, shard, succession, getOwner, getOwnerTerm } = this.options
+    const owner = getOwner()
+    if (owner === undefined) return
+    const message = {
+      kind: PeerMessageKind.ShardHeartbeat,
+      shard,
+      owner: context.settings.name,
+      address: { ...context.settings.peer },
+      fencingToken: owner.fencingToken,
+      storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()),
+    } as const
+    for (const address of succession.listNextHeartbeatTargets(getOwnerTerm())) network.sendExpectingReply(address, message)
+    succession.updateRelays(owner.scheduler.state.vms.size)
+  }
+
+  private async writeToStore (): Promise<void> {
+    const { record, getOwner, onSuperseded } = this.options
+    const owner = getOwner()
+    if (owner === undefined) return
+    if (!await record.writeHeartbeat(owner.fencingToken) && getOwner() === owner) onSuperseded(owner)
+  }
+}
--- a/packages/daemon/src/lib/jobs/OwnerWatch.ts
+++ b/packages/daemon/src/lib/jobs/OwnerWatch.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '@vanillathread/kernel'
 import { shardOptions } from './jobOptions.js'
 import type { StoreHeartbeat } from './OwnerRecord.js'
+import { hasPreviousOwnerEnded, type TakeoverReason } from './TakeoverReason.js'
 
 /** Observations of one shard's owner. Times are on this daemon's steady clock. */
 export class OwnerWatch {
@@ -21,6 +22,8 @@
   /** Version of a suspected owner's store heartbeat, and the time at which it was first read. */
   private storeHeartbeat: { version: number, sinceMs: number } | undefined
   private checkedAtMs = 0
+  /** Number of takeovers before the last one that this daemon has read from the store, and the time of the first such read. */
+  private generation: { readonly number: number, readonly sinceMs: number } | undefined
 
   private constructor (private readonly timers: TimerService) {
     this.heartbeatAtMs = timers.now()
@@ -38,6 +41,21 @@
     this.vacantSinceMs = undefined
   }
 
+  /** Records the generation in an owner row from the store. A released row keeps that of its former owner. */
+  recordGeneration (number: number): void {
+    if (this.generation?.number !== number) this.generation = { number, sinceMs: this.timers.now() }
+  }
+
+  /**
+   * Returns the time after a takeover for which a superseded owner may still extend leases: none once the previous owner has
+   * ended, and those before it have been superseded for long enough.
+   */
+  getPreviousOwnerRenewalMs (reason: TakeoverReason): number {
+    const { previousOwnerRenewalMs } = shardOptions
+    if (!hasPreviousOwnerEnded(reason) || this.generation === undefined) return previousOwnerRenewalMs
+    return Math.max(0, previousOwnerRenewalMs - (this.timers.now() - this.generation.sinceMs))
+  }
+
   /** @param storeSilentMs - time for which the store has not answered the owner. */
   recordHeartbeat (storeSilentMs: number): void {
     this.heartbeatAtMs = this.timers.now()
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController } from './MachineController.js'
-import { shardOptions, taskOptions } from './jobOptions.js'
+import { taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
@@ -37,6 +37,8 @@
   readonly generation: number
   /** The shard's owner row; its version is the fencing token. */
   readonly ownerRow: RowCondition
+  /** Time after the takeover for which a previous owner may still extend leases of VMs that this owner cannot reach. */
+  readonly previousOwnerRenewalMs: number
   /** True if the previous owner kept the ends of leases in the roster up to date. */
   readonly trustsLeaseEnds: boolean
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
@@ -67,7 +69,7 @@
       generation: options.generation,
       fencingToken: options.ownerRow.version,
       leaseMs: this.leaseMs,
-      previousOwnerRenewalMs: options.generation > 0 ? shardOptions.previousOwnerRenewalMs : 0,
+      previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
       logDecision: (code, fields) => log.write(code, fields),
     })
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -8,12 +8,14 @@
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { shardOptions } from './jobOptions.js'
 import type { MemberDirectory } from './MemberDirectory.js'
+import { OwnerHeartbeats } from './OwnerHeartbeats.js'
 import { OwnerRecord, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
 import type { OwnerRow } from './rows.js'
 import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
 import { Succession, type OwnerTerm } from './Succession.js'
+import { TakeoverReason } from './TakeoverReason.js'
 
 /** Options of {@link ShardOwnership.create}. */
 export interface ShardOwnershipOptions {
@@ -46,7 +48,8 @@
   /** True while a check of the ownership is in progress. */
   private busy = false
   private stopping = false
-  private readonly subscriptions: Subscription[]
+  private readonly heartbeats: OwnerHeartbeats
+  private readonly checkTimer: Subscription
 
   private constructor (private readonly options: ShardOwnershipOptions) {
     const { network, context } = options
@@ -69,11 +72,15 @@
     network.on(PeerMessageKind.ShardReleased, ({ fencingToken, successor }) => {
       if (fencingToken >= this.knownFencingToken) this.applyRelease(successor)
     })
-    this.subscriptions = [
-      context.timers.every(shardOptions.ownershipCheckPeriodMs, () => { this.checkOwnership() }),
-      context.timers.every(shardOptions.heartbeatPeriodMs, () => this.sendHeartbeats()),
-      context.timers.every(shardOptions.storeHeartbeatPeriodMs, () => { this.writeStoreHeartbeat() }),
-    ]
+    this.heartbeats = OwnerHeartbeats.create({
+      ...options,
+      record: this.record,
+      succession: this.succession,
+      getOwner: () => this.localOwner,
+      getOwnerTerm: () => this.ownerTerm,
+      onSuperseded: () => this.stepDown('the store names another owner'),
+    })
+    this.checkTimer = context.timers.every(shardOptions.ownershipCheckPeriodMs, () => { this.checkOwnership() })
   }
 
   static create (options: ShardOwnershipOptions): ShardOwnership {
@@ -102,7 +109,8 @@
 
   dispose (): void {
     this.stopping = true
-    for (const subscription of this.subscriptions) subscription.dispose()
+    this.checkTimer.dispose()
+    this.heartbeats.dispose()
     this.localOwner?.dispose()
     this.vmClients.dispose()
   }
@@ -138,9 +146,9 @@
     if (!this.rowCurrent && !await this.readRow()) return
     const { watch, succession, ownerTerm } = this
     const owner = this.row?.value.owner ?? ''
-    if (owner === this.name) return succession.isMuchFasterDaemonKnown() ? this.release(this.knownFencingToken) : this.takeOver('this daemon held the shard before it restarted')
+    if (owner === this.name) return succession.isMuchFasterDaemonKnown() ? this.release(this.knownFencingToken) : this.takeOver(TakeoverReason.Restarted)
     if (owner === '') {
-      if (watch.getVacantForMs() >= succession.getTakeoverDelayMs(ownerTerm)) await this.takeOver('no owner')
+      if (watch.getVacantForMs() >= succession.getTakeoverDelayMs(ownerTerm)) await this.takeOver(TakeoverReason.NoOwner)
       return
     }
     watch.recordOccupied()
@@ -160,16 +168,16 @@
     if (watch.isNewSuspicion) {
       context.log.write(EventCode.OwnerDoubted, { shard, owner: this.row?.value.owner, silentMs: Math.round(watch.sinceHeartbeatMs), ownerStoreSilentMs: watch.ownerStoreSilentMs })
     }
-    if (heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver('owner process is gone')
+    if (heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver(TakeoverReason.ProcessGone)
     const suspectedToken = this.knownFencingToken
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
     const heartbeat = await this.record.readHeartbeat()
-    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.ownerTerm))) await this.takeOver('owner does not reach the store')
+    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.ownerTerm))) await this.takeOver(TakeoverReason.StoreUnreachable)
   }
 
   /** Takes the shard over by writing the owner row, on condition that it is still the known one. */
-  private async takeOver (reason: string): Promise<void> {
+  private async takeOver (reason: TakeoverReason): Promise<void> {
     if (this.stopping) return
     const { context, shard } = this.options
     const { settings, log } = context
@@ -192,10 +200,11 @@
       shard,
       generation,
       ownerRow: { ...this.record.key, version: res.value.version },
+      previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
       trustsLeaseEnds: former?.recordsLeaseEnds === true,
       onSuperseded: (why) => this.stepDown(why),
     })
-    this.sendHeartbeats()
+    this.heartbeats.send()
     this.localOwner.start()
   }
 
@@ -226,7 +235,7 @@
     if (!await this.readRow() || successor !== this.name || this.busy || this.row?.value.owner !== '') return
     this.busy = true
     try {
-      await this.takeOver('the former owner handed the shard over')
+      await this.takeOver(TakeoverReason.HandedOver)
     } finally {
       this.busy = false
     }
@@ -238,6 +247,7 @@
     if (stored === 'unavailable') return false
     this.rowCurrent = true
     if (stored === undefined) return true
+    this.watch.recordGeneration(stored.value.generation)
     if (stored.version > this.knownFencingToken) this.setKnownOwner(stored.value, stored.version)
     else if (stored.version === this.knownFencingToken) this.row = stored
     return true
@@ -261,28 +271,6 @@
     if (this.localOwner !== undefined && this.localOwner.fencingToken < version) this.stepDown('another daemon owns the shard')
   }
 
-  private sendHeartbeats (): void {
-    const { context, network, shard } = this.options
-    if (this.localOwner === undefined) return
-    const message = {
-      kind: PeerMessageKind.ShardHeartbeat,
-      shard,
-      owner: this.name,
-      address: { ...context.settings.peer },
-      fencingToken: this.localOwner.fencingToken,
-      storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()),
-    } as const
-    for (const address of this.succession.listNextHeartbeatTargets(this.ownerTerm)) network.sendExpectingReply(address, message)
-    this.succession.updateRelays(this.localOwner.scheduler.state.vms.size)
-  }
-
-  /** Writes the store heartbeat, and steps down if the store shows another owner. */
-  private async writeStoreHeartbeat (): Promise<void> {
-    const { localOwner } = this
-    if (localOwner === undefined) return
-    if (!await this.record.writeHeartbeat(localOwner.fencingToken) && this.localOwner === localOwner) this.stepDown('the store names another owner')
-  }
-
   /** Hands the shard over if a much faster daemon answers heartbeats and reaches the store. */
   private async handOverIfSlow (localOwner: ShardOwner): Promise<void> {
     const { settings, log } = this.options.context
