Add VMs to the roster as fast as transactions have room

Cause: a VM gets no tasks before its roster row is stored, and a transaction took three such rows at the most, so 120 a second: 540 VMs took 4.5 s after a start, and the surge of a large fleet moves 117 machines a second. Change: roster rows and removals take the entries that the jobs of a transaction leave. Measured: the new test failed before (123 of 540 rows within a second) and passes; transactions stay within the platform's 100 entries.

--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -94,4 +94,15 @@
     assert.is(scheduler.forgottenVms.size, 0)
     loop.dispose()
   })
+
+  it('adds the VMs of a large fleet to the roster within a second, as none gets tasks before', async () => {
+    const { scheduler, timers, transactions, loop } = createFixture()
+    for (let index = 0; index < 540; index++) scheduler.applyRegistration(createVm(index), 0)
+    loop.request()
+    await timers.advance(0)
+    await timers.advance(1_000)
+    assert.is(transactions.reduce((sum, { puts }) => sum + puts.length, 0), 540)
+    for (const { conditions, puts, removes } of transactions) assert.ok(conditions.length + puts.length + removes.length <= MAX_ENTRIES)
+    loop.dispose()
+  })
 })
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -97,10 +97,10 @@
     })
     const vms = [...scheduler.state.vms.values()]
     const rosterWrites = this.listRosterWrites()
-    const roster = rosterWrites.slice(0, MAX_ROSTER_ROWS)
+    const roster = rosterWrites.slice(0, Math.floor((countEntriesLeft(jobs.length) - MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
+    const left = [...scheduler.forgottenVms].slice(0, countEntriesLeft(jobs.length + roster.length))
     // The write may be carried out even if its answer is lost.
     for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
-    const left = [...scheduler.forgottenVms].slice(0, MAX_ROSTER_ROWS)
     const complete = changed.length === jobs.length
     if (!complete || rosterWrites.length > roster.length || scheduler.forgottenVms.size > left.length) this.commitRequested = true
     // End entries are acknowledged only if the batch holds every changed job, as any of these may depend on them.
@@ -173,12 +173,19 @@
   }
 }
 
-/**
- * Limit on the roster rows written, and on those removed, in one transaction. The platform accepts 100 entries. 90 are used
- * by `taskOptions.jobsPerCommit` jobs and the roster rows written (two entries each: condition and put), the roster rows
- * removed (one entry each) and the condition on the owner row.
- */
-const MAX_ROSTER_ROWS = 3
+/** Entries (conditions, puts and removes) of one transaction at the most; the platform accepts 100. */
+const MAX_ENTRIES = 90
+
+/** Entries of a job or a roster row: its condition and its put. */
+const ENTRIES_PER_ROW = 2
+
+/** Removals of roster rows, with one entry each, that a transaction has room for beside any number of other rows. */
+const MIN_ROSTER_REMOVALS = 3
+
+/** Returns the entries that a transaction has left beside the condition on the owner row and a number of rows. */
+function countEntriesLeft (rows: number): number {
+  return MAX_ENTRIES - 1 - ENTRIES_PER_ROW * rows
+}
 
 /** Formats a row's name, which is unique within a part. */
 export function formatRowName (row: RowKey): string {
