Evacuate a VM that drained already when its owner took over

A successor that first sees the VM as draining, by a roster row written meanwhile or because the row is missing, left its long-running tasks there until the VM went. Change: the first registration of a draining VM begins the evacuation too.

--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -125,7 +125,7 @@
 
   /** Adds a VM that the store's roster lists at the takeover. */
   restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
-    this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)
+    if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuate(record.entry.id, clocks.nowMs + DRAINING_TASK_GRACE_MS)
   }
 
   /** Returns the records of VMs that the store's roster lacks or that have changed. */
--- a/packages/policy/src/lib/jobs/evacuateVm.test.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.test.ts
@@ -44,4 +44,18 @@
     planAndAccept(scheduler, 200)
     assert.equal([...first.runs.values()].map((run) => run.stopReason), [StopReason.Evacuation])
   })
+
+  it('stops the tasks of a VM that was draining already when this owner took over', () => {
+    const scheduler = createScheduler({ generation: 1 })
+    const draining = createVmEntry('a', { draining: true })
+    scheduler.restoreVm({ entry: draining }, { nowMs: 0, storeNowMs: 0 })
+    scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1, longRunning: true })] }), 0, 0)
+    const vm = scheduler.state.vms.get('a')
+    if (vm === undefined) throw new Error('VM was not restored')
+    const running = [{ task: '00000000000000aa.0.0.0', run: 1, checkpoint: '', percent: 100 }]
+    scheduler.applyReport(vm, { clockMs: 0, bornMs: 1, running, ends: [] }, 0, 0)
+    reportRunning(scheduler, createVmEntry('b'), 0)
+    planAndAccept(scheduler, 100)
+    assert.equal([...vm.runs.values()].map((run) => run.stopReason), [StopReason.Evacuation])
+  })
 })
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -36,7 +36,7 @@
     return new VmRegistry(options)
   }
 
-  /** Applies a new or changed registration. @returns true if the VM has begun to drain. */
+  /** Applies a new or changed registration. @returns true if the VM drains and did not before, as far as this owner knows. */
   apply (entry: VmEntry): boolean {
     const { state } = this.options
     this.retireReplaced(entry)
@@ -47,7 +47,7 @@
       state.vms.set(entry.id, TrackedVm.create(entry))
       this.forgotten.delete(entry.id)
       state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
-      return false
+      return entry.draining
     }
     const beginsToDrain = entry.draining && !vm.entry.draining
     if (beginsToDrain) state.logDecision(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
@@ -57,15 +57,21 @@
     return beginsToDrain
   }
 
-  /** Adds a VM that the store's roster lists at the takeover. @param storeNowMs - the store's clock, or less. */
-  restore ({ entry, leaseEndMs }: RosterRecord, nowMs: number, storeNowMs: number): void {
-    this.apply(entry)
+  /**
+   * Adds a VM that the store's roster lists at the takeover.
+   *
+   * @param storeNowMs - the store's clock, or less.
+   * @returns true if the VM drains.
+   */
+  restore ({ entry, leaseEndMs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
+    const drains = this.apply(entry)
     const vm = this.options.state.vms.get(entry.id)
-    if (vm === undefined) return
+    if (vm === undefined) return false
     vm.recorded = true
     vm.mayHavePreviousRuns = true
     vm.recordedLeaseEndMs = leaseEndMs
     if (leaseEndMs !== undefined) vm.previousLeaseExpiresAtMs = nowMs + leaseEndMs - storeNowMs
+    return drains
   }
 
   /** Returns the roster records to write. */
