A pool whose VM drains gets another machine before that VM leaves

Cause: in the incident a VM announced its end 6 s before, but its machine counted as capacity of the pool until the list lacked it, so no other was moved there and two long-running tasks stayed on it until it went. A VM that was neither registered nor answered counted too, until its lease was over. Change: the machine of a VM that leaves provides no capacity; evacuation then has room to move its tasks to.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -179,8 +179,8 @@
     if (operation?.toPool !== undefined) return { ...idle, pool: operation.toPool, movable: false }
     const vm = this.findVm(id)
     const pool = vm?.entry.pool ?? machine.pool
-    // A machine of a wave provides no capacity until it is back, so its pool may get another machine.
-    if (operation !== undefined) return undefined
+    // A machine of a wave, or one whose VM leaves, provides no capacity, so its pool may get another machine.
+    if (operation !== undefined || vm?.isLeaving === true) return undefined
     if (vm !== undefined) {
       const usable = vm.isUsable(nowMs)
       const drainable = usable && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -91,6 +91,11 @@
     return this.unresponsiveSinceMs === undefined && this.recordedLeaseEndMs === undefined
   }
 
+  /** True if the VM drains, or neither is registered nor answers. */
+  get isLeaving (): boolean {
+    return this.entry.draining || (!this.registered && this.unresponsiveSinceMs !== undefined)
+  }
+
   get registered (): boolean {
     return this.unregisteredAtMs === undefined
   }
