Order no maintenance of a VM whose runs the owner does not know

Cause: a VM that has not reported to a new owner has no tracked runs, and was taken for evacuated: a wave's order ended its tasks. Change: a VM counts as evacuated only once it is reconciled.

--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -203,10 +203,13 @@
     return false
   }
 
-  /** Returns true if a VM is evacuated and has no runs left, or is not known. */
+  /**
+   * Returns true if a VM is evacuated and has no runs left, or is not known. A VM that is not reconciled may have runs that a
+   * previous owner started.
+   */
   isEvacuated (vmId: string): boolean {
     const vm = this.state.vms.get(vmId)
-    return vm === undefined || (vm.evacuating && vm.runs.size === 0)
+    return vm === undefined || (vm.evacuating && vm.isReconciled && vm.runs.size === 0)
   }
 
   /** Applies all policies to the present state and returns the resulting orders. */
