Do not report a complete wave as running after a takeover

Cause: that a wave is complete is known in the owner's memory only, so each successor told the operator that it runs, at the same time as that it is complete; with two writes in flight the older state may stay. Change: a wave is reported as running only while a machine of it has not begun.

--- a/packages/daemon/src/lib/jobs/WavePlanner.ts
+++ b/packages/daemon/src/lib/jobs/WavePlanner.ts
@@ -56,7 +56,7 @@
     const { waves, getWaves, ordersAllowedFromMs } = this.options
     const due: DueMaintenance[] = []
     for (const wave of getWaves()) {
-      const record = waves.get(wave.number)
+      const record = waves.get(wave)
       if (record === undefined || record.complete) continue
       this.markRemovedMachines(wave)
       const machines = wave.machines.map((id) => this.describe(wave, id, record))
--- a/packages/daemon/src/lib/jobs/WaveProgressStore.ts
+++ b/packages/daemon/src/lib/jobs/WaveProgressStore.ts
@@ -73,12 +73,13 @@
 
   /**
    * Returns a wave's progress, or undefined if it has not been read yet. Starts the read if necessary. Once the progress has been
-   * read, also informs the operator that the wave has begun.
+   * read, also informs the operator that the wave has begun, unless all its machines have: a previous owner may have reported
+   * that it is complete.
    */
-  get (wave: number): WaveProgress | undefined {
-    const progress = this.waves.get(wave)
-    if (progress === undefined) this.read(wave)
-    else if (!progress.announced) this.reportStart(wave, progress)
+  get (wave: MaintenanceWave): WaveProgress | undefined {
+    const progress = this.waves.get(wave.number)
+    if (progress === undefined) this.read(wave.number)
+    else if (!progress.announced && wave.machines.some((machine) => !progress.begun.has(machine))) this.reportStart(wave.number, progress)
     return progress
   }
 
