Keep a VM that started after the order it was retired for

Cause: an accepted order retired the VM of its machine, although the platform also accepts an order that is already done: repeated by a successor that does not know that maintenance has begun, or after lost answers, it was the machine's new VM, which then got no task for as long as the owner owned the shard. Change: if an order may precede the VM, the next list of machines decides whether the VM has ended.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -52,6 +52,13 @@
   phase: 'evacuating' | 'ordering' | 'underway'
   /** Time at which the platform accepted the order. */
   confirmedAtMs: number
+  /** True once an order was sent. */
+  sent: boolean
+  /**
+   * True if an order was sent before the machine got its present VM. That order may have been carried out, so an accepted
+   * repetition does not prove that the VM has ended; the list of machines shows whether it has.
+   */
+  mayPrecedeVm: boolean
 }
 
 /** Plans operations on a shard's machines, evacuates their VMs and gives the orders. */
@@ -104,6 +111,7 @@
       // An order in flight may have been carried out before this VM started. The operation therefore keeps the VM that the
       // order was sent for, which is retired if the answer shows that the order was carried out.
       if (operation.phase === 'evacuating') {
+        operation.mayPrecedeVm ||= operation.sent
         operation.vmId = vm.id
         operation.former = { vmId: vm.id, bornMs: vm.entry.bornMs }
       }
@@ -193,7 +201,7 @@
 
   private beginOperation (plan: { machine: string, wave?: number, toPool?: string }, nowMs: number): void {
     const vm = this.findVm(plan.machine)
-    this.operations.set(plan.machine, { ...plan, vmId: vm?.id, former: { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }, phase: 'evacuating', confirmedAtMs: 0 })
+    this.operations.set(plan.machine, { ...plan, vmId: vm?.id, former: { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayPrecedeVm: false })
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
     this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
@@ -210,8 +218,9 @@
 
   /** Sends the order for an evacuated machine. A maintenance order is stored first, so that a successor knows of it. */
   private async sendOrder (operation: MachineOperation): Promise<void> {
-    const { machines, settings, ownerRow, timers, log, scheduler } = this.options
+    const { machines, settings, ownerRow, timers, log } = this.options
     operation.phase = 'ordering'
+    if (operation.wave !== undefined) operation.mayPrecedeVm ||= this.waves.isRecordedForOtherVm(operation.wave, operation.machine, operation.former)
     if (operation.wave !== undefined && !await this.waves.recordOrder(operation.wave, operation.machine, operation.former)) {
       operation.phase = 'evacuating'
       return
@@ -220,6 +229,7 @@
     if (operation.wave !== undefined) log.write(EventCode.MaintenanceOrdered, { machine: operation.machine, wave: operation.wave, formerVm: operation.former.vmId, listAgeMs: Math.round(timers.now() - this.listedAtMs) })
     const orderer = { holder: settings.name, fencingToken: ownerRow.version }
     const sentAtMs = timers.now()
+    operation.sent = true
     const answer = operation.wave !== undefined
       ? await machines.maintain(operation.machine, operation.wave, orderer)
       : await machines.move(operation.machine, operation.toPool ?? '', orderer)
@@ -228,7 +238,7 @@
       machine: operation.machine, wave: operation.wave, toPool: operation.toPool, outcome: answer.kind, reason: describeAnswer(answer), tookMs: Math.round(timers.now() - sentAtMs),
     })
     if (answer.kind === 'done') {
-      if (operation.vmId !== undefined) scheduler.retireVm(operation.vmId, operation.wave === undefined ? 'its machine was moved' : 'its machine is in maintenance')
+      if (!operation.mayPrecedeVm) this.retireFormerVm(operation)
       if (operation.wave !== undefined) this.waves.markBegun(operation.wave, operation.machine)
       operation.phase = 'underway'
       operation.confirmedAtMs = timers.now()
@@ -256,6 +266,10 @@
     else this.options.timers.after(machineOptions.orderRetryMs, () => { operation.phase = 'evacuating' })
   }
 
+  private retireFormerVm ({ vmId, wave }: MachineOperation): void {
+    if (vmId !== undefined) this.options.scheduler.retireVm(vmId, wave === undefined ? 'its machine was moved' : 'its machine is in maintenance')
+  }
+
   /**
    * Finishes an operation once the machine is back: its new VM is registered, or a list read after the operation's normal
    * duration shows the machine neither moving nor in maintenance, or lacks it.
@@ -265,6 +279,14 @@
     const takesMs = operation.wave === undefined ? settings.moveMs : settings.maintenanceMs
     const vm = this.findVm(operation.machine)
     const machine = this.machinesById.get(operation.machine)
+    const { former } = operation
+    if (operation.mayPrecedeVm && vm?.id === former.vmId && vm.entry.bornMs === former.bornMs) {
+      if (this.listedAtMs <= operation.confirmedAtMs) return
+      if (machine?.state !== MachineState.Up || machine.vmId !== vm.id) {
+        this.retireFormerVm(operation)
+        return
+      }
+    }
     const listedLater = this.listedAtMs > operation.confirmedAtMs + takesMs
     const settled = machine === undefined || (machine.state !== MachineState.Moving && machine.state !== MachineState.InMaintenance)
     if (vm === undefined && !(listedLater && settled)) return
--- a/packages/daemon/src/lib/jobs/WaveProgressStore.ts
+++ b/packages/daemon/src/lib/jobs/WaveProgressStore.ts
@@ -97,6 +97,12 @@
     return stored
   }
 
+  /** Returns true if the machine is recorded as ordered while it had another VM than the given one, or none. */
+  isRecordedForOtherVm (wave: number, machine: string, vm: PreviousVm): boolean {
+    const before = this.waves.get(wave)?.ordered.get(machine)
+    return before !== undefined && (before.vmId !== vm.vmId || before.bornMs !== vm.bornMs)
+  }
+
   /** Marks a machine whose maintenance has certainly begun, or that no longer exists; stored with the next write. */
   markBegun (wave: number, machine: string): void {
     const progress = this.waves.get(wave)
--- a/packages/integration/src/handOverWaits.test.ts
+++ b/packages/integration/src/handOverWaits.test.ts
@@ -196,4 +196,25 @@
       assert.equal(states.filter((state) => state.includes('false')), [])
     })
   })
+
+  describe('after moves whose answers were lost', ({ it }) => {
+    it('keeps the new VMs of the machines that were moved', async () => {
+      const lab = JobLab.create({ seed: 1 })
+      await lab.start()
+      const move = lab.fleet.move.bind(lab.fleet)
+      // Orders are carried out at once, but no answer arrives until the machines have new VMs.
+      lab.fleet.move = async (...order) => {
+        await move(...order)
+        return { kind: 'unknown', reason: 'no answer' }
+      }
+      const job = submit(lab, createJob(createStep({ longRunning: true, taskCount: 4, maxTasksPerVm: 1 })))
+      await lab.run(2_500)
+      lab.fleet.move = move
+      await lab.run(3_000)
+      const alive = new Set(lab.fleet.vms.map((vm) => vm.id))
+      const forgotten = lab.daemons.flatMap(({ log }) => log.records).filter(({ code, fields }) => code === EventCode.VmForgotten && alive.has(String(fields['vm'])))
+      assert.equal(forgotten.map(({ fields }) => fields['reason']), [])
+      assert.equal(countRuns(lab, job), 4)
+    })
+  })
 })
