Order the pace of best-effort tasks that an owner adopts

Cause: the pace that an owner orders is in its memory only; its successor took an adopted task for one at full pace and left it slowed or stopped if no latency-sensitive task ran beside it any more. Change: the pace of an adopted run counts as not known, so that it is ordered with the next report.

--- a/packages/policy/src/lib/jobs/PaceController.test.ts
+++ b/packages/policy/src/lib/jobs/PaceController.test.ts
@@ -89,4 +89,17 @@
     scheduler.applyReport(vm, { clockMs: 9, bornMs: 1, running, ends: [] }, 5, 8)
     assert.is(bestEffortRun?.orderedPacePercent ?? 100, 100)
   })
+
+  it('gives a best-effort task that a previous owner had slowed its full pace if no latency-sensitive task runs', () => {
+    const scheduler = createScheduler({ generation: 1 })
+    const id = 'b'.repeat(16)
+    scheduler.addJob(createTestJob({ id, steps: [createTestStep({ taskCount: 1, longRunning: true, fills: true })] }), 0, 0)
+    scheduler.applyRegistration(createVmEntry('a'), 0)
+    const vm = scheduler.state.vms.get('a')
+    if (vm === undefined) throw new Error('no VM')
+    const running = [{ task: `${id}.0.0.0`, run: 1, checkpoint: '', percent: 0 }]
+    scheduler.applyReport(vm, { clockMs: 9, bornMs: 1, running, ends: [] }, 5, 8)
+    const paces = planAndAccept(scheduler, 8).filter((order) => order.kind === OrderKind.Pace).map(({ percent }) => percent)
+    assert.equal(paces, [100])
+  })
 })
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -93,6 +93,8 @@
   /** Tracks a run that a VM lists and that this owner did not start. */
   adoptRun (task: TrackedTask, vm: TrackedVm, number: number, nowMs: number): TrackedRun {
     const run = TrackedRun.create(task, number, vm.id, nowMs)
+    // A previous owner may have changed the pace.
+    run.orderedPacePercent = Number.NaN
     task.lastRun = Math.max(task.lastRun, number)
     task.runs.add(run)
     task.begun = true
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -48,7 +48,7 @@
   percent = 0
   /** Last reported tail latency in milliseconds for a latency-sensitive task, otherwise thousandths of a core in use. */
   usage: number | undefined
-  /** Pace that the owner last ordered, in percent; `NaN` if the VM did not confirm that order. */
+  /** Pace that the owner last ordered, in percent; `NaN` if the pace in force is not known. */
   orderedPacePercent = 100
   /** Time since which the VM has listed the run at full pace. No code sets it at present. */
   atWorkSinceMs: number | undefined
