Test that a wave goes on when its owners are lost one after another

Cause: retiring the new VM of a maintained machine, and taking a VM with unknown runs for evacuated, were each tested alone; what the operator saw was a wave that stops for good. Change: a lab test of a wave of five machines in a pool without a spare one, whose owner is stopped or killed after each of the first three.

--- a/packages/integration/src/handOverWaits.test.ts
+++ b/packages/integration/src/handOverWaits.test.ts
@@ -2,6 +2,7 @@
  * What an owner knows for certain must reach its successor: a takeover must not begin a wait anew that the previous owner had
  * already ended.
  */
+import { shardOptions, taskOptions } from '@vanillathread/daemon'
 import { EventCode, formatTaskName, type JobSpec } from '@vanillathread/model'
 import { VmFault, type VmStandIn } from '@vanillathread/stand-ins'
 import { assert, describe } from '@vanillathread/testing'
@@ -14,6 +15,12 @@
 /** The longest that a registration outlives its VM: three heartbeat intervals of the platform. */
 const REGISTRATION_TTL_MS = 4_500
 
+/** Time within which a wave of the lab is to be complete. */
+const WAVE_DURATION_MS = 20_000
+
+/** Time from a takeover until no lease of a previous owner is left. */
+const FORMER_LEASE_MS = shardOptions.previousOwnerRenewalMs + 1.03 * taskOptions.leaseMs
+
 const FOREVER_MS = 3_600_000
 
 /** Advances the clock until the condition holds, and returns the time that took, or `limitMs` if it never held. */
@@ -58,6 +65,11 @@
   return measureUntil(lab, 10_000, () => countRuns(lab, job, 1) > 0)
 }
 
+/** Creates a job that needs five of six machines by its processor, and fits on four by its number of tasks for each VM. */
+function createTightJob (): JobSpec {
+  return createJob(createStep({ longRunning: true, taskCount: 8, need: { cpuMillis: 8_000, memoryMb: 1_024, accelerators: 0 }, maxTasksPerVm: 2, mayMiss: 1 }))
+}
+
 /** Keeps the registration of a VM for as long as it may outlive the VM on the platform. */
 function keepRegistration (lab: JobLab, vm: VmStandIn): void {
   lab.fleet.register(vm)
@@ -151,8 +163,7 @@
     it('keeps the new VM of a machine whose maintenance the previous owner knew to have begun', async () => {
       const lab = JobLab.create({ seed: 1, machines: 6 })
       await lab.start()
-      // The tasks need five machines by their processor and fit on four by their number for each VM. One machine serves the other pool.
-      const job = submit(lab, createJob(createStep({ longRunning: true, taskCount: 8, need: { cpuMillis: 8_000, memoryMb: 1_024, accelerators: 0 }, maxTasksPerVm: 2, mayMiss: 1 })))
+      const job = submit(lab, createTightJob())
       await lab.run(6_000)
       assert.equal(lab.fleet.vms.filter((vm) => vm.entry.pool === 'checks').length, 5)
       const vm = await maintainFirst(lab)
@@ -164,6 +175,29 @@
       assert.equal(countRuns(lab, job), 8)
     })
 
+    for (const loss of ['stopped', 'killed']) {
+      it(`finishes a wave although three owners in turn are ${loss} when a machine is back`, async () => {
+        const lab = JobLab.create({ seed: 1, machines: 6, daemons: 5 })
+        await lab.start()
+        submit(lab, createTightJob())
+        await lab.run(6_000)
+        lab.requestWave(1, lab.fleet.vms.filter((vm) => vm.entry.pool === 'checks').map((vm) => vm.entry.machine ?? ''), 1)
+        const requestedAtMs = lab.timers.now()
+        for (let count = 0; count < 3; count++) {
+          const vms = new Set(lab.fleet.vms)
+          await measureUntil(lab, 10_000, () => lab.fleet.vms.some((vm) => !vms.has(vm)))
+          const owner = lab.findOwner()
+          if (loss === 'stopped') lab.daemons[owner]?.daemon?.stop()
+          else lab.crashDaemon(owner)
+          await lab.run(1_500)
+        }
+        const limitMs = WAVE_DURATION_MS + 3 * FORMER_LEASE_MS
+        await measureUntil(lab, requestedAtMs + limitMs - lab.timers.now(), () => lab.history.completeWaves.has(1))
+        assert.ok(lab.history.completeWaves.has(1), `the wave was not complete after ${limitMs} ms`)
+        assert.equal(lab.history.violations, [])
+      })
+    }
+
     it('orders no maintenance of a machine whose VM has not yet told the successor what it runs', async () => {
       const lab = JobLab.create({ seed: 1 })
       await lab.start()
