--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -92,6 +92,10 @@
     await timers.advance(2_000)
     assert.is(transactions.reduce((sum, { removes }) => sum + removes.length, 0), 5)
     assert.is(scheduler.forgottenVms.size, 0)
+    for (const { conditions, removes } of transactions) {
+      const conditional = new Set(conditions.map(({ key }) => key))
+      assert.ok(removes.every(({ key }) => conditional.has(key)), 'a late copy must not remove a row that was written again')
+    }
     loop.dispose()
   })
 
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -97,8 +97,8 @@
     })
     const vms = [...scheduler.state.vms.values()]
     const rosterWrites = this.listRosterWrites()
-    const roster = rosterWrites.slice(0, Math.floor((countEntriesLeft(jobs.length) - MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
-    const left = [...scheduler.forgottenVms].slice(0, countEntriesLeft(jobs.length + roster.length))
+    const roster = rosterWrites.slice(0, Math.floor(countEntriesLeft(jobs.length + MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
+    const left = [...scheduler.forgottenVms].slice(0, Math.floor(countEntriesLeft(jobs.length + roster.length) / ENTRIES_PER_ROW))
     // The write may be carried out even if its answer is lost.
     for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
     const complete = changed.length === jobs.length
@@ -116,8 +116,9 @@
       return true
     }
     const puts = this.listPuts(batch)
-    const conditions = [this.options.ownerRow, ...puts.map((put) => ({ table: put.table, part: put.part, key: put.key, version: this.options.versions.get(formatRowName(put)) ?? 0 }))]
     const removes = batch.left.map((vm) => ({ table: Table.Rosters, part: this.options.shard, key: vm }))
+    // A late copy must not remove the row of a VM that has registered again since.
+    const conditions = [this.options.ownerRow, ...[...puts, ...removes].map(({ table, part, key }) => ({ table, part, key, version: this.options.versions.get(formatRowName({ table, part, key })) ?? 0 }))]
     const res = await this.options.rows.transact({ conditions, puts, removes })
     if (this.disposed) return true
     if (res.ok) {
@@ -173,13 +174,13 @@
   }
 }
 
-/** Entries (conditions, puts and removes) of one transaction at the most; the platform accepts 100. */
-const MAX_ENTRIES = 90
+/** Entries (conditions, puts and removes) of one transaction at the most, as the platform states. */
+const MAX_ENTRIES = 100
 
-/** Entries of a job or a roster row: its condition and its put. */
+/** Entries of a row: its condition, and its put or removal. */
 const ENTRIES_PER_ROW = 2
 
-/** Removals of roster rows, with one entry each, that a transaction has room for beside any number of other rows. */
+/** Removals of roster rows that a transaction has room for beside any number of other rows. */
 const MIN_ROSTER_REMOVALS = 3
 
 /** Returns the entries that a transaction has left beside the condition on the owner row and a number of rows. */
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -81,7 +81,7 @@
   commitRetryMs: 150,
   /**
    * Limit on the jobs in one transaction: the platform accepts 100 entries, and each job needs two in addition to the
-   * owner row and the roster rows.
+   * owner row and some roster rows.
    */
   jobsPerCommit: 40,
   /** Period of reading the feed of jobs. Hints from other daemons announce most jobs at once; the feed delivers the rest. */
