--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -7,8 +7,9 @@
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
+import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { WavePlanner } from './WavePlanner.js'
-import { WaveProgressStore, type PreviousVm } from './WaveProgressStore.js'
+import { WaveProgressStore } from './WaveProgressStore.js'
 
 /** Options of {@link MachineController.create}. */
 export interface MachineControllerOptions {
@@ -34,33 +35,6 @@
   onChange (): void
 }
 
-/** A move or maintenance of one machine. */
-interface MachineOperation {
-  readonly machine: string
-  /** Wave of a maintenance, or undefined for a move. */
-  readonly wave?: number
-  /** Pool of a move, or undefined for a maintenance. */
-  readonly toPool?: string
-  /** VM that is evacuated for the operation, if the machine has one. */
-  vmId?: string
-  /** VM that was on the machine before the operation, as stored with a maintenance order; its id is empty if there was none. */
-  former: PreviousVm
-  /**
-   * `evacuating`: the VM is being evacuated, and the order follows; `ordering`: an order awaits its answer or its retry;
-   * `underway`: the platform accepted the order.
-   */
-  phase: 'evacuating' | 'ordering' | 'underway'
-  /** Time at which the platform accepted the order. */
-  confirmedAtMs: number
-  /** True once an order was sent. */
-  sent: boolean
-  /**
-   * True if an order was sent before the machine got its present VM. That order may have been carried out, so an accepted
-   * repetition does not prove that the VM has ended; the list of machines shows whether it has.
-   */
-  mayPrecedeVm: boolean
-}
-
 /** Plans operations on a shard's machines, evacuates their VMs and gives the orders. */
 export class MachineController {
   /** Machines by id, as of the last list; a finished move updates the pool. */
@@ -199,9 +173,9 @@
     return machine.state === MachineState.Moving || machine.state === MachineState.InMaintenance ? { ...idle, pool, movable: false } : undefined
   }
 
-  private beginOperation (plan: { machine: string, wave?: number, toPool?: string }, nowMs: number): void {
+  private beginOperation (plan: MachineOperationPlan, nowMs: number): void {
     const vm = this.findVm(plan.machine)
-    this.operations.set(plan.machine, { ...plan, vmId: vm?.id, former: { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayPrecedeVm: false })
+    this.operations.set(plan.machine, createMachineOperation(plan, vm))
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
     this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
