Only tasks that may run on an unresponsive VM wait for it after a takeover

Change: the record of an unresponsive VM lists its possible runs, and a VM without any is recorded at once as having none; a successor tracks the listed runs and starts everything else.

--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -183,9 +183,7 @@
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
     const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
-    for (const { entry, leaseEndMs } of content.roster) {
-      scheduler.restoreVm(options.trustsLeaseEnds ? { entry, leaseEndMs } : { entry }, clocks)
-    }
+    for (const record of content.roster) scheduler.restoreVm(options.trustsLeaseEnds ? record : { entry: record.entry }, clocks)
     for (const change of vms) {
       // A registration may prove that a VM of the roster has ended.
       if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -81,15 +81,15 @@
   return typeof progress?.state === 'string' && Array.isArray(progress.occurrences) ? progress : undefined
 }
 
-/** A VM of a roster. The lease end stands beside the fields of the entry, which earlier builds read. */
-export type RosterRow = VmEntry & { readonly leaseEndMs?: number }
+/** A VM of a roster. The fields of the record stand beside those of the entry, which earlier builds read. */
+export type RosterRow = VmEntry & Omit<RosterRecord, 'entry'>
 
 /** Decodes a VM of a roster. */
 export function decodeRosterRow (bytes: Uint8Array): RosterRecord | undefined {
   const row = decode(bytes) as RosterRow | undefined
   if (typeof row?.id !== 'string' || typeof row.pool !== 'string') return undefined
-  const { leaseEndMs, ...entry } = row
-  return typeof leaseEndMs === 'number' ? { entry, leaseEndMs } : { entry }
+  const { leaseEndMs, runs, ...entry } = row
+  return typeof leaseEndMs === 'number' ? { entry, leaseEndMs, runs: Array.isArray(runs) ? runs : undefined } : { entry }
 }
 
 /** Progress of one machine of a maintenance wave, whose maintenance was ordered or may have been ordered. */
--- a/packages/integration/src/lostAfterHandOver.test.ts
+++ b/packages/integration/src/lostAfterHandOver.test.ts
@@ -126,6 +126,15 @@
   }
 })
 
+/** Fails the runs of a VM with two of them, and returns the time until the given number of tasks runs again. */
+async function measureRestart (lab: JobLab, tasks: number): Promise<number> {
+  const failedVm = lab.fleet.vms.find((vm) => vm.runs.size === 2)
+  for (const run of failedVm?.runs.values() ?? []) failedVm?.fail(run)
+  const failedAtMs = lab.timers.now()
+  while (countRunningTasks(lab) < tasks && lab.timers.now() - failedAtMs < 30_000) await lab.timers.advance(10)
+  return lab.timers.now() - failedAtMs
+}
+
 describe('starts of jobs from before a hand-over', ({ it }) => {
   it('do not wait for a VM that has no roster row, and so cannot have runs of an earlier owner', async () => {
     for (const seed of SEEDS) {
@@ -140,14 +149,27 @@
       lab.fleet.crash('m-new', 3_600_000)
       for (const { store } of lab.daemons) store.refusesWrites = false
       await lab.crashDaemon(lab.findOwner(), 1_000)
-      const failedVm = lab.fleet.vms.find((vm) => vm.runs.size === 2)
-      for (const run of failedVm?.runs.values() ?? []) failedVm?.fail(run)
-      const failedAtMs = lab.timers.now()
-      while (countRunningTasks(lab) < TASKS && lab.timers.now() - failedAtMs < 30_000) await lab.timers.advance(10)
-      const downMs = lab.timers.now() - failedAtMs
+      const downMs = await measureRestart(lab, TASKS)
       assert.ok(downMs <= MAX_TAKEOVER_MS, `seed ${seed}: down for ${downMs} ms`)
       await lab.finish(8_000)
       assert.equal(lab.history.violations, [], `seed ${seed}`)
     }
   })
+  it('do not wait for a silent VM whose possible runs the previous owner has recorded, unless they are among these runs', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5 })
+      await lab.start()
+      lab.submit(createJob(createStep({ taskCount: 3, longRunning: true, maxTasksPerVm: 1 })))
+      lab.submit(createJob(createStep({ taskCount: 1, longRunning: true })))
+      await lab.run(4_000)
+      const crashedVm = lab.fleet.vms.find((vm) => vm.runs.size === 1)
+      lab.fleet.crash(crashedVm?.entry.machine ?? '', 3_600_000)
+      await lab.run(2_500)
+      await lab.crashDaemon(lab.findOwner(), 1_000)
+      const downMs = await measureRestart(lab, 3)
+      assert.ok(downMs <= MAX_TAKEOVER_MS, `seed ${seed}: down for ${downMs} ms`)
+      await lab.finish(12_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
 })
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -237,7 +237,7 @@
       if (vm !== undefined) evacuateVm(this.state, vm, nowMs, stopFiniteAtMs)
     }
     if (isCheckDue) restartOverdue(this.state, nowMs)
-    const vmsByPool = this.groupVmsByPool()
+    const vmsByPool = this.state.groupVmsByPool()
     for (const pool of this.state.openJobs.keys()) {
       const vms = vmsByPool.get(pool) ?? []
       const mayStart = this.startGate.createCheck(pool, vms, nowMs)
@@ -288,14 +288,4 @@
     }
     return count
   }
-
-  private groupVmsByPool (): Map<string, TrackedVm[]> {
-    const vmsByPool = new Map<string, TrackedVm[]>()
-    for (const vm of this.state.vms.values()) {
-      const vms = vmsByPool.get(vm.entry.pool)
-      if (vms === undefined) vmsByPool.set(vm.entry.pool, [vm])
-      else vms.push(vm)
-    }
-    return vmsByPool
-  }
 }
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -54,6 +54,17 @@
     return this.orders.splice(0)
   }
 
+  /** Returns the VMs of each pool. */
+  groupVmsByPool (): Map<string, TrackedVm[]> {
+    const vmsByPool = new Map<string, TrackedVm[]>()
+    for (const vm of this.vms.values()) {
+      const vms = vmsByPool.get(vm.entry.pool)
+      if (vms === undefined) vmsByPool.set(vm.entry.pool, [vm])
+      else vms.push(vm)
+    }
+    return vmsByPool
+  }
+
   /** Adds a job, and lists it as open unless it has ended. */
   addJob (job: TrackedJob): void {
     this.jobs.set(job.id, job)
@@ -102,6 +113,13 @@
     return run
   }
 
+  /** Tracks a run that a previous owner recorded for an unresponsive VM, unless the run is not needed any more. */
+  restoreRun (taskName: string, number: number, vm: TrackedVm, nowMs: number): void {
+    const { task } = this.findTask(taskName)
+    if (task === undefined || task.done || task.step.occurrence.job.isOver) return
+    this.adoptRun(task, vm, number, nowMs).phase = RunPhase.Unknown
+  }
+
   /** Orders the stop of a run, unless that was done before. */
   stopRun (run: TrackedRun, reason: StopReason, nowMs: number): void {
     if (run.phase === RunPhase.Stopping) return
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -157,8 +157,12 @@
     return this.leaseUntilClockMs
   }
 
-  /** Time on the owner's clock at which every lease that it gave to the VM has certainly expired. */
+  /** Time on the owner's clock at which every lease that it gave to the VM, or whose end was recorded before, has certainly expired. */
   get leaseExpiresAtMs (): number {
+    return Math.max(this.ownLeaseExpiresAtMs, this.previousLeaseExpiresAtMs ?? 0)
+  }
+
+  private get ownLeaseExpiresAtMs (): number {
     if (this.leaseUntilClockMs === 0) return this.clockReadAtMs
     return this.clockReadAtMs + (this.leaseUntilClockMs - this.clockMs) / (1 - MAX_CLOCK_SLOWDOWN) + LEASE_EXPIRY_MARGIN_MS
   }
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -58,19 +58,25 @@
   }
 
   /**
-   * Adds a VM that the store's roster lists at the takeover.
+   * Adds a VM that the store's roster lists at the takeover, after the shard's jobs. A VM whose possible runs are recorded counts as
+   * reconciled and unresponsive, so that only the tasks of these runs wait for it.
    *
    * @param storeNowMs - the store's clock, or less.
    * @returns true if the VM drains.
    */
-  restore ({ entry, leaseEndMs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
+  restore ({ entry, leaseEndMs, runs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
     const drains = this.apply(entry)
     const vm = this.options.state.vms.get(entry.id)
     if (vm === undefined) return false
     vm.recorded = true
     vm.mayHavePreviousRuns = true
     vm.recordedLeaseEndMs = leaseEndMs
-    if (leaseEndMs !== undefined) vm.previousLeaseExpiresAtMs = nowMs + leaseEndMs - storeNowMs
+    if (leaseEndMs === undefined) return drains
+    vm.previousLeaseExpiresAtMs = nowMs + leaseEndMs - storeNowMs
+    if (runs === undefined) return drains
+    vm.isReconciled = true
+    vm.unresponsiveSinceMs = nowMs
+    for (const [task, run] of runs) this.options.state.restoreRun(task, run, vm, nowMs)
     return drains
   }
 
@@ -128,7 +134,7 @@
     }
   }
 
-  /** Returns the time from which a VM that does not answer certainly has no runs. */
+  /** Returns the time from which every lease of a VM that does not answer has certainly expired. */
   getLeaseExpiryMs (vm: TrackedVm): number {
     if (vm.isReconciled) return vm.leaseExpiresAtMs
     if (!vm.mayHavePreviousRuns) return this.options.startedAtMs
--- a/packages/policy/src/lib/vms/rosterRecords.test.ts
+++ b/packages/policy/src/lib/vms/rosterRecords.test.ts
@@ -2,16 +2,19 @@
  * Which ends of leases are recorded for a successor, and when they are withdrawn.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { createVmEntry } from '../jobs/testSupport.js'
+import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from '../jobs/testSupport.js'
 import { planRosterWrite } from './rosterRecords.js'
 import { TrackedVm } from './TrackedVm.js'
 
 const LEASE_EXPIRY_MS = 15_000
 
 function createRecordedVm (): TrackedVm {
-  const vm = TrackedVm.create(createVmEntry('a'))
-  vm.recorded = true
-  vm.isReconciled = true
+  const scheduler = createScheduler()
+  reportRunning(scheduler, createVmEntry('a'), 0)
+  scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1, longRunning: true })] }), 2, 0)
+  planAndAccept(scheduler, 0)
+  const vm = scheduler.state.vms.get('a')
+  if (vm === undefined) throw new Error('VM is not tracked')
   return vm
 }
 
@@ -43,6 +46,15 @@
     assert.ok(plan(vm, 10_500)?.record.leaseEndMs !== undefined)
   })
 
+  it('records the runs that an unresponsive VM may have, and at once that it has none', () => {
+    const vm = createRecordedVm()
+    vm.unresponsiveSinceMs = 10_000
+    assert.equal(plan(vm, 12_000)?.record.runs, [['00000000000000aa.0.0.0', 1]])
+    for (const run of [...vm.runs.values()]) vm.removeRun(run)
+    const { leaseEndMs, runs } = plan(vm, 10_100)?.record ?? {}
+    assert.equal({ leaseEndMs, runs }, { leaseEndMs: 0, runs: [] })
+  })
+
   it('does not use a reading of the store\'s clock from before the last lease, as the owner may have been suspended since', () => {
     const vm = createRecordedVm()
     vm.unresponsiveSinceMs = 10_000
--- a/packages/policy/src/lib/vms/rosterRecords.ts
+++ b/packages/policy/src/lib/vms/rosterRecords.ts
@@ -5,7 +5,10 @@
 import type { VmEntry } from '@vanillathread/model'
 import type { TrackedVm } from './TrackedVm.js'
 
-/** Time for which a registered VM is unresponsive before the end of its lease is recorded: most losses of answers are shorter. */
+/** Lease end of a VM without runs, which lies before any time on the store's clock. */
+const NO_RUNS = 0
+
+/** Time for which a registered VM with runs is unresponsive before the end of its lease is recorded: most losses of answers are shorter. */
 const RECORD_AFTER_MS = 1_000
 
 /** A VM as the roster lists it. @public */
@@ -13,6 +16,8 @@
   readonly entry: VmEntry
   /** Time on the store's clock from which the VM has no runs, unless it got leases after the record was replaced. */
   readonly leaseEndMs?: number
+  /** Task name and number of each run that the VM may have until then; absent if the owner did not know them. */
+  readonly runs?: ReadonlyArray<readonly [task: string, run: number]>
 }
 
 /** A record to write. @public */
@@ -39,7 +44,10 @@
   if (vm.recorded && !vm.recordUnconfirmed && leaseEndMs === vm.recordedLeaseEndMs) return undefined
   // A recorded end is withdrawn only once the VM has answered this owner.
   if (vm.recorded && leaseEndMs === undefined && !vm.isReconciled) return undefined
-  return { vm, record: leaseEndMs === undefined ? { entry: vm.entry } : { entry: vm.entry, leaseEndMs } }
+  if (leaseEndMs === undefined) return { vm, record: { entry: vm.entry } }
+  // A VM that has not answered this owner keeps the runs that a previous owner recorded, if any.
+  const runs = vm.isReconciled ? [...vm.runs.values()].map((run) => [run.name, run.number] as const) : undefined
+  return { vm, record: { entry: vm.entry, leaseEndMs, runs } }
 }
 
 /**
@@ -47,6 +55,7 @@
  * the last lease will do, as the owner's clock does not count the time for which its VM is suspended.
  */
 function toStoreLeaseEnd (vm: TrackedVm, unresponsiveSinceMs: number, leaseExpiryMs: number, { nowMs, storeReading }: RosterClocks): number | undefined {
+  if (vm.isReconciled && vm.runs.size === 0) return NO_RUNS
   if (vm.registered && nowMs - unresponsiveSinceMs < RECORD_AFTER_MS) return undefined
   if (storeReading === undefined || nowMs - storeReading.sentAgoMs < unresponsiveSinceMs) return undefined
   return Math.ceil(storeReading.clockMs + storeReading.sentAgoMs + leaseExpiryMs - nowMs)
