--- a/packages/ports/src/lib/jobs/readTable.ts
+++ b/packages/ports/src/lib/jobs/readTable.ts
@@ -2,7 +2,7 @@
  * Reads all rows of one part of a table, page by page.
  */
 import { Result } from '@vanillathread/model'
-import type { RowStore, StoredRow, StoreFailure } from './RowStore.js'
+import { StoreFailureKind, type RowStore, type StoredRow, type StoreFailure } from './RowStore.js'
 
 /**
  * Reads all rows of one part of a table.
@@ -20,7 +20,8 @@
     version ??= res.value.version
     all.push(...res.value.rows)
     const last = res.value.rows.at(-1)
-    if (!res.value.hasMore || last === undefined) return Result.ok({ rows: all, version })
+    if (!res.value.hasMore) return Result.ok({ rows: all, version })
+    if (last === undefined) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'page has no rows although more follow' })
     from = `${last.key}\0`
   }
 }
