Forget daemons of the jobs system that are gone for good

A daemon that was replaced for good stayed a candidate in every directory: the owner sent it heartbeats, it took one of the eight near places in the order of succession and 150 ms of delay from those behind it, and a gateway relayed writes to it in its turn, which cost 1.3 s each.

Change: answers to heartbeats, hello messages and new rows count as signs of life. The owner, which sends heartbeats to all, removes the row of a daemon without one for 30 s, on condition of the row's version, logged as event 737, MemberRemoved; not if no daemon answers, as it may be cut off itself. The others forget a daemon whose row is gone. A daemon whose row is missing writes it again within 10 s. The rows are read page by page.

Jobs tests 67 passed, handOver 3, daemon 4.

--- a/packages/daemon/src/lib/jobs/MemberDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MemberDirectory.ts
@@ -1,10 +1,10 @@
 /**
  * The known daemons: read from their rows in the store, and learned from their hello messages.
  */
-import { delay, type Subscription, type TimerService } from '@vanillathread/kernel'
-import type { Address } from '@vanillathread/model'
+import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { EventCode, type Address } from '@vanillathread/model'
 import type { OwnerCandidate } from '@vanillathread/policy'
-import type { RowStore } from '@vanillathread/ports'
+import { readTable, StoreFailureKind, type RowStore, type StoredRow } from '@vanillathread/ports'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { PeerMessageKind } from '../peer/messages.js'
 import { watchOptions } from './jobOptions.js'
@@ -15,20 +15,31 @@
 export interface MemberDirectoryOptions {
   readonly settings: JobsSettings
   readonly timers: TimerService
+  readonly log: EventLog
   readonly rows: RowStore
   readonly network: PeerTransport
 }
 
+/** What this daemon knows of another one. */
+interface KnownMember extends MemberRow {
+  /** Version of its row, or 0 if only its hello message is known. */
+  readonly version: number
+  /** Time of its last hello message, answer or new row. */
+  seenAtMs: number
+}
+
 /** Addresses and speeds of the daemons. */
 export class MemberDirectory {
-  private readonly members = new Map<string, MemberRow>()
+  private readonly members = new Map<string, KnownMember>()
   private readonly timer: Subscription
+  /** Time at which any daemon last answered a heartbeat of this one. */
+  private lastAnswerAtMs = -Infinity
   /** True if this daemon's own row is in the store. */
   private rowWritten = false
   private disposed = false
 
   private constructor (private readonly options: MemberDirectoryOptions) {
-    options.network.on(PeerMessageKind.Hello, ({ name, address, speed }) => { this.members.set(name, { ...address, speed }) })
+    options.network.on(PeerMessageKind.Hello, ({ name, address, speed }) => this.applyHello(name, { ...address, speed }))
     this.timer = options.timers.every(watchOptions.memberPeriodMs, () => { this.refresh() })
   }
 
@@ -56,6 +67,29 @@
     this.sendHello()
   }
 
+  /** Records that a daemon answered a heartbeat. */
+  recordAnswer (name: string): void {
+    this.lastAnswerAtMs = this.options.timers.now()
+    const member = this.members.get(name)
+    if (member !== undefined) member.seenAtMs = this.lastAnswerAtMs
+  }
+
+  /**
+   * Removes the daemons that do not answer any more, and their rows. Called by the owner of a shard, which sends heartbeats to
+   * all daemons. If none answers, this daemon may be the one that is cut off, and none is removed. One that still runs writes
+   * its row again.
+   *
+   * @param ownedForMs - Time for which the caller has sent heartbeats.
+   */
+  removeSilent (ownedForMs: number): void {
+    const nowMs = this.options.timers.now()
+    if (nowMs - this.lastAnswerAtMs >= watchOptions.memberPeriodMs) return
+    for (const [name, { version, seenAtMs }] of this.members) {
+      const silentMs = Math.min(ownedForMs, nowMs - seenAtMs)
+      if (name !== this.options.settings.name && silentMs >= watchOptions.memberSilentMs) this.remove(name, version, silentMs)
+    }
+  }
+
   dispose (): void {
     this.disposed = true
     this.timer.dispose()
@@ -69,15 +103,44 @@
       if (!res.ok) return false
       this.rowWritten = true
     }
-    const page = await rows.readRange({ table: Table.Members, part: '' })
-    if (!page.ok) return false
-    for (const row of page.value.rows) {
-      const member = decodeMemberRow(row.value)
-      if (member !== undefined) this.members.set(row.key, member)
-    }
+    const table = await readTable(rows, Table.Members, '')
+    if (!table.ok) return false
+    this.applyRows(table.value.rows)
     return true
   }
 
+  private applyHello (name: string, row: MemberRow): void {
+    this.members.set(name, { ...row, version: this.members.get(name)?.version ?? 0, seenAtMs: this.options.timers.now() })
+  }
+
+  /** Applies the rows of all daemons. A daemon without a row is forgotten, unless its hello message may have come after the read. */
+  private applyRows (rows: readonly StoredRow[]): void {
+    const nowMs = this.options.timers.now()
+    const names = new Set(rows.map(({ key }) => key))
+    // If another daemon has removed this daemon's row, the next refresh writes it again.
+    this.rowWritten = names.has(this.options.settings.name)
+    for (const { key, value, version } of rows) {
+      const member = decodeMemberRow(value)
+      const known = this.members.get(key)
+      if (member !== undefined && known?.version !== version) this.members.set(key, { ...member, version, seenAtMs: nowMs })
+    }
+    for (const [name, { seenAtMs }] of this.members) {
+      if (!names.has(name) && nowMs - seenAtMs >= watchOptions.memberPeriodMs) this.members.delete(name)
+    }
+  }
+
+  private async remove (name: string, version: number, silentMs: number): Promise<void> {
+    const { rows, log } = this.options
+    const key = { table: Table.Members, part: '', key: name }
+    const res = await rows.transact({ conditions: [{ ...key, version }], puts: [], removes: [key] })
+    if (res.ok) {
+      this.members.delete(name)
+      log.write(EventCode.MemberRemoved, { daemon: name, silentMs: Math.round(silentMs) })
+    } else if (res.error.kind !== StoreFailureKind.Conflict) {
+      log.write(EventCode.StoreCallFailed, { call: 'remove member', daemon: name, outcome: res.error.kind, reason: res.error.reason })
+    }
+  }
+
   private sendHello (): void {
     const { settings, network } = this.options
     for (const { address } of this.others) network.send(address, { kind: PeerMessageKind.Hello, name: settings.name, address: { ...settings.peer }, speed: settings.speed })
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -1,7 +1,7 @@
 /**
  * The owner row of a shard and its owner's store heartbeat, in the store.
  */
-import type { Result } from '@vanillathread/model'
+import type { Address, Result } from '@vanillathread/model'
 import { StoreFailureKind, type RowCommit, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { decodeOwnerRow, decodeStoreHeartbeatRow, encodeRow, Table, type OwnerRow } from './rows.js'
 
@@ -14,6 +14,13 @@
   readonly version: number
 }
 
+/** The owner known to this daemon. */
+export interface KnownOwner {
+  readonly name: string
+  readonly address: Address
+  readonly fencingToken: number
+}
+
 /** A store heartbeat: the version of its row, and its age by the store's clock. */
 export interface StoreHeartbeat {
   readonly version: number
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -2,13 +2,13 @@
  * Tracks the owner of a shard, suspects it if its heartbeats stop or it cannot reach the store, and takes the shard over.
  */
 import type { Subscription } from '@vanillathread/kernel'
-import { EventCode, type Address } from '@vanillathread/model'
+import { EventCode } from '@vanillathread/model'
 import { StoreFailureKind } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
-import { shardOptions } from './jobOptions.js'
+import { shardOptions, watchOptions } from './jobOptions.js'
 import type { MemberDirectory } from './MemberDirectory.js'
-import { OwnerRecord, type VersionedOwner } from './OwnerRecord.js'
+import { OwnerRecord, type KnownOwner, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
 import type { OwnerRow } from './rows.js'
@@ -23,13 +23,6 @@
   readonly members: MemberDirectory
 }
 
-/** The owner known to this daemon. */
-export interface KnownOwner {
-  readonly name: string
-  readonly address: Address
-  readonly fencingToken: number
-}
-
 /** A daemon's knowledge of a shard's owner, and its own ownership if it has taken the shard over. */
 export class ShardOwnership {
   /** Newest owner row known, from the store or from a heartbeat. */
@@ -63,6 +56,7 @@
       reply({ kind: PeerMessageKind.ShardHeartbeatAck, name: this.name, shard: options.shard, fencingToken: this.knownFencingToken, storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()) })
     })
     network.on(PeerMessageKind.ShardHeartbeatAck, ({ name, fencingToken, storeSilentMs }) => {
+      options.members.recordAnswer(name)
       if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.succession.recordAnswer(name)
       if (this.localOwner !== undefined && fencingToken > this.localOwner.fencingToken) this.stepDown('a peer knows a newer owner')
     })
@@ -73,6 +67,7 @@
       context.timers.every(shardOptions.ownershipCheckPeriodMs, () => { this.checkOwnership() }),
       context.timers.every(shardOptions.heartbeatPeriodMs, () => this.sendHeartbeats()),
       context.timers.every(shardOptions.storeHeartbeatPeriodMs, () => { this.writeStoreHeartbeat() }),
+      context.timers.every(watchOptions.memberPeriodMs, () => { if (this.localOwner !== undefined) options.members.removeSilent(this.localOwner.ageMs) }),
     ]
   }
 
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -206,6 +206,11 @@
   retryMs: 150,
   /** Period of reading the rows of all daemons. */
   memberPeriodMs: 10_000,
+  /**
+   * Time without an answer after which the owner removes a daemon's row: far longer than the restart of a process or VM, and
+   * some periods of reading the rows.
+   */
+  memberSilentMs: 30_000,
 } as const
 
 /** Time for which a stopping daemon still serves clients: the balancer detects the stop within two of its checks. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -41,7 +41,7 @@
   constructor (kernel: Kernel) {
     const settings = kernel.get(JOBS_SETTINGS)
     this.network = kernel.get(JOBS_PLATFORM).network ?? PeerNetwork.create({ listen: settings.peer, timers: kernel.timers, log: kernel.log })
-    this.members = MemberDirectory.create({ settings, timers: kernel.timers, rows: kernel.get(JOBS_PLATFORM).rows, network: this.network })
+    this.members = MemberDirectory.create({ settings, timers: kernel.timers, log: kernel.log, rows: kernel.get(JOBS_PLATFORM).rows, network: this.network })
     kernel.provide(NETWORK, this.network)
     kernel.provide(MEMBERS, this.members)
   }
--- a/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
+++ b/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
@@ -13,6 +13,8 @@
   /** Addresses, as `host:port`, of the daemons that are cut off from all others. */
   readonly cutAddresses = new Set<string>()
   private readonly openPeers = new Map<string, MemoryPeerTransport>()
+  /** Numbers of messages by the address that they were sent to. */
+  private readonly sentCounts = new Map<string, number>()
 
   private constructor (readonly timers: TimerService) {}
 
@@ -37,7 +39,13 @@
     return this.openPeers.has(formatAddress(address))
   }
 
+  /** Returns the number of messages that were sent to an address, delivered or not. */
+  countSentTo (address: Address): number {
+    return this.sentCounts.get(formatAddress(address)) ?? 0
+  }
+
   deliver (from: Address, to: Address, message: PeerMessage): void {
+    this.sentCounts.set(formatAddress(to), this.countSentTo(to) + 1)
     this.timers.after(MESSAGE_MS, () => {
       if (this.cutAddresses.has(formatAddress(from)) || this.cutAddresses.has(formatAddress(to))) return
       this.openPeers.get(formatAddress(to))?.receive(message, from)
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -144,6 +144,8 @@
   OwnerKnown = 735,
   /** The owner begins to hand its shard over to a much faster daemon. */
   ShardHandedOver = 736,
+  /** The owner of a shard removed the row of the daemon `daemon`, which has not answered for `silentMs`. */
+  MemberRemoved = 737,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
   /** The store answers again after `awayMs`. */
@@ -247,6 +249,7 @@
   [EventCode.OwnerDoubted]: { level: EventLevel.Warn, message: 'owner of a shard is suspected' },
   [EventCode.OwnerKnown]: { level: EventLevel.Info, message: 'daemon has learned which daemon owns a shard' },
   [EventCode.ShardHandedOver]: { level: EventLevel.Info, message: 'owner hands its shard over to a faster daemon' },
+  [EventCode.MemberRemoved]: { level: EventLevel.Info, message: 'row of a daemon that does not answer was removed' },
   [EventCode.StoreLost]: { level: EventLevel.Warn, message: 'platform store does not answer' },
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
