Forget cancellations whose job does not come

A job whose rows were removed while its cancellation was written, or whose row cannot be decoded, never comes, so that the set grew for as long as the daemon owned the shard. Callers saw nothing of it but the memory of the owner.

Nothing is lost by that: a cancellation is stored after its job, so that the feed returns both in this order.

--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -12,6 +12,7 @@
 import { JobRetention } from './JobRetention.js'
 import type { Order, StartOutcome } from './orders.js'
 import { PaceController } from './PaceController.js'
+import { PendingCancels } from './PendingCancels.js'
 import { placeTasks, type PlacementContext } from './placeTasks.js'
 import { reconcileReport } from './reconcileReport.js'
 import { resendStops } from './resendStops.js'
@@ -69,8 +70,7 @@
   private readonly evacuations = new Map<string, number>()
   /** Jobs with progress that is neither stored nor part of a commit in progress. */
   private readonly changedJobs = new Set<TrackedJob>()
-  /** Ids of jobs that were cancelled before the owner knew them. */
-  private readonly pendingCancels = new Set<string>()
+  readonly pendingCancels = PendingCancels.create()
   /** Ids of VMs that were called at least once, whether they answered or not. */
   private readonly calledVms = new Set<string>()
   private readonly retention = JobRetention.create()
@@ -100,7 +100,7 @@
     this.state.jobsToRead.delete(accepted.id)
     // A job that ended under a previous owner was logged by that owner.
     if (!job.isOver) this.state.logDecision(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state, steps: describeSteps(accepted.spec) })
-    if (this.pendingCancels.delete(accepted.id)) this.state.cancelJob(job, nowMs)
+    if (this.pendingCancels.take(accepted.id)) this.state.cancelJob(job, nowMs)
     return true
   }
 
@@ -108,7 +108,7 @@
   cancelJob (id: string, nowMs: number): void {
     const job = this.state.jobs.get(id)
     if (job === undefined) {
-      this.pendingCancels.add(id)
+      if (!this.retention.isDropped(id)) this.pendingCancels.add(id, nowMs)
       return
     }
     if (job.isOver) return
