Store a cancellation only while its job is stored

If the owner removed the rows of the ended job in between, the cancellation stayed in the store for good, as only the removal of its job removes it, and every later owner read it again into its pending cancellations. The client was told 200 for a job that is not there.

Change: the write is conditional on the version of the job's row, which never changes; a conflict means that the job is gone, and the client gets 410.

--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -93,12 +93,19 @@
 
   private async writeCancelDirectly (id: string): Promise<WriteResult> {
     const { rows, shardName } = this.options
-    const job = await readRow(rows, { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` })
+    const jobKey = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` }
+    const job = await readRow(rows, jobKey)
     if (!job.ok) return { outcome: WriteOutcome.NotDone }
     if (job.value === undefined) return { outcome: WriteOutcome.Absent }
     const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
-    const res = await rows.transact({ conditions: [], puts: [{ ...key, value: encodeRow({ atMs: Math.round(rows.getStoreClockMs()) }) }], removes: [] })
-    return res.ok ? { outcome: WriteOutcome.Stored, version: res.value.version } : { outcome: toOutcome(res.error) }
+    const res = await rows.transact({
+      conditions: [{ ...jobKey, version: job.value.version }],
+      puts: [{ ...key, value: encodeRow({ atMs: Math.round(rows.getStoreClockMs()) }) }],
+      removes: [],
+    })
+    if (res.ok) return { outcome: WriteOutcome.Stored, version: res.value.version }
+    // The row of a job is never written again, so a conflict means that it was removed.
+    return { outcome: res.error.kind === StoreFailureKind.Conflict ? WriteOutcome.Absent : toOutcome(res.error) }
   }
 
   /** Sends a write to the owner or, if no other daemon is known to be the owner, to the next of the other daemons in turn. */
