Fail a batch of claims if a conflict names none of its rows

If it names none, the same batch was sent again without a pause and without end; the loop does not even yield to timers if the table answers from memory, and all requests with an idempotency key wait for it.

Change: such a conflict fails the writes of the batch as not done, with a reason: a claim is refused as not run, and the end of a request is written again after the pause that RequestClaims has for that. ClaimFailed lines now carry the reason.

--- a/packages/daemon/src/lib/claims/RequestClaims.ts
+++ b/packages/daemon/src/lib/claims/RequestClaims.ts
@@ -6,7 +6,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode, Execution, getDigest, RESULT_CODES, ResultCode } from '@vanillathread/model'
-import { PlatformErrorKind, type Platform, type TableRow } from '@vanillathread/ports'
+import { PlatformErrorKind, type Platform, type PlatformError, type TableRow } from '@vanillathread/ports'
 import { claimOptions } from '../options.js'
 import { RequestOutcomeKind, type Answer, type RequestOutcome, type ServiceRequest } from '../request/ServiceRequest.js'
 import { claimRowSchema, ClaimState, getClaimKey, getRequestDigest, type ClaimRow } from './ClaimRow.js'
@@ -67,15 +67,17 @@
       requestDigest: getRequestDigest(req),
       claimedAtMs: this.options.timers.wallClock(),
     }
+    let reason = ''
     for (let attempt = 0; attempt < claimOptions.maxAttempts; attempt++) {
       const res = await this.batcher.write({ key, revision: 0, value: row })
       if (res.ok) return { kind: ClaimResultKind.Claimed, claim: { key, row, revision: res.value } }
+      reason = describePlatformError(res.error)
       if (res.error.kind === PlatformErrorKind.Unavailable) break
       // After a conflict or an unknown outcome, the row itself shows which request holds the claim.
       const found = await this.options.platform.table.read(key)
       if (found.ok && found.value !== undefined) return this.resolveExisting(found.value, row)
     }
-    this.options.log.write(EventCode.ClaimFailed, { requestId: req.requestId, service: req.service })
+    this.options.log.write(EventCode.ClaimFailed, { requestId: req.requestId, service: req.service, reason })
     return { kind: ClaimResultKind.Refused, code: ResultCode.ClaimStoreUnavailable, retryAfterMs: claimOptions.retryAfterMs }
   }
 
@@ -134,14 +136,20 @@
   }
 
   private async writeWithRetries (claim: Claim, value: ClaimRow | undefined): Promise<void> {
+    let reason = ''
     for (let attempt = 0; attempt < claimOptions.finishAttempts; attempt++) {
       const res = await this.batcher.write({ key: claim.key, revision: claim.revision, value })
       // A conflict means that an earlier attempt of this write took effect, as no other daemon changes the row.
       if (res.ok || res.error.kind === PlatformErrorKind.Conflict) return
+      reason = describePlatformError(res.error)
       await delay(this.options.timers, claimOptions.finishRetryMs)
     }
-    this.options.log.write(EventCode.ClaimFailed, { requestId: claim.row.requestId, step: 'finish' })
+    this.options.log.write(EventCode.ClaimFailed, { requestId: claim.row.requestId, step: 'finish', reason })
   }
 }
 
+function describePlatformError (error: PlatformError): string {
+  return error.kind === PlatformErrorKind.Conflict ? error.kind : error.reason
+}
+
 const DRAIN_POLL_MS = 50
--- a/packages/daemon/src/lib/claims/TableBatcher.ts
+++ b/packages/daemon/src/lib/claims/TableBatcher.ts
@@ -71,15 +71,26 @@
       writes: batch.map(({ write }) => ({ key: write.key, value: write.value })),
     })
     if (!res.ok && res.error.kind === PlatformErrorKind.Conflict) this.settleConflicts(batch, new Set(res.error.keys))
-    else for (const pending of batch) pending.settle(res)
+    else settleAll(batch, res)
   }
 
-  /** Fails the writes whose condition does not hold, and puts the others at the head of the queue again. */
+  /**
+   * Fails the writes whose condition does not hold, and puts the others at the head of the queue again. Each round thus has
+   * fewer writes than the one before; if the conflict names none of them, all fail, as nothing was written.
+   */
   private settleConflicts (batch: readonly PendingWrite[], keys: ReadonlySet<string>): void {
     const others = batch.filter(({ write }) => !keys.has(write.key))
+    if (others.length === batch.length) {
+      settleAll(batch, Result.err({ kind: PlatformErrorKind.Unavailable, reason: 'conflict names no row of the transaction' }))
+      return
+    }
     this.pendingWrites.unshift(...others)
     for (const { write, settle } of batch) {
       if (keys.has(write.key)) settle(Result.err({ kind: PlatformErrorKind.Conflict, keys: [write.key] }))
     }
   }
 }
+
+function settleAll (batch: readonly PendingWrite[], res: Result<number, PlatformError>): void {
+  for (const pending of batch) pending.settle(res)
+}
