Fetch later configurations after an error in one

A caller could see requests handled by an old configuration for good.

Change: an error in a fetch is a failed fetch, logged as ConfigurationRejected with the reason and tried again after the usual pause; each listener is called by itself, and an error in one is logged as HandlerFailed.

--- a/packages/daemon/src/lib/configuration/ConfigurationStore.ts
+++ b/packages/daemon/src/lib/configuration/ConfigurationStore.ts
@@ -131,17 +131,24 @@
     this.fetching = true
     while (this.newestHead !== undefined && this.newestHead.version > this.gate.inForce) {
       const target = this.newestHead
-      const res = await assembleBundle(target.manifestDigest, (digest) => this.getObject(digest))
-      if (res.ok) this.putInForce(target, res.value)
-      else await this.logAndDelayRetry(target, res.error)
+      const failure = await this.fetch(target)
+      if (failure === undefined) continue
+      this.options.log.write(EventCode.ConfigurationRejected, { version: target.version, ...failure })
+      await delay(this.options.timers, configurationOptions.fetchRetryMs)
     }
     this.fetching = false
   }
 
-  /** Logs a failed fetch and waits before the next one. */
-  private async logAndDelayRetry (head: ConfigurationHead, code: ResultCode): Promise<void> {
-    this.options.log.write(EventCode.ConfigurationRejected, { version: head.version, code })
-    await delay(this.options.timers, configurationOptions.fetchRetryMs)
+  /** Fetches a version and puts it in force. Returns why that failed, or undefined. */
+  private async fetch (head: ConfigurationHead): Promise<{ code: ResultCode } | { reason: string } | undefined> {
+    try {
+      const res = await assembleBundle(head.manifestDigest, (digest) => this.getObject(digest))
+      if (!res.ok) return { code: res.error }
+      this.putInForce(head, res.value)
+      return undefined
+    } catch (err) {
+      return { reason: String(err) }
+    }
   }
 
   /** Returns an object from memory, from the object store, or from a peer that has sent a newer head, in this order. */
@@ -194,7 +201,16 @@
     this.announced = new Map()
     this.options.log.write(EventCode.ConfigurationInForce, { version: head.version })
     this.options.metrics.gauge('configuration.version', head.version)
-    for (const listener of this.listeners) listener(this.active)
+    for (const listener of this.listeners) this.notify(listener, this.active)
+  }
+
+  /** Calls a listener. An error in one must not keep the version from the others. */
+  private notify (listener: ConfigurationListener, active: ActiveConfiguration): void {
+    try {
+      listener(active)
+    } catch (err) {
+      this.options.log.write(EventCode.HandlerFailed, { operation: 'apply configuration', version: active.head.version, reason: String(err) })
+    }
   }
 }
 
