--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -176,6 +176,8 @@
   LogLinesDropped = 762,
   /** An operation failed with an unexpected error. */
   HandlerFailed = 763,
+  /** The reader of the standard output did not keep up, so that `lines` log lines were dropped. */
+  LogReaderSlow = 764,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -265,4 +267,5 @@
   [EventCode.SettingsInvalid]: { level: EventLevel.Error, message: 'platform settings cannot be read' },
   [EventCode.LogLinesDropped]: { level: EventLevel.Warn, message: 'event is logged up to a limit per second, and further log lines were dropped' },
   [EventCode.HandlerFailed]: { level: EventLevel.Error, message: 'internal operation failed' },
+  [EventCode.LogReaderSlow]: { level: EventLevel.Warn, message: 'log lines were dropped as the reader of the log did not keep up' },
 }
