Plan loans only under a lease of the daemon's own incarnation

A daemon that had restarted planned loans under the lease of its earlier incarnation, whose revision is the condition of both, until it had acquired the lease; an earlier process that was paused could then lend a second VM for the same deficit. Callers could see one move of a VM more than needed; each VM's own loan row kept it from being lent twice.

Change: the incarnation of the lease has to be the daemon's own, as PoolLeases demands already.

--- a/packages/daemon/src/lib/fleet/LoanPlanner.ts
+++ b/packages/daemon/src/lib/fleet/LoanPlanner.ts
@@ -79,7 +79,9 @@
     if (lease === undefined) return
     const { membership, network, credits } = this.options
     const message: DemandMessage = { kind: PeerMessageKind.Demand, services: credits.listLentDemand() }
-    if (lease.value.holder === membership.getSelf().daemonId) {
+    const self = membership.getSelf()
+    // An earlier incarnation of this daemon may still plan under a lease that it holds, until this one has acquired the lease.
+    if (lease.value.holder === self.daemonId && lease.value.incarnation === self.incarnation) {
       this.recordDemand(message)
       await this.plan(poolId, declarations, lease.revision)
       return
