Keep lenders on all sides of a partition within an endpoint's slots

Two sides each lent the only slot of an endpoint, and three or more sides exceeded any endpoint with fewer slots than sides, so that callers' requests ran there beyond its slots or were refused as not run.

Change: LendableSlots divides the slots of each endpoint among the listed daemons by rendezvous hashing, so that the parts differ by one slot at most, and a lender lends the parts of the daemons that it does not suspect. Nothing is lost by rounding. A lone daemon of 9 lends one slot of 8 endpoints in 9. The only slot of an endpoint is not lent by the others while its daemon is suspected, until that is removed.

Changed test: "lends only the share of slots ..." asked for 9 of 24 slots on a side of 4 of 9; the rule that it fixed is gone. Its successor asks for 3 or 4 slots of each endpoint there, and for exactly all slots on both sides together.

--- a/packages/daemon/src/lib/credits/CreditLending.ts
+++ b/packages/daemon/src/lib/credits/CreditLending.ts
@@ -2,7 +2,7 @@
  * The services whose slots this daemon lends.
  */
 import type { TimerService } from '@vanillathread/kernel'
-import { CreditLedger, type CreditGrant, type CreditReport, type LendableEndpoint, type MemberRecord } from '@vanillathread/policy'
+import { CreditLedger, MemberState, type CreditGrant, type CreditReport, type LendableEndpoint, type LendingMember, type MemberRecord } from '@vanillathread/policy'
 import type { MembershipKeeper } from '../membership/MembershipKeeper.js'
 import { creditOptions, endpointOptions } from '../options.js'
 import type { PeerMessageKind, PeerMessageOf } from '../peer/messages.js'
@@ -38,7 +38,7 @@
 
 /** Options of {@link CreditLending.create}. */
 export interface CreditLendingOptions {
-  readonly membership: Pick<MembershipKeeper, 'listOthers' | 'getMemberCounts'>
+  readonly membership: Pick<MembershipKeeper, 'getSelf' | 'listOthers'>
   readonly timers: TimerService
 }
 
@@ -147,11 +147,17 @@
     return true
   }
 
+  private listMembers (): LendingMember[] {
+    const { membership } = this.options
+    const describe = (record: MemberRecord, suspected: boolean): LendingMember => ({ name: record.daemonId, holderId: getInstanceId(record), suspected })
+    return [describe(membership.getSelf(), false), ...membership.listOthers().map(({ record, state }) => describe(record, state === MemberState.Suspected))]
+  }
+
   private allocate (serviceId: string): IssuedGrant[] {
     const lent = this.lent.get(serviceId)
     if (lent === undefined) return []
     lent.ledger.setEndpoints(lent.service.listEndpoints())
-    lent.ledger.setLendableShare(this.options.membership.getMemberCounts())
+    lent.ledger.setMembers(this.listMembers())
     return [...lent.ledger.allocate(this.options.timers.now())].map(([holderId, grant]) => ({ holderId, serviceId, grant }))
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,6 +10,7 @@
 export { shareByDemand, type SlotDemand } from './lib/routing/shareByDemand.js'
 export type { CreditGrant, CreditReport, LendableEndpoint, SlotCounts } from './lib/routing/credits.js'
 export { CreditLedger, type CreditLedgerOptions } from './lib/routing/CreditLedger.js'
+export type { LendingMember } from './lib/routing/LendableSlots.js'
 export { CreditHolder, type CreditHolderOptions } from './lib/routing/CreditHolder.js'
 export type { SlotSource } from './lib/routing/SlotSource.js'
 export { pickEndpoint, type EndpointCandidate, type PickEndpointOptions } from './lib/routing/pickEndpoint.js'
--- a/packages/policy/src/lib/routing/CreditLedger.test.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.test.ts
@@ -6,6 +6,7 @@
 import { CreditHolder } from './CreditHolder.js'
 import { CreditLedger } from './CreditLedger.js'
 import type { CreditGrant, LendableEndpoint } from './credits.js'
+import type { LendingMember } from './LendableSlots.js'
 
 const CREDIT_TTL_MS = 5_000
 const ATTEMPT_HOLD_MS = 10_000
@@ -22,6 +23,10 @@
   return CreditHolder.create({ daemonId, zone, creditTtlMs: CREDIT_TTL_MS })
 }
 
+function listMembers (...names: string[]): LendingMember[] {
+  return names.map((name) => ({ name, holderId: name, suspected: false }))
+}
+
 function exchange (ledger: CreditLedger, holders: readonly CreditHolder[], queued: readonly number[], nowMs: number): void {
   const grants = new Map<string, CreditGrant>()
   holders.forEach((holder, index) => {
@@ -70,12 +75,18 @@
       assert.is(Math.min(...limits) >= 4, true)
     })
 
-    it('lends only the share of slots that corresponds to the daemons that are not suspected', () => {
-      const ledger = createLedger()
-      ledger.setLendableShare({ unsuspected: 4, listed: 9 })
-      const holder = createHolder('one')
-      exchange(ledger, [holder], [100], 0)
-      assert.is(holder.getTotalLimit(0), 9)
+    it('lends only the parts of the daemons that are not suspected, and all others on the other side', () => {
+      const names = Array.from({ length: 9 }, (_, index) => `daemon-${index}`)
+      const lent = [4, 5].map((sideSize) => {
+        const ledger = createLedger()
+        ledger.setMembers(names.map((name, index) => ({ name, holderId: name, suspected: sideSize === 4 ? index >= 4 : index < 4 })))
+        const holder = createHolder('one')
+        exchange(ledger, [holder], [100], 0)
+        return ENDPOINTS.map(({ endpointId }) => holder.getLimit(endpointId))
+      })
+      // Each daemon but one has a part of one slot on an endpoint with 8 slots.
+      for (const limit of lent[0] ?? []) assert.is(limit === 3 || limit === 4, true, `${limit} slots`)
+      assert.equal(ENDPOINTS.map((_endpoint, index) => (lent[0]?.[index] ?? 0) + (lent[1]?.[index] ?? 0)), [8, 8, 8])
     })
   })
 
@@ -96,7 +107,7 @@
 
     it('lends no slots that a holder may have from an earlier lender until the holder has reported', () => {
       const ledger = createLedger()
-      ledger.setLendableShare({ unsuspected: 2, listed: 2 })
+      ledger.setMembers(listMembers('one', 'other'))
       ledger.startTakeover(0)
       ledger.expectReport('other', 0)
       const holder = createHolder('one')
@@ -113,7 +124,7 @@
       for (let round = 0; round < 6; round++) exchange(before, [lost, busy, calm], [8, 8, 8], round)
       const held = lost.getTotalLimit(6)
       const after = createLedger()
-      after.setLendableShare({ unsuspected: 3, listed: 3 })
+      after.setMembers(listMembers('lost', 'busy', 'calm'))
       after.startTakeover(0)
       after.expectReport('lost', 6)
       for (let round = 6; round < 20; round++) exchange(after, [busy, calm], [100, 0], round)
--- a/packages/policy/src/lib/routing/CreditLedger.ts
+++ b/packages/policy/src/lib/routing/CreditLedger.ts
@@ -6,6 +6,7 @@
  * or when the holder has been unresponsive until its credits expired and its last attempts timed out.
  */
 import { allocateSlots, type SlotHolder } from './allocateSlots.js'
+import { LendableSlots, type LendingMember } from './LendableSlots.js'
 import type { CreditGrant, CreditReport, LendableEndpoint } from './credits.js'
 import { areCountsEqual, addToCount, setCount } from './slotCounts.js'
 
@@ -41,7 +42,7 @@
 export class CreditLedger {
   private readonly holders = new Map<string, Holder>()
   private endpoints: readonly LendableEndpoint[] = []
-  private memberCounts = { unsuspected: 1, listed: 1 }
+  private readonly lendable = LendableSlots.create()
   /** Daemons that may hold slots from an earlier lender, with the time at which these slots have expired. */
   private readonly expectedReports = new Map<string, number>()
   /** Set from the start of a takeover until all slots lent by an earlier lender are known or have expired. */
@@ -56,15 +57,15 @@
   /** Sets the endpoints whose slots may be lent. Slots of other endpoints are reclaimed. */
   setEndpoints (endpoints: readonly LendableEndpoint[]): void {
     this.endpoints = endpoints
+    this.lendable.keepOnly(endpoints)
   }
 
   /**
-   * Sets the share of each endpoint's slots that may be lent, which is `unsuspected` divided by `listed`: the daemons that
-   * are not suspected, divided by all daemons. During a network partition there may be a lender on each side. The
-   * share keeps their grants together within the endpoint's slots.
+   * Sets the listed daemons, this one included. Only the parts of those that are not suspected are lent: during a network
+   * partition there may be a lender on each side. Without any daemon, all slots are lent.
    */
-  setLendableShare (memberCounts: { unsuspected: number, listed: number }): void {
-    this.memberCounts = memberCounts
+  setMembers (members: readonly LendingMember[]): void {
+    this.lendable.setMembers(members)
   }
 
   /**
@@ -166,7 +167,7 @@
     for (const holder of active) this.capToLendableSlots(holder, active)
     allocateSlots(active, {
       endpoints: this.endpoints,
-      total: this.endpoints.reduce((sum, endpoint) => sum + this.getLendableSlots(endpoint), 0),
+      total: this.endpoints.reduce((sum, endpoint) => sum + this.lendable.count(endpoint), 0),
       free: this.getFreeByEndpoint(nowMs),
       pendingReturns: this.getPendingReturns(),
     })
@@ -204,22 +205,12 @@
     return holder
   }
 
-  /**
-   * Returns the number of slots of an endpoint that may be lent, at least 1.
-   *
-   * @param unreportedDaemons - number of daemons that are not suspected but have not reported yet.
-   */
-  private getLendableSlots (endpoint: LendableEndpoint, unreportedDaemons = 0): number {
-    const share = Math.min(1, (this.memberCounts.unsuspected - unreportedDaemons) / Math.max(1, this.memberCounts.listed))
-    return Math.max(1, Math.floor(endpoint.slots * share))
-  }
-
   /** Lowers a holder's limits on endpoints that are no longer lent, or whose limits add up to more slots than may be lent. */
   private capToLendableSlots (holder: Holder, active: readonly Holder[]): void {
     const byId = new Map(this.endpoints.map((endpoint) => [endpoint.endpointId, endpoint]))
     for (const [endpointId, limit] of [...holder.limits]) {
       const endpoint = byId.get(endpointId)
-      const excess = endpoint === undefined ? limit : getLimitSum(active, endpointId) - this.getLendableSlots(endpoint)
+      const excess = endpoint === undefined ? limit : getLimitSum(active, endpointId) - this.lendable.count(endpoint)
       if (excess > 0) setCount(holder.limits, endpointId, Math.max(0, limit - excess))
     }
   }
@@ -238,8 +229,8 @@
 
   /**
    * Returns the number of an endpoint's slots that can be granted now. The slots of active holders are limited to the
-   * share that may be lent. The slots that unresponsive holders may still use count only against all slots of the
-   * endpoint, as the share already excludes their part.
+   * parts that may be lent. The slots that unresponsive holders may still use count only against all slots of the
+   * endpoint, as the parts of suspected daemons are not lent anyway.
    */
   private getFreeSlots (endpoint: LendableEndpoint, nowMs: number): number {
     let activeUse = 0
@@ -250,7 +241,7 @@
       if (this.isActive(holder, nowMs)) activeUse += use
     }
     // During a takeover, the slots of daemons that have not reported are already counted as unknown.
-    const lendable = this.getLendableSlots(endpoint, this.takeover === undefined ? this.expectedReports.size : 0)
+    const lendable = this.takeover === undefined ? this.lendable.countWithout(endpoint, this.expectedReports) : this.lendable.count(endpoint)
     return Math.max(0, Math.min(lendable - activeUse, endpoint.slots - totalUse - this.getUnknownSlots(endpoint)))
   }
 
