--- a/packages/daemon/src/lib/jobs/MemberDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MemberDirectory.ts
@@ -135,9 +135,9 @@
     const res = await rows.transact({ conditions: [{ ...key, version }], puts: [], removes: [key] })
     if (res.ok) {
       this.members.delete(name)
-      log.write(EventCode.MemberRemoved, { daemon: name, silentMs: Math.round(silentMs) })
+      log.write(EventCode.MemberRemoved, { member: name, silentMs: Math.round(silentMs) })
     } else if (res.error.kind !== StoreFailureKind.Conflict) {
-      log.write(EventCode.StoreCallFailed, { call: 'remove member', daemon: name, outcome: res.error.kind, reason: res.error.reason })
+      log.write(EventCode.StoreCallFailed, { call: 'remove member', member: name, outcome: res.error.kind, reason: res.error.reason })
     }
   }
 
--- a/packages/integration/src/members.test.ts
+++ b/packages/integration/src/members.test.ts
@@ -16,7 +16,7 @@
 
 /** Returns the names of the daemons whose row was removed. */
 function listRemovals (lab: JobLab): unknown[] {
-  return lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.MemberRemoved).map(({ fields }) => fields['daemon'])
+  return lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.MemberRemoved).map(({ fields }) => fields['member'])
 }
 
 /** Returns the index of a daemon that does not own the shard. */
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -144,7 +144,7 @@
   OwnerKnown = 735,
   /** The owner begins to hand its shard over to a much faster daemon. */
   ShardHandedOver = 736,
-  /** The owner of a shard removed the row of the daemon `daemon`, which has not answered for `silentMs`. */
+  /** The owner of a shard removed the row of the daemon `member`, which has not answered for `silentMs`. */
   MemberRemoved = 737,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
