Make two checks of the explanation of a failed job strict

Change: the job must be accepted and shown to the client as failed, and its log lines must hold exactly one end, with the state failed, as the last line of its timeline.

--- a/packages/integration/src/explain.test.ts
+++ b/packages/integration/src/explain.test.ts
@@ -3,7 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { buildTimeline, explainLogs, LoggedKind, parseLine, type Explanation, type TimelineEntry } from '@vanillathread/cli'
-import { EventCode } from '@vanillathread/model'
+import { EventCode, JobState } from '@vanillathread/model'
 import { StoreFault, VmFault } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
 
@@ -39,15 +39,18 @@
   it('lists the failed attempts of a job that is shown as failed', async () => {
     const lab = JobLab.create({ seed: 1 })
     await lab.start()
-    const job = await Promise.race([lab.submit(createJob(createStep({ taskCount: 1 })), { poison: true }), lab.run(4_000)])
-    const id = [...lab.history.jobs.keys()][0] ?? ''
-    assert.ok(job !== undefined || id !== '')
-    await lab.run(2_000)
-    const entries = listTimeline(lab, id)
+    const submission = lab.submit(createJob(createStep({ taskCount: 1 })), { poison: true })
+    await lab.run(4_000)
+    const job = await submission
+    assert.is(job.accepted, true)
+    assert.is(job.shownState, JobState.Failed)
+    const entries = listTimeline(lab, job.id)
     const ends = entries.filter((entry) => entry.event === EventCode.TaskEnded).map((entry) => entry.fields['end'])
     assert.equal(ends, ['failed', 'failed'])
-    assert.is(findCause(lab, id)?.outcome, 'failed')
-    assert.is(entries.at(-1)?.event === EventCode.JobEnded || entries.some((entry) => entry.event === EventCode.JobEnded && entry.fields['state'] === 'failed'), true)
+    assert.is(findCause(lab, job.id)?.outcome, 'failed')
+    const jobEnds = entries.filter((entry) => entry.event === EventCode.JobEnded).map((entry) => entry.fields['state'])
+    assert.equal(jobEnds, [JobState.Failed])
+    assert.is(entries.at(-1)?.event, EventCode.JobEnded)
     for (const { daemon } of lab.daemons) await daemon?.kill()
   })
 
