--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -4,7 +4,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import type { JobProgress, JobScheduler, TrackedJob, TrackedVm } from '@vanillathread/policy'
+import type { JobProgress, JobScheduler, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
 import { StoreFailureKind, type RowCondition, type RowKey, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { encodeRow, Table } from './rows.js'
@@ -29,8 +29,8 @@
 /** Content of one transaction. */
 interface Batch {
   readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress }>
-  /** VMs to add to the roster, the stored list of VMs that may hold runs of the shard. */
-  readonly roster: readonly TrackedVm[]
+  /** Records for the roster, the stored list of VMs that may hold runs of the shard. */
+  readonly roster: readonly RosterWrite[]
   /** VMs that are certain to hold no runs any more, whose roster rows are removed. */
   readonly left: readonly string[]
   /** Number up to which each VM's end entries are stored once this batch is committed. */
@@ -55,6 +55,11 @@
     if (!this.running) this.run()
   }
 
+  /** Requests a commit if records of VMs are to be written, which some are after a time without any event, or removed. */
+  requestDueRecords (): void {
+    if (this.options.scheduler.forgottenVms.size > 0 || this.listRosterWrites().length > 0) this.request()
+  }
+
   /** Commits until no change is left or `limitMs` has passed. */
   async flush (limitMs: number): Promise<void> {
     const endMs = this.options.timers.now() + limitMs
@@ -78,6 +83,11 @@
     this.running = false
   }
 
+  private listRosterWrites (): RosterWrite[] {
+    const { scheduler, rows, timers } = this.options
+    return scheduler.listRosterWrites({ nowMs: timers.now(), storeReading: rows.getStoreClockReading() })
+  }
+
   private collectBatch (): Batch {
     const { scheduler, rows } = this.options
     const changed = scheduler.listJobsToStore()
@@ -86,10 +96,13 @@
       return { job, progress: job.toProgress(rows.getStoreClockMs()) }
     })
     const vms = [...scheduler.state.vms.values()]
-    const roster = vms.filter((vm) => !vm.recorded).slice(0, MAX_ROSTER_ROWS)
-    const left = [...scheduler.forgottenVms].slice(0, MAX_ROSTER_ROWS)
+    const rosterWrites = this.listRosterWrites()
+    const roster = rosterWrites.slice(0, Math.floor(countEntriesLeft(jobs.length + MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
+    const left = [...scheduler.forgottenVms].slice(0, Math.floor(countEntriesLeft(jobs.length + roster.length) / ENTRIES_PER_ROW))
+    // The write may be carried out even if its answer is lost.
+    for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
     const complete = changed.length === jobs.length
-    if (!complete || vms.some((vm) => !vm.recorded && !roster.includes(vm))) this.commitRequested = true
+    if (!complete || rosterWrites.length > roster.length || scheduler.forgottenVms.size > left.length) this.commitRequested = true
     // End entries are acknowledged only if the batch holds every changed job, as any of these may depend on them.
     const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.acknowledgedEnd).map((vm) => [vm, vm.appliedEnd]) : [])
     return { jobs, roster, left, ends }
@@ -98,14 +111,14 @@
   /** Commits a batch in one transaction. Returns false if its changes must be committed again. */
   private async commit (batch: Batch): Promise<boolean> {
     const { scheduler } = this.options
-    // Removals of roster rows alone don't justify a transaction; they go into the next one.
-    if (batch.jobs.length === 0 && batch.roster.length === 0) {
+    if (batch.jobs.length === 0 && batch.roster.length === 0 && batch.left.length === 0) {
       this.markCommitted(batch)
       return true
     }
     const puts = this.listPuts(batch)
-    const conditions = [this.options.ownerRow, ...puts.map((put) => ({ table: put.table, part: put.part, key: put.key, version: this.options.versions.get(formatRowName(put)) ?? 0 }))]
     const removes = batch.left.map((vm) => ({ table: Table.Rosters, part: this.options.shard, key: vm }))
+    // A late copy must not remove the row of a VM that has registered again since.
+    const conditions = [this.options.ownerRow, ...[...puts, ...removes].map(({ table, part, key }) => ({ table, part, key, version: this.options.versions.get(formatRowName({ table, part, key })) ?? 0 }))]
     const res = await this.options.rows.transact({ conditions, puts, removes })
     if (this.disposed) return true
     if (res.ok) {
@@ -116,6 +129,7 @@
       return true
     }
     for (const { job } of batch.jobs) job.changed = true
+    for (const { vm } of batch.roster) vm.recordUnconfirmed = true
     this.applyFailure(res.error, conditions)
     return false
   }
@@ -123,14 +137,18 @@
   private listPuts (batch: Batch): RowPut[] {
     const { shard } = this.options
     const jobs = batch.jobs.map(({ job, progress }) => ({ table: Table.Progress, part: shard, key: job.id, value: encodeRow(progress) }))
-    const roster = batch.roster.map((vm) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow(vm.entry) }))
+    const roster = batch.roster.map(({ vm, record: { entry, ...rest } }) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow({ ...entry, ...rest }) }))
     return [...jobs, ...roster]
   }
 
   private markCommitted (batch: Batch): void {
     const { scheduler } = this.options
     for (const { job, progress } of batch.jobs) scheduler.markStored(job, progress)
-    for (const vm of batch.roster) vm.recorded = true
+    for (const { vm, record } of batch.roster) {
+      vm.recorded = true
+      vm.recordedLeaseEndMs = record.leaseEndMs
+      vm.recordUnconfirmed = false
+    }
     for (const [vm, end] of batch.ends) {
       // A restarted VM numbers its end entries from the start again, so `end` may belong to the previous incarnation.
       if (vm.appliedEnd >= end) vm.acknowledgedEnd = end
@@ -156,12 +174,19 @@
   }
 }
 
-/**
- * Limit on the roster rows written, and on those removed, in one transaction. The platform accepts 100 entries. 90 are used
- * by `taskOptions.jobsPerCommit` jobs and the roster rows written (two entries each: condition and put), the roster rows
- * removed (one entry each) and the condition on the owner row.
- */
-const MAX_ROSTER_ROWS = 3
+/** Entries (conditions, puts and removes) of one transaction at the most, as the platform states. */
+const MAX_ENTRIES = 100
+
+/** Entries of a row: its condition, and its put or removal. */
+const ENTRIES_PER_ROW = 2
+
+/** Removals of roster rows that a transaction has room for beside any number of other rows. */
+const MIN_ROSTER_REMOVALS = 3
+
+/** Returns the entries that a transaction has left beside the condition on the owner row and a number of rows. */
+function countEntriesLeft (rows: number): number {
+  return MAX_ENTRIES - 1 - ENTRIES_PER_ROW * rows
+}
 
 /** Formats a row's name, which is unique within a part. */
 export function formatRowName (row: RowKey): string {
--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -7,8 +7,9 @@
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
+import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { WavePlanner } from './WavePlanner.js'
-import { WaveProgressStore, type PreviousVm } from './WaveProgressStore.js'
+import { WaveProgressStore } from './WaveProgressStore.js'
 
 /** Options of {@link MachineController.create}. */
 export interface MachineControllerOptions {
@@ -34,26 +35,6 @@
   onChange (): void
 }
 
-/** A move or maintenance of one machine. */
-interface MachineOperation {
-  readonly machine: string
-  /** Wave of a maintenance, or undefined for a move. */
-  readonly wave?: number
-  /** Pool of a move, or undefined for a maintenance. */
-  readonly toPool?: string
-  /** VM that is evacuated for the operation, if the machine has one. */
-  vmId?: string
-  /** VM that was on the machine before the operation, as stored with a maintenance order; its id is empty if there was none. */
-  former: PreviousVm
-  /**
-   * `evacuating`: the VM is being evacuated, and the order follows; `ordering`: an order awaits its answer or its retry;
-   * `underway`: the platform accepted the order.
-   */
-  phase: 'evacuating' | 'ordering' | 'underway'
-  /** Time at which the platform accepted the order. */
-  confirmedAtMs: number
-}
-
 /** Plans operations on a shard's machines, evacuates their VMs and gives the orders. */
 export class MachineController {
   /** Machines by id, as of the last list; a finished move updates the pool. */
@@ -104,6 +85,7 @@
       // An order in flight may have been carried out before this VM started. The operation therefore keeps the VM that the
       // order was sent for, which is retired if the answer shows that the order was carried out.
       if (operation.phase === 'evacuating') {
+        operation.mayPrecedeVm ||= operation.sent
         operation.vmId = vm.id
         operation.former = { vmId: vm.id, bornMs: vm.entry.bornMs }
       }
@@ -179,8 +161,8 @@
     if (operation?.toPool !== undefined) return { ...idle, pool: operation.toPool, movable: false }
     const vm = this.findVm(id)
     const pool = vm?.entry.pool ?? machine.pool
-    // A machine of a wave provides no capacity until it is back, so its pool may get another machine.
-    if (operation !== undefined) return undefined
+    // A machine of a wave, or one whose VM leaves, provides no capacity, so its pool may get another machine.
+    if (operation !== undefined || vm?.isLeaving === true) return undefined
     if (vm !== undefined) {
       const usable = vm.isUsable(nowMs)
       const drainable = usable && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
@@ -191,9 +173,9 @@
     return machine.state === MachineState.Moving || machine.state === MachineState.InMaintenance ? { ...idle, pool, movable: false } : undefined
   }
 
-  private beginOperation (plan: { machine: string, wave?: number, toPool?: string }, nowMs: number): void {
+  private beginOperation (plan: MachineOperationPlan, nowMs: number): void {
     const vm = this.findVm(plan.machine)
-    this.operations.set(plan.machine, { ...plan, vmId: vm?.id, former: { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }, phase: 'evacuating', confirmedAtMs: 0 })
+    this.operations.set(plan.machine, createMachineOperation(plan, vm))
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
     this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
@@ -210,8 +192,9 @@
 
   /** Sends the order for an evacuated machine. A maintenance order is stored first, so that a successor knows of it. */
   private async sendOrder (operation: MachineOperation): Promise<void> {
-    const { machines, settings, ownerRow, timers, log, scheduler } = this.options
+    const { machines, settings, ownerRow, timers, log } = this.options
     operation.phase = 'ordering'
+    if (operation.wave !== undefined) operation.mayPrecedeVm ||= this.waves.isRecordedForOtherVm(operation.wave, operation.machine, operation.former)
     if (operation.wave !== undefined && !await this.waves.recordOrder(operation.wave, operation.machine, operation.former)) {
       operation.phase = 'evacuating'
       return
@@ -220,6 +203,7 @@
     if (operation.wave !== undefined) log.write(EventCode.MaintenanceOrdered, { machine: operation.machine, wave: operation.wave, formerVm: operation.former.vmId, listAgeMs: Math.round(timers.now() - this.listedAtMs) })
     const orderer = { holder: settings.name, fencingToken: ownerRow.version }
     const sentAtMs = timers.now()
+    operation.sent = true
     const answer = operation.wave !== undefined
       ? await machines.maintain(operation.machine, operation.wave, orderer)
       : await machines.move(operation.machine, operation.toPool ?? '', orderer)
@@ -228,7 +212,7 @@
       machine: operation.machine, wave: operation.wave, toPool: operation.toPool, outcome: answer.kind, reason: describeAnswer(answer), tookMs: Math.round(timers.now() - sentAtMs),
     })
     if (answer.kind === 'done') {
-      if (operation.vmId !== undefined) scheduler.retireVm(operation.vmId, operation.wave === undefined ? 'its machine was moved' : 'its machine is in maintenance')
+      if (!operation.mayPrecedeVm) this.retireFormerVm(operation)
       if (operation.wave !== undefined) this.waves.markBegun(operation.wave, operation.machine)
       operation.phase = 'underway'
       operation.confirmedAtMs = timers.now()
@@ -256,6 +240,10 @@
     else this.options.timers.after(machineOptions.orderRetryMs, () => { operation.phase = 'evacuating' })
   }
 
+  private retireFormerVm ({ vmId, wave }: MachineOperation): void {
+    if (vmId !== undefined) this.options.scheduler.retireVm(vmId, wave === undefined ? 'its machine was moved' : 'its machine is in maintenance')
+  }
+
   /**
    * Finishes an operation once the machine is back: its new VM is registered, or a list read after the operation's normal
    * duration shows the machine neither moving nor in maintenance, or lacks it.
@@ -265,6 +253,14 @@
     const takesMs = operation.wave === undefined ? settings.moveMs : settings.maintenanceMs
     const vm = this.findVm(operation.machine)
     const machine = this.machinesById.get(operation.machine)
+    const { former } = operation
+    if (operation.mayPrecedeVm && vm?.id === former.vmId && vm.entry.bornMs === former.bornMs) {
+      if (this.listedAtMs <= operation.confirmedAtMs) return
+      if (machine?.state !== MachineState.Up || machine.vmId !== vm.id) {
+        this.retireFormerVm(operation)
+        return
+      }
+    }
     const listedLater = this.listedAtMs > operation.confirmedAtMs + takesMs
     const settled = machine === undefined || (machine.state !== MachineState.Moving && machine.state !== MachineState.InMaintenance)
     if (vm === undefined && !(listedLater && settled)) return
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController } from './MachineController.js'
-import { shardOptions, taskOptions } from './jobOptions.js'
+import { taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
@@ -37,6 +37,10 @@
   readonly generation: number
   /** The shard's owner row; its version is the fencing token. */
   readonly ownerRow: RowCondition
+  /** Time after the takeover for which a previous owner may still extend leases of VMs that this owner cannot reach. */
+  readonly previousOwnerRenewalMs: number
+  /** True if the previous owner kept the ends of leases in the roster up to date. */
+  readonly trustsLeaseEnds: boolean
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
@@ -65,7 +69,7 @@
       generation: options.generation,
       fencingToken: options.ownerRow.version,
       leaseMs: this.leaseMs,
-      previousOwnerRenewalMs: options.generation > 0 ? shardOptions.previousOwnerRenewalMs : 0,
+      previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
       logDecision: (code, fields) => log.write(code, fields),
     })
@@ -178,17 +182,14 @@
     })
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
-    for (const entry of content.roster) {
-      scheduler.applyRegistration(entry, nowMs)
-      const vm = scheduler.state.vms.get(entry.id)
-      if (vm !== undefined) vm.recorded = true
-    }
+    const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
+    for (const record of content.roster) scheduler.restoreVm(options.trustsLeaseEnds ? record : { entry: record.entry }, clocks)
     for (const change of vms) {
       // A registration may prove that a VM of the roster has ended.
       if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
     }
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
-    for (const entry of content.roster) {
+    for (const { entry } of content.roster) {
       if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
     }
     this.loaded = true
@@ -196,7 +197,10 @@
     options.log.write(EventCode.ShardReady, {
       shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
     })
-    this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => this.requestPlan())
+    this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => {
+      this.requestPlan()
+      this.commitLoop?.requestDueRecords()
+    })
     this.endedJobRemover = EndedJobRemover.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateRetentionFactor })
     this.createMachineController()
     this.feeds = ShardFeeds.create({
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -2,6 +2,8 @@
  * The scheduler of one shard, which its owner runs: it applies events to the shard's state and returns orders.
  */
 import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
+import type { RosterClocks, RosterRecord, RosterWrite } from '../vms/rosterRecords.js'
+import { StartGate } from '../vms/StartGate.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { VmRegistry } from '../vms/VmRegistry.js'
 import { ArrivalMeter, getJobWork, measureDemand, type PoolCapacityDemand } from '../machines/PoolCapacityDemand.js'
@@ -71,13 +73,13 @@
   /** Jobs with progress that is neither stored nor part of a commit in progress. */
   private readonly changedJobs = new Set<TrackedJob>()
   readonly pendingCancels = PendingCancels.create()
-  /** Ids of VMs that were called at least once, whether they answered or not. */
-  private readonly calledVms = new Set<string>()
+  private readonly startGate: StartGate
   private readonly retention = JobRetention.create()
 
   private constructor (private readonly options: JobSchedulerOptions) {
     this.state = SchedulerState.create(options.logDecision)
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
+    this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
 
   static create (options: JobSchedulerOptions): JobScheduler {
@@ -121,6 +123,16 @@
     if (this.registry.apply(entry)) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
   }
 
+  /** Adds a VM that the store's roster lists at the takeover. */
+  restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
+    if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuate(record.entry.id, clocks.nowMs + DRAINING_TASK_GRACE_MS)
+  }
+
+  /** Returns the records of VMs that the store's roster lacks or that have changed. */
+  listRosterWrites (clocks: RosterClocks): RosterWrite[] {
+    return this.registry.listRosterWrites(clocks)
+  }
+
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregisterVm (id: string, nowMs: number): void {
     this.registry.unregister(id, nowMs)
@@ -151,17 +163,17 @@
 
   /** Applies a VM's report. `sentAtMs` is the time at which it was requested. */
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
-    this.calledVms.add(vm.id)
+    this.startGate.recordCall(vm.id)
     reconcileReport(this.state, vm, report, sentAtMs, nowMs)
     this.pacing.control(this.state, vm, nowMs)
   }
 
   /** Records that a VM does not answer calls. */
   markUnresponsive (vm: TrackedVm, nowMs: number): void {
-    this.calledVms.add(vm.id)
+    this.startGate.recordCall(vm.id)
     if (vm.unresponsiveSinceMs !== undefined) return
     vm.unresponsiveSinceMs = nowMs
-    this.state.logDecision(EventCode.VmSilent, { vm: vm.id, runs: vm.runs.size, leaseOverInMs: Math.round(vm.leaseExpiresAtMs - nowMs) })
+    this.state.logDecision(EventCode.VmSilent, { vm: vm.id, runs: vm.runs.size, leaseOverInMs: Math.round(this.registry.getLeaseExpiryMs(vm) - nowMs) })
   }
 
   /** Applies the outcome of a start order. */
@@ -203,10 +215,13 @@
     return false
   }
 
-  /** Returns true if a VM is evacuated and has no runs left, or is not known. */
+  /**
+   * Returns true if a VM is evacuated and has no runs left, or is not known. A VM that is not reconciled may have runs that a
+   * previous owner started.
+   */
   isEvacuated (vmId: string): boolean {
     const vm = this.state.vms.get(vmId)
-    return vm === undefined || (vm.evacuating && vm.runs.size === 0)
+    return vm === undefined || (vm.evacuating && vm.isReconciled && vm.runs.size === 0)
   }
 
   /** Applies all policies to the present state and returns the resulting orders. */
@@ -222,10 +237,10 @@
       if (vm !== undefined) evacuateVm(this.state, vm, nowMs, stopFiniteAtMs)
     }
     if (isCheckDue) restartOverdue(this.state, nowMs)
-    const vmsByPool = this.groupVmsByPool()
+    const vmsByPool = this.state.groupVmsByPool()
     for (const pool of this.state.openJobs.keys()) {
       const vms = vmsByPool.get(pool) ?? []
-      const mayStart = this.createStartCheck(vms)
+      const mayStart = this.startGate.createCheck(pool, vms, nowMs)
       placeTasks(this.state, pool, { ...clocks, vms, getTickets, mayStart })
     }
     if (isCheckDue) resendStops(this.state, nowMs)
@@ -273,25 +288,4 @@
     }
     return count
   }
-
-  private groupVmsByPool (): Map<string, TrackedVm[]> {
-    const vmsByPool = new Map<string, TrackedVm[]>()
-    for (const vm of this.state.vms.values()) {
-      const vms = vmsByPool.get(vm.entry.pool)
-      if (vms === undefined) vmsByPool.set(vm.entry.pool, [vm])
-      else vms.push(vm)
-    }
-    return vmsByPool
-  }
-
-  /**
-   * Returns a predicate for whether tasks of a job of the pool with the given VMs may be started. A job that a previous
-   * owner may have started waits until the runs of each VM are known. For any other job it suffices that each VM was called once.
-   */
-  private createStartCheck (vms: readonly TrackedVm[]): (job: TrackedJob) => boolean {
-    const unreconciled = vms.filter((vm) => !vm.isReconciled)
-    const allKnown = unreconciled.length === 0
-    const allCalled = unreconciled.every((vm) => this.calledVms.has(vm.id))
-    return (job) => allKnown || (allCalled && !job.mayHavePreviousRuns)
-  }
 }
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -27,6 +27,17 @@
   isReconciled = false
   /** True once the store lists this VM among those that may have runs. */
   recorded = false
+  /** True if the store listed this VM at the takeover. No earlier owner has started a task on any other VM. */
+  mayHavePreviousRuns = false
+  /**
+   * Time on the store's clock from which the VM has no runs, as the store's list tells a successor, or may tell it once a write
+   * in flight is carried out. While it is set, the VM gets no leases.
+   */
+  recordedLeaseEndMs: number | undefined
+  /** True if the last write of `recordedLeaseEndMs` failed or had an unknown outcome. */
+  recordUnconfirmed = false
+  /** Time from which a VM that the store listed at the takeover certainly has no runs of previous owners, if that was recorded. */
+  previousLeaseExpiresAtMs: number | undefined
   /** Time at which the registration disappeared, or undefined while the VM is registered. */
   unregisteredAtMs: number | undefined
   /** Time since which the VM has been unresponsive, or undefined while it answers. */
@@ -68,8 +79,21 @@
 
   /** Returns true if new tasks may be placed on the VM. */
   isUsable (nowMs: number): boolean {
-    return this.isReconciled && this.recorded && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining && !this.evacuating &&
-      this.unresponsiveSinceMs === undefined && nowMs >= this.pausedUntilMs
+    return this.isReconciled && this.recorded && this.mayBeLeased && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
+      !this.evacuating && nowMs >= this.pausedUntilMs
+  }
+
+  /**
+   * Returns true if the VM may get leases: it answers, and no end of its lease is recorded, which a successor would trust. A
+   * lease sent to an unresponsive VM may arrive, and would postpone the time at which it has certainly expired.
+   */
+  get mayBeLeased (): boolean {
+    return this.unresponsiveSinceMs === undefined && this.recordedLeaseEndMs === undefined
+  }
+
+  /** True if the VM drains, or neither is registered nor answers. */
+  get isLeaving (): boolean {
+    return this.entry.draining || (!this.registered && this.unresponsiveSinceMs !== undefined)
   }
 
   get registered (): boolean {
@@ -133,8 +157,12 @@
     return this.leaseUntilClockMs
   }
 
-  /** Time on the owner's clock at which every lease that it gave to the VM has certainly expired. */
+  /** Time on the owner's clock at which every lease that it gave to the VM, or whose end was recorded before, has certainly expired. */
   get leaseExpiresAtMs (): number {
+    return Math.max(this.ownLeaseExpiresAtMs, this.previousLeaseExpiresAtMs ?? 0)
+  }
+
+  private get ownLeaseExpiresAtMs (): number {
     if (this.leaseUntilClockMs === 0) return this.clockReadAtMs
     return this.clockReadAtMs + (this.leaseUntilClockMs - this.clockMs) / (1 - MAX_CLOCK_SLOWDOWN) + LEASE_EXPIRY_MARGIN_MS
   }
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -4,6 +4,7 @@
 import { EventCode, type VmEntry } from '@vanillathread/model'
 import { beginIncarnation } from '../jobs/reconcileReport.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
+import { planRosterWrite, type RosterClocks, type RosterRecord, type RosterWrite } from './rosterRecords.js'
 import { TrackedVm } from './TrackedVm.js'
 
 /** Factor on a lease's duration that allows for VM clocks that run slow. */
@@ -35,7 +36,7 @@
     return new VmRegistry(options)
   }
 
-  /** Applies a new or changed registration. @returns true if the VM has begun to drain. */
+  /** Applies a new or changed registration. @returns true if the VM drains and did not before, as far as this owner knows. */
   apply (entry: VmEntry): boolean {
     const { state } = this.options
     this.retireReplaced(entry)
@@ -46,7 +47,7 @@
       state.vms.set(entry.id, TrackedVm.create(entry))
       this.forgotten.delete(entry.id)
       state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
-      return false
+      return entry.draining
     }
     const beginsToDrain = entry.draining && !vm.entry.draining
     if (beginsToDrain) state.logDecision(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
@@ -56,6 +57,34 @@
     return beginsToDrain
   }
 
+  /**
+   * Adds a VM that the store's roster lists at the takeover, after the shard's jobs. A VM whose possible runs are recorded counts as
+   * reconciled and unresponsive, so that only the tasks of these runs wait for it.
+   *
+   * @param storeNowMs - the store's clock, or less.
+   * @returns true if the VM drains.
+   */
+  restore ({ entry, leaseEndMs, runs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
+    const drains = this.apply(entry)
+    const vm = this.options.state.vms.get(entry.id)
+    if (vm === undefined) return false
+    vm.recorded = true
+    vm.mayHavePreviousRuns = true
+    vm.recordedLeaseEndMs = leaseEndMs
+    if (leaseEndMs === undefined) return drains
+    vm.previousLeaseExpiresAtMs = nowMs + leaseEndMs - storeNowMs
+    if (runs === undefined) return drains
+    vm.isReconciled = true
+    vm.unresponsiveSinceMs = nowMs
+    for (const [task, run] of runs) this.options.state.restoreRun(task, run, vm, nowMs)
+    return drains
+  }
+
+  /** Returns the roster records to write. */
+  listRosterWrites (clocks: RosterClocks): RosterWrite[] {
+    return [...this.options.state.vms.values()].map((vm) => planRosterWrite(vm, this.getLeaseExpiryMs(vm), clocks)).filter((write) => write !== undefined)
+  }
+
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregister (id: string, nowMs: number): void {
     const vm = this.options.state.vms.get(id)
@@ -96,15 +125,22 @@
         if (vm.unresponsiveSinceMs === undefined || nowMs < vm.leaseExpiresAtMs) continue
         if (vm.runs.size > 0) state.loseRuns(vm, vm.runs.values(), 'lease is over and the VM does not answer')
         if (!vm.registered) this.forget(vm.id, 'not registered and its lease has expired')
-      } else if (!vm.registered && nowMs >= this.getPreviousLeaseExpiryMs()) {
+      } else if (!vm.registered && nowMs >= this.getLeaseExpiryMs(vm)) {
         this.forget(vm.id, 'not registered and every former lease is over')
-      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getPreviousLeaseExpiryMs()) {
+      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getLeaseExpiryMs(vm)) {
         // Every lease of a previous owner has expired, so the VM has no runs. `isReconciled` is set although the VM did not answer.
         vm.isReconciled = true
       }
     }
   }
 
+  /** Returns the time from which every lease of a VM that does not answer has certainly expired. */
+  getLeaseExpiryMs (vm: TrackedVm): number {
+    if (vm.isReconciled) return vm.leaseExpiresAtMs
+    if (!vm.mayHavePreviousRuns) return this.options.startedAtMs
+    return Math.min(vm.previousLeaseExpiresAtMs ?? Infinity, this.getPreviousLeaseExpiryMs())
+  }
+
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
   private retireReplaced (entry: VmEntry): void {
     if (entry.machine === undefined) return
@@ -114,7 +150,7 @@
     }
   }
 
-  /** Returns the time from which no VM has runs under a previous owner's lease. */
+  /** Returns the time from which no VM has runs under a previous owner's lease, whatever is recorded. */
   private getPreviousLeaseExpiryMs (): number {
     const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
     return startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR
