--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -151,7 +151,7 @@
   ShardHandedOver = 736,
   /** The runs of all VMs of a pool are known, so that starts there do not wait any more; they did for `waitedMs`. */
   StartsResumed = 737,
-  /** The owner of a shard removed the row of the daemon `daemon`, which has not answered for `silentMs`. */
+  /** The owner of a shard removed the row of the daemon `member`, which has not answered for `silentMs`. */
   MemberRemoved = 738,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
