Forget retired VMs once their registrations are gone

Change: an id is kept only while its registration remains. Measured: the new test failed before (1000 kept) and passes.

--- /dev/null
+++ b/packages/policy/src/lib/vms/VmRegistry.test.ts
@@ -0,0 +1,35 @@
+/**
+ * What the owner keeps of VMs that are gone.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { createVmEntry } from '../jobs/testSupport.js'
+import { SchedulerState } from '../jobs/SchedulerState.js'
+import { VmRegistry } from './VmRegistry.js'
+
+function createRegistry (): VmRegistry {
+  return VmRegistry.create({ state: SchedulerState.create(() => {}), leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, onForget: () => {} })
+}
+
+describe('VmRegistry', ({ it }) => {
+  it('ignores the registration of a retired VM for as long as it remains, and keeps nothing of it then', () => {
+    const registry = createRegistry()
+    for (let index = 0; index < 1_000; index++) {
+      const entry = createVmEntry(`vm-${index}`)
+      registry.apply(entry)
+      registry.retire(entry.id, 'its machine was moved')
+      registry.apply({ ...entry, draining: true })
+      assert.is(registry.isTracked(entry.id), false)
+      registry.unregister(entry.id, index)
+    }
+    assert.is(registry.retiredCount, 0)
+  })
+
+  it('tracks a VM that starts again under the id of a retired one', () => {
+    const registry = createRegistry()
+    const entry = createVmEntry('vm')
+    registry.apply(entry)
+    registry.retire('vm', 'its machine was moved')
+    registry.apply({ ...entry, bornMs: entry.bornMs + 1 })
+    assert.is(registry.isTracked('vm'), true)
+  })
+})
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -27,7 +27,7 @@
 export class VmRegistry {
   /** Ids of VMs that are forgotten here and whose records in the store can be removed. */
   readonly forgotten = new Set<string>()
-  /** Start times (`bornMs`) of retired VMs by id. Their registrations remain for a while and are ignored. */
+  /** Start times (`bornMs`) of retired VMs that are still registered, by id. Their registrations are ignored. */
   private readonly retired = new Map<string, number>()
 
   private constructor (private readonly options: VmRegistryOptions) {}
@@ -36,6 +36,15 @@
     return new VmRegistry(options)
   }
 
+  /** Number of retired VMs that are still registered. */
+  get retiredCount (): number {
+    return this.retired.size
+  }
+
+  isTracked (id: string): boolean {
+    return this.options.state.vms.has(id)
+  }
+
   /** Applies a new or changed registration. @returns true if the VM drains and did not before, as far as this owner knows. */
   apply (entry: VmEntry): boolean {
     const { state } = this.options
@@ -87,6 +96,7 @@
 
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregister (id: string, nowMs: number): void {
+    this.retired.delete(id)
     const vm = this.options.state.vms.get(id)
     if (vm === undefined || !vm.registered) return
     vm.unregisteredAtMs = nowMs
@@ -105,11 +115,11 @@
     state.logDecision(EventCode.VmForgotten, { vm: id, reason })
   }
 
-  /** Forgets a VM and ignores its registration from then on. */
+  /** Forgets a VM, and ignores its registration until that is removed. */
   retire (id: string, reason: string): void {
     const vm = this.options.state.vms.get(id)
     if (vm === undefined) return
-    this.retired.set(id, vm.entry.bornMs)
+    if (vm.registered) this.retired.set(id, vm.entry.bornMs)
     this.forget(id, reason)
   }
 
