--- a/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
+++ b/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
@@ -1,7 +1,7 @@
 /**
  * Network between daemons in one process, on the timers of a simulation, from which daemons can be cut off.
  */
-import type { TimerService } from '@vanillathread/kernel'
+import { delay, type TimerService } from '@vanillathread/kernel'
 import type { Address } from '@vanillathread/model'
 import type { MessageHandler, PeerMessage, PeerMessageKind, PeerTransport } from '@vanillathread/daemon'
 
@@ -12,6 +12,8 @@
 export class MemoryPeerNetwork {
   /** Addresses, as `host:port`, of the daemons that are cut off from all others. */
   readonly cutAddresses = new Set<string>()
+  /** Time until a connection to a closed address is known to be refused. */
+  refusalMs = 0
   private readonly openPeers = new Map<string, MemoryPeerTransport>()
 
   private constructor (readonly timers: TimerService) {}
@@ -72,6 +74,7 @@
   }
 
   async isConnectionRefused (address: Address): Promise<boolean> {
+    if (this.network.refusalMs > 0) await delay(this.network.timers, this.network.refusalMs)
     return !this.network.cutAddresses.has(formatAddress(address)) && !this.network.cutAddresses.has(formatAddress(this.address)) && !this.network.has(address)
   }
 
--- a/packages/integration/src/lib/jobs/simulateRandomDay.ts
+++ b/packages/integration/src/lib/jobs/simulateRandomDay.ts
@@ -16,6 +16,12 @@
 /** Time from the start of draining until the VM is removed. */
 const DRAIN_DURATION_MS = 2_500
 
+/** Time from the stop of a daemon until it starts again, and, in a rolling restart, until the next one is stopped. */
+const RESTART_MS = 2_000
+
+/** Time after which a VM that hangs, but stays registered, has lost its lease. */
+const LEASE_MS = 5_200
+
 /** Result of a simulated day. */
 export interface DayResult {
   readonly seed: number
@@ -44,6 +50,9 @@
     const { daemon } = lab.daemons[index] ?? {}
     daemon?.stop().then(() => { lab.timers.after(forMs, () => { if (lab.daemons[index]?.daemon === daemon) lab.startDaemon(index) }) })
   },
+  'rolling restart': (lab) => {
+    lab.daemons.forEach((_entry, index) => { lab.timers.after(index * RESTART_MS, () => restartDaemon(lab, index)) })
+  },
   'store refuses calls': (lab, _random, forMs) => setStoreFault(lab, StoreFault.Refusing, forMs),
   'store silent': (lab, _random, forMs) => setStoreFault(lab, StoreFault.Unresponsive, forMs),
   'store loses answers': (lab, _random, forMs) => setStoreFault(lab, StoreFault.LosingAnswers, forMs),
@@ -62,6 +71,8 @@
   },
   'VMs crash': (lab, random, forMs) => { for (const vm of random.sample(lab.fleet.vms, 2)) lab.fleet.crash(vm.entry.machine ?? '', forMs) },
   'VMs cut off': (lab, random, forMs) => { for (const vm of random.sample(lab.fleet.vms, 2)) cutVm(lab, vm, forMs) },
+  'VMs hang': (lab, random, forMs) => setVmFault(lab, random.sample(lab.fleet.vms, 2), VmFault.Partitioned, forMs + LEASE_MS),
+  'VMs start again under their ids': (lab, random) => { for (const vm of random.sample(lab.fleet.vms, 2)) lab.fleet.restart(vm.entry.machine ?? '') },
   'VMs carry out starts late': (lab, _random, forMs) => setVmFault(lab, lab.fleet.vms, VmFault.LateStarts, forMs / 3),
   'VM fails tasks': (lab, random, forMs) => setVmFault(lab, random.sample(lab.fleet.vms, 1), VmFault.FailsTasks, forMs),
   'machine orders lost': (lab, _random, forMs) => {
@@ -81,6 +92,13 @@
       lab.timers.after(DRAIN_DURATION_MS, () => { if (vm.alive) lab.fleet.remove(vm.entry.machine ?? '') })
     }
   },
+  'VM drains, leaves and unregisters': (lab, random) => {
+    for (const vm of random.sample(lab.fleet.vms, 1)) {
+      vm.entry = { ...vm.entry, draining: true }
+      lab.fleet.register(vm)
+      lab.timers.after(DRAIN_DURATION_MS, () => { if (vm.alive) lab.fleet.leave(vm.entry.machine ?? '') })
+    }
+  },
   'VM gone permanently': (lab, random) => { for (const vm of random.sample(lab.fleet.vms, 1)) lab.fleet.remove(vm.entry.machine ?? '') },
   wave: (lab, random) => {
     const number = lab.history.caps.size + 1
@@ -143,6 +161,14 @@
   })
 }
 
+/** Stops a daemon as SIGTERM does, and starts it again after a time, at which its stop may not be complete. */
+function restartDaemon (lab: JobLab, index: number): void {
+  const { daemon } = lab.daemons[index] ?? {}
+  if (daemon === undefined) return
+  const stopped = daemon.stop()
+  lab.timers.after(RESTART_MS, () => { stopped.then(() => { if (lab.daemons[index]?.daemon === daemon) lab.startDaemon(index) }) })
+}
+
 function setStoreFault (lab: JobLab, fault: StoreFault, forMs: number): void {
   lab.store.fault = fault
   lab.timers.after(forMs, () => { lab.store.fault = StoreFault.None })
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -103,6 +103,16 @@
     this.unregister(vm)
   }
 
+  /** Starts a machine's VM again under the id that it had: it holds no runs, and has seen no fencing token. */
+  restart (id: string): void {
+    const standInMachine = this.machines.get(id)
+    const former = standInMachine?.vm
+    if (standInMachine === undefined || former === undefined) return
+    former.kill()
+    standInMachine.vm = this.createVm({ ...former.entry, bornMs: Math.round(this.options.timers.wallClock()) })
+    this.register(standInMachine.vm)
+  }
+
   /** Removes the registration of a partitioned VM, which can't renew it in the store. */
   expireRegistration (vm: VmStandIn): void {
     this.unregister(vm)
@@ -176,26 +186,26 @@
     if (standInMachine === undefined || standInMachine.machine.pool === this.options.standbyPool) return
     const { machine } = standInMachine
     const vmNumber = this.nextVmNumber++
-    const vm = VmStandIn.create({
-      entry: {
-        id: `vm-${vmNumber}`,
-        machine: id,
-        pool: machine.pool,
-        address: { host: '127.0.0.1', port: vmNumber },
-        zone: machine.zone,
-        capacity: machine.capacity,
-        labels: machine.labels,
-        draining: false,
-        bornMs: Math.round(this.options.timers.wallClock()),
-      },
-      timers: this.options.timers,
-      observer: this.options.vmObserver,
-      getBehaviour: this.options.getBehaviour,
+    const vm = this.createVm({
+      id: `vm-${vmNumber}`,
+      machine: id,
+      pool: machine.pool,
+      address: { host: '127.0.0.1', port: vmNumber },
+      zone: machine.zone,
+      capacity: machine.capacity,
+      labels: machine.labels,
+      draining: false,
+      bornMs: Math.round(this.options.timers.wallClock()),
     })
     standInMachine.vm = vm
     this.register(vm)
   }
 
+  private createVm (entry: VmEntry): VmStandIn {
+    const { timers, vmObserver, getBehaviour } = this.options
+    return VmStandIn.create({ entry, timers, observer: vmObserver, getBehaviour })
+  }
+
   private unregister (vm: VmStandIn): void {
     this.options.store.remove({ table: VMS, part: '', key: vm.id })
   }
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -74,6 +74,8 @@
   alive = true
   /** Number n if the answer to every n-th renewal is lost; 0 if none is lost. */
   lostRenewalInterval = 0
+  /** Speed of the VM's steady clock. Set it before the first lease. */
+  clockRate = 1
   entry: VmEntry
   readonly runs = new Map<string, VmStandInRun>()
   /** End entries that the owner has not acknowledged. */
@@ -126,7 +128,7 @@
 
   /** Time on the VM's steady clock, which begins at 0 when the VM starts. */
   private get clockMs (): number {
-    return Math.floor(this.options.timers.now() - this.startedAtMs)
+    return Math.floor((this.options.timers.now() - this.startedAtMs) * this.clockRate)
   }
 
   private async call<T> (execute: () => VmAnswer<T>, startCall?: StartCall): Promise<VmAnswer<T>> {
@@ -212,7 +214,7 @@
   private extendLease (untilMs: number): void {
     if (untilMs <= this.leaseUntilMs) return
     this.leaseUntilMs = untilMs
-    this.options.timers.after(untilMs - this.clockMs, () => {
+    this.options.timers.after(Math.ceil((untilMs - this.clockMs) / this.clockRate), () => {
       if (this.clockMs < this.leaseUntilMs) return
       for (const run of [...this.runs.values()]) this.end(run, RunEnd.LeaseExpired)
     })
