--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -123,8 +123,21 @@
   }
 
   open (entry: VmEntry): VmClient {
-    const vm = this.vms.find((each) => each.id === entry.id)
-    return vm?.connect() ?? createUnreachableClient()
+    const unreachable = createUnreachableClient()
+    let vm: VmStandIn | undefined
+    // A VM that starts again under its id is reached by the same client, and one that has ended refuses its calls.
+    const connect = (): VmClient => {
+      vm = this.vms.find((each) => each.id === entry.id) ?? vm
+      return vm?.connect() ?? unreachable
+    }
+    connect()
+    return {
+      start: (call) => connect().start(call),
+      stop: (call) => connect().stop(call),
+      pace: (call) => connect().pace(call),
+      renew: (call) => connect().renew(call),
+      dispose: () => {},
+    }
   }
 
   async list (): Promise<Result<Machine[], string>> {
