Keep a run that was started after the recorded lease of its task's former run

Cause: the record of a VM that hangs lists its runs until the VM answers or is forgotten; after the lease the owner starts the tasks elsewhere. Change: an adopted run ends the tracking of unconfirmed runs of its task with lower numbers. Why it works: an owner starts the next run of a task only once the former has certainly ended, and numbers rise over all owners; speculative steps are left out.

--- a/packages/integration/src/recordedLeases.test.ts
+++ b/packages/integration/src/recordedLeases.test.ts
@@ -135,6 +135,8 @@
           changeOwner(lab, change)
           await lab.run(4_000)
           assert.equal(listRuns(lab), before, `seed ${seed}`)
+          // One task has room on no other VM.
+          vm.fault = VmFault.None
           await lab.finish(8_000)
           assert.equal(lab.history.violations, [], `seed ${seed}`)
         }
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -65,12 +65,26 @@
     if (unread || task === undefined) return undefined
     run = state.adoptRun(task, vm, entry.run, nowMs)
     state.logDecision(EventCode.TaskAdopted, { task: entry.task, run: entry.run, vm: vm.id })
+    loseEarlierRuns(state, run)
   }
   confirmRun(run, entry, nowMs)
   if (adopted && !isWanted(run.task, run)) state.stopRun(run, StopReason.Unwanted, nowMs)
   return run
 }
 
+/**
+ * Records the unconfirmed runs of a task with lower numbers as lost: a previous owner started the given run only once they had
+ * certainly ended, unless copies may run in parallel.
+ */
+function loseEarlierRuns (state: SchedulerState, run: TrackedRun): void {
+  if (run.task.step.spec.speculative) return
+  for (const other of [...run.task.runs]) {
+    const vm = state.vms.get(other.vmId)
+    if (vm === undefined || other.number >= run.number || other.confirmedAtMs !== undefined) continue
+    state.loseRuns(vm, [other], 'a later run of the task was started')
+  }
+}
+
 function confirmRun (run: TrackedRun, entry: RunningEntry, nowMs: number): void {
   run.confirmedAtMs ??= nowMs
   run.task.begun = true
