Do not take over from a new owner because the process of the former one is gone

Cause: a daemon that checks whether a suspected owner's process is gone may get the first heartbeat of a new owner meanwhile; it then took the shard over from the new owner, with the generation known before, so that both numbered their runs alike, and without the 2 s that the new owner may still renew leases. Change: the result of the check counts only if the owner is still the suspected one. Why it works: the fencing token names the owner that was checked, and nothing is awaited between the comparison and the conditional write.

--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -168,8 +168,11 @@
     if (watch.isNewSuspicion) {
       context.log.write(EventCode.OwnerDoubted, { shard, owner: this.row?.value.owner, silentMs: Math.round(watch.sinceHeartbeatMs), ownerStoreSilentMs: watch.ownerStoreSilentMs })
     }
-    if (heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver(TakeoverReason.ProcessGone)
     const suspectedToken = this.knownFencingToken
+    const processGone = heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)
+    // A heartbeat of a new owner may have arrived during the probe of the former one.
+    if (this.knownFencingToken !== suspectedToken) return
+    if (processGone) return this.takeOver(TakeoverReason.ProcessGone)
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
     const heartbeat = await this.record.readHeartbeat()
--- a/packages/integration/src/recordedLeases.test.ts
+++ b/packages/integration/src/recordedLeases.test.ts
@@ -99,6 +99,11 @@
   })
 })
 
+function listTakeovers (lab: JobLab): string[] {
+  const taken = lab.daemons.flatMap(({ name, log }) => log.records.filter(({ code }) => code === EventCode.ShardTaken).map(({ fields }) => `generation ${fields['generation']}: ${name}`))
+  return taken.sort()
+}
+
 describe('a takeover from an owner whose process is gone', ({ it }) => {
   it('is not repeated by a daemon that learns of the new owner while it checks the former one', async () => {
     for (const seed of SEEDS) {
@@ -107,17 +112,32 @@
       await lab.run(4_000)
       // Longer than the delay between the attempts of two daemons, as after a lost packet.
       lab.peers.refusalMs = 300
-      const listTakeovers = () => lab.daemons.flatMap(({ name, log }) => log.records
-        .filter(({ code }) => code === EventCode.ShardTaken)
-        .map(({ fields }) => `${name}, generation ${fields['generation']}`))
-      const before = listTakeovers().length
+      const before = listTakeovers(lab).length
       changeOwner(lab, 'kill', 6_000)
       await lab.run(4_000)
-      const taken = listTakeovers()
+      const taken = listTakeovers(lab)
       assert.is(taken.length - before, 1, `seed ${seed}: ${taken.join('; ')}`)
       await lab.finish(4_000)
     }
   })
+
+  it('has a generation of its own although reads of the owner row are answered after heartbeats of a newer owner', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5 })
+      await lab.start()
+      await lab.run(4_000)
+      lab.daemons.forEach(({ store }, index) => { store.lateReadMs = 20 * index })
+      lab.daemons[lab.findOwner()]?.daemon?.stop()
+      await lab.run(2_000)
+      for (let kills = 0; kills < 3; kills++) {
+        await lab.crashDaemon(lab.findOwner())
+        await lab.run(3_000)
+      }
+      const taken = listTakeovers(lab)
+      assert.is(new Set(taken.map((each) => each.split(':')[0])).size, taken.length, `seed ${seed}: ${taken.join('; ')}`)
+      await lab.finish(0)
+    }
+  })
 })
 
 describe('recorded lease ends', ({ describe }) => {
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -147,6 +147,8 @@
   fault = StoreFault.None
   /** True if writes are refused as not done while reads work. */
   refusesWrites = false
+  /** Time by which the answers to reads of ranges are late. */
+  lateReadMs = 0
   private lastAnswerAtMs = 0
   /** Clock in the latest answer to a call that does not wait, and the time at which that call was sent. */
   private clockReading: { readonly clockMs: number, readonly sentAtMs: number } | undefined
@@ -186,7 +188,11 @@
 
   async readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>> {
     const sentAtMs = this.store.timers.now()
-    return await this.applyFault(false) ?? this.answered(Result.ok(this.store.readRange(range)), sentAtMs)
+    const failure = await this.applyFault(false)
+    if (failure !== undefined) return failure
+    const page = this.store.readRange(range)
+    if (this.lateReadMs > 0) await delay(this.store.timers, this.lateReadMs)
+    return this.answered(Result.ok(page), sentAtMs)
   }
 
   async readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>> {
