Read the owner row again if a newer owner is known by the end of the read

Cause: a read of the owner row that is answered after the heartbeat of a newer owner let a daemon decide with that owner's token and the former one's generation; its own takeover then repeated a generation, so two owners numbered runs alike, and the time for which an earlier owner may renew leases was counted from too early. Callers see starts that VMs refuse as old runs. Change: such a read counts as not answered, and the row is read at the next check. Why it works: the row is linearizable, so a version below a token already seen is out of date.

--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -244,15 +244,17 @@
     }
   }
 
-  /** Reads the owner row from the store. Returns false if the store did not answer. */
+  /** Reads the owner row from the store. Returns false if the store did not answer, or a newer owner is known meanwhile. */
   private async readRow (): Promise<boolean> {
     const stored = await this.record.read()
     if (stored === 'unavailable') return false
+    // A heartbeat of a newer owner may have arrived during the read; its row is read next.
+    if (stored !== undefined && stored.version < this.knownFencingToken) return false
     this.rowCurrent = true
     if (stored === undefined) return true
     this.watch.recordGeneration(stored.value.generation)
     if (stored.version > this.knownFencingToken) this.setKnownOwner(stored.value, stored.version)
-    else if (stored.version === this.knownFencingToken) this.row = stored
+    else this.row = stored
     return true
   }
 
