Give a VM that answers its lease if the end of its former one was certainly not stored

Cause: the owner took the end of a lease for recorded as soon as it sent the record, also if the store refused it; a VM that answered again then got no lease until a write succeeded, and its runs lapsed. Callers lose work that no rule asks for, while the store serves reads and refuses writes, or goes away between the two. Change: after a write that was certainly not done, the VM's former record holds again. Why it works: the port says that such a write has no effect, a hedged write counts as not done only if no attempt can be, and an earlier attempt with an unknown outcome leaves its own end in place.

--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -29,8 +29,8 @@
 /** Content of one transaction. */
 interface Batch {
   readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress }>
-  /** Records for the roster, the stored list of VMs that may hold runs of the shard. */
-  readonly roster: readonly RosterWrite[]
+  /** Records for the roster, the stored list of VMs that may hold runs of the shard, with the lease ends that were recorded before. */
+  readonly roster: ReadonlyArray<RosterWrite & { readonly formerLeaseEndMs: number | undefined }>
   /** VMs that are certain to hold no runs any more, whose roster rows are removed. */
   readonly left: readonly string[]
   /** Number up to which each VM's end entries are stored once this batch is committed. */
@@ -98,6 +98,7 @@
     const vms = [...scheduler.state.vms.values()]
     const rosterWrites = this.listRosterWrites()
     const roster = rosterWrites.slice(0, Math.floor(countEntriesLeft(jobs.length + MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
+      .map((write) => ({ ...write, formerLeaseEndMs: write.vm.recordedLeaseEndMs }))
     const left = [...scheduler.forgottenVms].slice(0, Math.floor(countEntriesLeft(jobs.length + roster.length) / ENTRIES_PER_ROW))
     // The write may be carried out even if its answer is lost.
     for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
@@ -129,7 +130,10 @@
       return true
     }
     for (const { job } of batch.jobs) job.changed = true
-    for (const { vm } of batch.roster) vm.recordUnconfirmed = true
+    for (const { vm, formerLeaseEndMs } of batch.roster) {
+      if (res.error.kind === StoreFailureKind.NotDone) vm.recordedLeaseEndMs = formerLeaseEndMs
+      else vm.recordUnconfirmed = true
+    }
     this.applyFailure(res.error, conditions)
     return false
   }
