Trust no lease end that was recorded before an owner of an earlier build

Cause: the owner row said only whether its own owner keeps lease ends up to date. After an earlier build's owner, the next owner ignored the ends in the roster, but did not replace them, and its row made the successor trust them, although they are older than leases that the earlier build gave. Callers of a rolling upgrade, or of one that is taken back and repeated, may see a task run twice. Change: the owner row holds the store version since which every owner keeps the ends, and rows up to that version count as without an end. Why it works: the version of an earlier build's owner row is above all rows of owners before it, and earlier builds write no ends.

--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -50,7 +50,7 @@
 
   /** Writes a row without an owner after the given one, on condition that the row has the expected version. */
   release (former: OwnerRow | undefined, expectedVersion: number): Promise<Result<RowCommit, StoreFailure>> {
-    return this.write({ owner: '', host: '', port: 0, generation: former?.generation ?? 0, recordsLeaseEnds: former?.recordsLeaseEnds }, expectedVersion, false)
+    return this.write({ owner: '', host: '', port: 0, generation: former?.generation ?? 0, leaseEndsKeptSince: former?.leaseEndsKeptSince }, expectedVersion, false)
   }
 
   /** Writes a store heartbeat. Returns false if the store shows another owner. */
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -6,12 +6,13 @@
 import { JobScheduler, type TrackedVm } from '@vanillathread/policy'
 import type { AdmissionService, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
-import { CommitLoop } from './CommitLoop.js'
+import { CommitLoop, formatRowName } from './CommitLoop.js'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController } from './MachineController.js'
 import { taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
+import { Table } from './rows.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
 import { VmSessions } from './VmSessions.js'
@@ -39,8 +40,8 @@
   readonly ownerRow: RowCondition
   /** Time after the takeover for which a previous owner may still extend leases of VMs that this owner cannot reach. */
   readonly previousOwnerRenewalMs: number
-  /** True if the previous owner kept the ends of leases in the roster up to date. */
-  readonly trustsLeaseEnds: boolean
+  /** Store version since which the previous owners kept the ends of leases in the roster up to date, if the last one did. */
+  readonly leaseEndsKeptSince: number | undefined
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
@@ -183,7 +184,10 @@
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
     for (const id of content.cancels) scheduler.cancelJob(id, nowMs)
     const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
-    for (const record of content.roster) scheduler.restoreVm(options.trustsLeaseEnds ? record : { entry: record.entry }, clocks)
+    for (const record of content.roster) {
+      const version = content.versions.get(formatRowName({ table: Table.Rosters, part: this.shard, key: record.entry.id })) ?? 0
+      scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks)
+    }
     for (const change of vms) {
       // A registration may prove that a VM of the roster has ended.
       if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -186,7 +186,7 @@
     const { settings, log } = context
     const former = this.row?.value
     const generation = former === undefined ? 0 : former.generation + 1
-    const value: OwnerRow = { owner: this.name, ...settings.peer, generation, recordsLeaseEnds: true }
+    const value: OwnerRow = { owner: this.name, ...settings.peer, generation, leaseEndsKeptSince: former?.leaseEndsKeptSince ?? this.knownFencingToken }
     const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
@@ -204,7 +204,7 @@
       generation,
       ownerRow: { ...this.record.key, version: res.value.version },
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
-      trustsLeaseEnds: former?.recordsLeaseEnds === true,
+      leaseEndsKeptSince: former?.leaseEndsKeptSince,
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -36,8 +36,11 @@
   port: z.number(),
   /** Number of takeovers before this one. */
   generation: z.number(),
-  /** True if the owner keeps the ends of leases in the roster up to date; builds that lack the field do not. */
-  recordsLeaseEnds: z.boolean().optional(),
+  /**
+   * Store version since which every owner has kept the ends of leases in the roster up to date. Builds that lack the field do not
+   * keep them, and leave rows of their predecessors alone.
+   */
+  leaseEndsKeptSince: z.number().optional(),
 })
 
 /** Owner of a shard; an empty name means that the shard has no owner. */
--- a/packages/integration/src/recordedLeases.test.ts
+++ b/packages/integration/src/recordedLeases.test.ts
@@ -66,7 +66,7 @@
       rewriteRow(lab, 'rosters', vm.id, (value) => { Object.assign(value, { leaseEndMs: 1, runs: [] }) })
       rewriteRow(lab, 'shards', 'owner', (value) => {
         Object.assign(value, { owner: '', host: '', port: 0 })
-        delete value['recordsLeaseEnds']
+        delete value['leaseEndsKeptSince']
       })
       await lab.run(3_000)
       vm.fault = VmFault.Partitioned
