--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -165,8 +165,11 @@
     if (watch.isNewSuspicion) {
       context.log.write(EventCode.OwnerDoubted, { shard, owner: this.row?.value.owner, silentMs: Math.round(watch.sinceHeartbeatMs), ownerStoreSilentMs: watch.ownerStoreSilentMs })
     }
-    if (heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) return this.takeOver(TakeoverReason.ProcessGone)
     const suspectedToken = this.knownFencingToken
+    const processGone = heartbeatsOverdue && address !== undefined && await network.isConnectionRefused(address, shardOptions.probeTimeoutMs)
+    // A heartbeat of a new owner may have arrived during the probe of the former one.
+    if (this.knownFencingToken !== suspectedToken) return
+    if (processGone) return this.takeOver(TakeoverReason.ProcessGone)
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
     const heartbeat = await this.record.readHeartbeat()
@@ -180,7 +183,7 @@
     const { settings, log } = context
     const former = this.row?.value
     const generation = former === undefined ? 0 : former.generation + 1
-    const value: OwnerRow = { owner: this.name, ...settings.peer, generation, recordsLeaseEnds: true }
+    const value: OwnerRow = { owner: this.name, ...settings.peer, generation, leaseEndsKeptSince: former?.leaseEndsKeptSince ?? this.knownFencingToken }
     const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
@@ -198,7 +201,7 @@
       generation,
       ownerRow: { ...this.record.key, version: res.value.version },
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
-      trustsLeaseEnds: former?.recordsLeaseEnds === true,
+      leaseEndsKeptSince: former?.leaseEndsKeptSince,
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
@@ -238,15 +241,17 @@
     }
   }
 
-  /** Reads the owner row from the store. Returns false if the store did not answer. */
+  /** Reads the owner row from the store. Returns false if the store did not answer, or a newer owner is known meanwhile. */
   private async readRow (): Promise<boolean> {
     const stored = await this.record.read()
     if (stored === 'unavailable') return false
+    // A heartbeat of a newer owner may have arrived during the read; its row is read next.
+    if (stored !== undefined && stored.version < this.knownFencingToken) return false
     this.rowCurrent = true
     if (stored === undefined) return true
     this.watch.recordGeneration(stored.value.generation)
     if (stored.version > this.knownFencingToken) this.setKnownOwner(stored.value, stored.version)
-    else if (stored.version === this.knownFencingToken) this.row = stored
+    else this.row = stored
     return true
   }
 
