Read the registrations at once when the history of changes is gone

Change: after a 410 the owner reads all registrations at once; it pauses only if it has read them within the last 200 ms.

--- a/packages/daemon/src/lib/jobs/ShardFeeds.ts
+++ b/packages/daemon/src/lib/jobs/ShardFeeds.ts
@@ -94,6 +94,7 @@
   private async followVms (): Promise<void> {
     const { feeds, timers, log, onVms } = this.options
     let version = this.options.vmsVersion
+    let reloadedAtMs = -Infinity
     while (!this.disposed) {
       const res = await feeds.watchRegistrations(version, taskOptions.vmFeedWaitMs)
       if (this.disposed) return
@@ -102,9 +103,12 @@
         if (res.value.values.length > 0) onVms(res.value.values, false)
         continue
       }
-      await delay(timers, taskOptions.storeRetryMs)
-      if (res.error.kind !== StoreFailureKind.HistoryGone) continue
+      const isHistoryGone = res.error.kind === StoreFailureKind.HistoryGone
+      // A store that keeps no history at all is not read without a pause.
+      if (!isHistoryGone || timers.now() - reloadedAtMs < taskOptions.storeRetryMs) await delay(timers, taskOptions.storeRetryMs)
+      if (!isHistoryGone) continue
       log.write(EventCode.HistoryGone, { table: 'vms', afterVersion: version })
+      reloadedAtMs = timers.now()
       const all = await feeds.readRegistrations()
       if (this.disposed || !all.ok) continue
       version = all.value.version
