--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -3,7 +3,7 @@
  */
 import { JobState, parseTaskName, RunEnd, type EndEntry, type JobSpec } from '@vanillathread/model'
 import type { StartCall } from '@vanillathread/ports'
-import type { MachineObserver, VmStandInRun, VmObserver, VmStandIn } from '@vanillathread/stand-ins'
+import type { MachineObserver, ObservedVm, VmStandInRun, VmObserver } from '@vanillathread/stand-ins'
 
 /** An invariant that was violated. */
 export interface JobViolation {
@@ -52,7 +52,7 @@
   starts = 0
   readonly completeWaves = new Set<number>()
   /** VMs that run a task and the number of the run, by task. */
-  private readonly live = new Map<string, Map<VmStandIn, number>>()
+  private readonly live = new Map<string, Map<ObservedVm, number>>()
   /** Tasks that ended as done on a VM. */
   private readonly ended = new Set<string>()
   /** Tasks whose end as done the owner has acknowledged. */
@@ -68,10 +68,10 @@
     return new JobHistory(options.now, options.maxAttempts)
   }
 
-  onStart (vm: VmStandIn, run: VmStandInRun, call: StartCall): void {
+  onStart (vm: ObservedVm, run: VmStandInRun, call: StartCall): void {
     this.starts += 1
     const job = this.checkSubmitted(run, call)
-    const runsByVm = this.live.get(run.task) ?? new Map<VmStandIn, number>()
+    const runsByVm = this.live.get(run.task) ?? new Map<ObservedVm, number>()
     for (const other of runsByVm.keys()) {
       if (other.alive && other !== vm) this.addViolation('TWICE', `${run.task} runs on ${other.id} and on ${vm.id}`)
     }
@@ -85,13 +85,13 @@
     if (hasAttemptLimit && (this.acknowledgedFailures.get(run.task) ?? 0) >= this.maxAttempts) this.addViolation('BUDGET', `${run.task} started after ${this.maxAttempts} failures`)
   }
 
-  onEnd (vm: VmStandIn, run: VmStandInRun, end: RunEnd): void {
+  onEnd (vm: ObservedVm, run: VmStandInRun, end: RunEnd): void {
     this.live.get(run.task)?.delete(vm)
     if (end === RunEnd.Done) this.ended.add(run.task)
     if (end === RunEnd.Failed) this.failedEnds.set(run.task, (this.failedEnds.get(run.task) ?? 0) + 1)
   }
 
-  onEndsAcknowledged (_vm: VmStandIn, ends: readonly EndEntry[]): void {
+  onEndsAcknowledged (_vm: ObservedVm, ends: readonly EndEntry[]): void {
     for (const end of ends) {
       if (end.end === RunEnd.Done) this.acknowledgedDone.add(end.task)
       if (end.end === RunEnd.Failed) this.acknowledgedFailures.set(end.task, (this.acknowledgedFailures.get(end.task) ?? 0) + 1)
@@ -110,7 +110,7 @@
       const job = this.jobs.get(name?.jobId ?? '')
       const step = job?.spec.steps[name?.step ?? 0]
       if (job === undefined || job.cancelled || step === undefined || !step.longRunning || step.mayMiss === 0) continue
-      const missingCount = listTasks(job).filter((other) => other !== task && (endedByOrder.has(other) || ![...this.live.get(other)?.keys() ?? []].some((vm) => vm.alive))).length
+      const missingCount = listTasks(job).filter((other) => other !== task && (endedByOrder.has(other) || !this.isRunning(other))).length
       endedByOrder.add(task)
       if (missingCount >= step.mayMiss) this.addViolation('AVAIL', `an order for ${machine} ends ${task} while ${missingCount} others of its step do not run`)
     }
@@ -153,7 +153,7 @@
       const hasLongRunningStep = job.spec.steps.some((step) => step.longRunning)
       if (hasLongRunningStep) {
         for (const task of listTasks(job)) {
-          if (![...this.live.get(task)?.keys() ?? []].some((vm) => vm.alive)) this.addViolation('LOST', `long-running ${task} does not run`)
+          if (!this.isRunning(task)) this.addViolation('LOST', `long-running ${task} does not run`)
         }
       } else if (job.shownState !== (this.hasSpentAttempts(job) ? JobState.Failed : JobState.Complete)) {
         this.addViolation('LOST', `${job.id} was accepted, but is shown as ${job.shownState ?? 'nothing'}`)
@@ -161,8 +161,18 @@
     }
   }
 
+  /** Returns true if a VM that is alive runs the task. */
+  isRunning (task: string): boolean {
+    return [...this.live.get(task)?.keys() ?? []].some((vm) => vm.alive)
+  }
+
+  /** Returns true if a run of the task has ended as done. */
+  hasEnded (task: string): boolean {
+    return this.ended.has(task)
+  }
+
   /** Returns true if a task has used up its attempts. A VM that fails all its tasks can cause this for any job. */
-  private hasSpentAttempts (job: SubmittedJob): boolean {
+  hasSpentAttempts (job: SubmittedJob): boolean {
     return listTasks(job).some((task) => (this.failedEnds.get(task) ?? 0) >= this.maxAttempts)
   }
 
@@ -176,7 +186,7 @@
   }
 
   /** Checks that the runs on a VM do not need more than its capacity. */
-  private checkCapacity (vm: VmStandIn): void {
+  private checkCapacity (vm: ObservedVm): void {
     let cpuMillis = 0
     let memoryMb = 0
     for (const { behaviour } of vm.runs.values()) {
@@ -195,12 +205,12 @@
     }
   }
 
-  private addViolation (rule: string, detail: string): void {
+  addViolation (rule: string, detail: string): void {
     this.violations.push({ rule, atMs: Math.round(this.now()), detail })
   }
 }
 
 /** Returns the names of all tasks of the first occurrence of a job. */
-function listTasks (job: SubmittedJob): string[] {
+export function listTasks (job: SubmittedJob): string[] {
   return job.spec.steps.flatMap((step, index) => Array.from({ length: step.taskCount }, (_unused, task) => `${job.id}.0.${index}.${task}`))
 }
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -31,13 +31,15 @@
 
 /** Options of {@link FleetStandIn.create}. @public */
 export interface FleetStandInOptions {
-  readonly store: StoreStandIn
+  /** Store in which VMs are registered. */
+  readonly store: Pick<StoreStandIn, 'put' | 'remove'>
   readonly timers: TimerService
   /** Pool whose machines run no VM. */
   readonly standbyPool: string
   readonly vmObserver: VmObserver
   readonly machineObserver: MachineObserver
   getBehaviour: VmStandInOptions['getBehaviour']
+  readonly ignoresLease?: boolean
 }
 
 /** A machine, its VM, and the orders that were recorded for it. */
@@ -182,6 +184,7 @@
       timers: this.options.timers,
       observer: this.options.vmObserver,
       getBehaviour: this.options.getBehaviour,
+      ignoresLease: this.options.ignoresLease,
     })
     standInMachine.vm = vm
     this.register(vm)
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -68,10 +68,15 @@
     this.apply({ conditions: [], puts: [], removes: [key] })
   }
 
-  /** Drops the history of changes, as the platform may do at any time. */
-  dropHistory (): void {
-    this.history = []
-    this.historyStartVersion = this.version
+  /** Version of the latest change. */
+  get latestVersion (): number {
+    return this.version
+  }
+
+  /** Drops the history of changes up to a version, as the platform may do at any time. */
+  dropHistory (upToVersion = this.version): void {
+    this.history = this.history.filter((row) => row.version > upToVersion)
+    this.historyStartVersion = Math.max(this.historyStartVersion, upToVersion)
     this.notifyWaiters()
   }
 
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -51,12 +51,21 @@
   readonly behaviour: TaskBehaviour
 }
 
+/** What an observer sees of a VM. @public */
+export interface ObservedVm {
+  readonly id: string
+  /** False once the VM has ended. */
+  readonly alive: boolean
+  readonly entry: VmEntry
+  readonly runs: ReadonlyMap<string, VmStandInRun>
+}
+
 /** Observes the runs of VMs. @public */
 export interface VmObserver {
-  onStart (vm: VmStandIn, run: VmStandInRun, call: StartCall): void
-  onEnd (vm: VmStandIn, run: VmStandInRun, end: RunEnd): void
+  onStart (vm: ObservedVm, run: VmStandInRun, call: StartCall): void
+  onEnd (vm: ObservedVm, run: VmStandInRun, end: RunEnd): void
   /** Called when the owner has acknowledged end entries, which the VM then drops. */
-  onEndsAcknowledged (vm: VmStandIn, ends: readonly EndEntry[]): void
+  onEndsAcknowledged (vm: ObservedVm, ends: readonly EndEntry[]): void
 }
 
 /** Options of {@link VmStandIn.create}. @public */
@@ -65,6 +74,8 @@
   readonly timers: TimerService
   readonly observer: VmObserver
   getBehaviour (task: string): TaskBehaviour
+  /** True if runs go on after the lease has expired, which breaks the contract of VMs. */
+  readonly ignoresLease?: boolean
 }
 
 /** One incarnation of a VM. @public */
@@ -120,7 +131,7 @@
   }
 
   /** Time on the VM's steady clock, which begins at 0 when the VM starts. */
-  private get clockMs (): number {
+  get clockMs (): number {
     return Math.floor(this.options.timers.now() - this.startedAtMs)
   }
 
@@ -208,7 +219,7 @@
     if (untilMs <= this.leaseUntilMs) return
     this.leaseUntilMs = untilMs
     this.options.timers.after(untilMs - this.clockMs, () => {
-      if (this.clockMs < this.leaseUntilMs) return
+      if (this.clockMs < this.leaseUntilMs || this.options.ignoresLease === true) return
       for (const run of [...this.runs.values()]) this.end(run, RunEnd.LeaseExpired)
     })
   }
