Test the soak with planted faults and list its first finding

Cause: a soak proves nothing until it has found faults that are known to be there, and its first seed found one that is not yet mended.

--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -2,7 +2,7 @@
  * Injects the faults of a schedule into a cluster.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { StoreFault, VmFault } from '@vanillathread/stand-ins'
+import { StoreFault, VmFault, type ObservedVm } from '@vanillathread/stand-ins'
 import { FaultKind, PLANNED_FAULTS, type Fault } from './FaultSchedule.js'
 import { Link, LinkFault } from './Link.js'
 import type { SoakChecker } from './SoakChecker.js'
@@ -81,7 +81,7 @@
         return
       case FaultKind.Roll: return this.roll()
       case FaultKind.LeaveDuringRoll:
-        await Promise.all([this.leave(target), this.roll()])
+        await Promise.all([this.leave(target), this.roll().then(() => this.roll())])
         return
       case FaultKind.VmLeaves: return this.leave(target)
       case FaultKind.StoreSlow:
@@ -100,8 +100,7 @@
       case FaultKind.LinkAnswersHeld:
       case FaultKind.LinkCut: return disturbLink(this.pickLink(target), LINK_FAULTS[kind] ?? LinkFault.None, durationMs)
       case FaultKind.VmCut: {
-        const vm = pick(this.checker.listVms(), target)
-        const link = this.cluster.vmLinks.get(vm?.id ?? '')
+        const link = this.cluster.vmLinks.get(this.listBusiestVms(target)[0]?.id ?? '')
         if (link !== undefined) await disturbLink(link, LinkFault.Cut, VM_CUT_MS)
         return
       }
@@ -127,12 +126,11 @@
 
   /** Drains the VM that has most runs of a pool, removes it, and adds a machine to its pool. */
   private async leave (target: number): Promise<void> {
-    const pool = pick(POOLS, target)
-    const vms = this.checker.listVms().filter((vm) => vm.entry.pool === pool && !this.draining.has(vm.id)).sort((a, b) => b.runs.size - a.runs.size)
-    const { entry } = vms[0] ?? {}
+    const [vm, other] = this.listBusiestVms(target)
+    const { entry } = vm ?? {}
     const machine = entry?.machine
     // One VM stays, so that the pool is never empty.
-    if (entry === undefined || machine === undefined || vms.length < 2) return
+    if (entry === undefined || machine === undefined || other === undefined) return
     this.draining.add(entry.id)
     this.cluster.sendToVms({ kind: 'drain', machine })
     await sleep(DRAIN_MS)
@@ -158,13 +156,13 @@
   }
 
   private async crashVm (target: number, downMs: number): Promise<void> {
-    const machine = pick(this.checker.listVms(), target)?.entry.machine
+    const machine = this.listBusiestVms(target)[0]?.entry.machine
     if (machine !== undefined) this.cluster.sendToVms({ kind: 'crash', machine, downMs })
     await sleep(downMs)
   }
 
   private async disturbVm (target: number, fault: VmFault, durationMs: number): Promise<void> {
-    const machine = pick(this.checker.listVms(), target)?.entry.machine
+    const machine = this.listBusiestVms(target)[0]?.entry.machine
     if (machine === undefined) return
     this.cluster.sendToVms({ kind: 'fault', machine, fault })
     await sleep(durationMs)
@@ -174,12 +172,17 @@
   /** Requests maintenance of two machines of a pool, one after the other. */
   private async requestWave (target: number): Promise<void> {
     const wave = this.nextWave++
-    const pool = pick(POOLS, target)
-    const machines = this.checker.listVms().filter((vm) => vm.entry.pool === pool && !this.draining.has(vm.id)).slice(0, 2).map((vm) => vm.entry.machine ?? '')
+    const machines = this.listBusiestVms(target).slice(0, 2).map((vm) => vm.entry.machine ?? '')
     this.checker.addWave(wave, machines, 1)
     this.cluster.sendToStore({ kind: 'put', table: 'op', key: `wave/${wave}`, value: { wave, machines, 'duration-s': 20, cap: 1 } })
   }
 
+  /** Returns the VMs of a pool that do not drain, those with most runs first. */
+  private listBusiestVms (target: number): ObservedVm[] {
+    const pool = pick(POOLS, target)
+    return this.checker.listVms().filter((vm) => vm.entry.pool === pool && !this.draining.has(vm.id)).sort((a, b) => b.runs.size - a.runs.size)
+  }
+
   private pickLink (target: number): Link {
     const daemonLinks = this.cluster.daemons.flatMap(({ links }) => [links.clients, links.store, links.machines])
     return pick([...daemonLinks, ...this.cluster.vmLinks.values()], target)
--- a/packages/soak/src/lib/SoakLoad.ts
+++ b/packages/soak/src/lib/SoakLoad.ts
@@ -115,14 +115,18 @@
 
   /** Submits a job and may cancel it later. All random numbers are drawn before the first request, so that they depend on the seed only. */
   private async followNewJob (): Promise<void> {
-    const pool = this.random.sample(POOLS, 1)[0] ?? POOLS[0]
+    const number = this.nextJob++
+    const randomPool = this.random.sample(POOLS, 1)[0] ?? POOLS[0]
+    // The first jobs are long-running, one for each pool, so that every fault meets some.
+    const pool = POOLS[number - 1] ?? randomPool
     const isPoison = this.random.nextBelow(100) < POISON_PERCENT
     const cancelAfterMs = this.random.nextBelow(100) < CANCELLED_PERCENT ? this.random.nextBelow(2_000) : undefined
     const repeatAfterMs = this.random.nextBelow(100) < REPEATED_SUBMIT_PERCENT ? this.random.nextBelow(4_000) : undefined
-    const isLongRunning = this.random.nextBelow(100) < LONG_RUNNING_PERCENT && this.longRunningCount < MAX_LONG_RUNNING
+    const mayBeLongRunning = this.random.nextBelow(100) < LONG_RUNNING_PERCENT && this.longRunningCount < MAX_LONG_RUNNING
+    const isLongRunning = number <= POOLS.length || mayBeLongRunning
     const spec = withPayload(isLongRunning ? createLongRunningJob() : this.createFiniteJob(), isPoison && !isLongRunning)
     if (isLongRunning) this.longRunningCount += 1
-    const id = `${(this.seed & 0xffffff).toString(16).padStart(6, '0')}${(this.nextJob++).toString(16).padStart(10, '0')}`
+    const id = `${(this.seed & 0xffffff).toString(16).padStart(6, '0')}${number.toString(16).padStart(10, '0')}`
     const job: SubmittedJob = { id, spec, poison: isPoison, accepted: false, refused: false, cancelled: false, submittedAtMs: this.checker.nowMs() }
     this.checker.addJob(job, pool)
     const path = `/${pool}/${id}`
--- /dev/null
+++ b/packages/soak/src/soak.test.ts
@@ -0,0 +1,135 @@
+import { connect, createServer, type AddressInfo, type Server } from 'node:net'
+import { NaiveOwner } from '@vanillathread/integration'
+import { assert, describe } from '@vanillathread/testing'
+import { createSchedule, FaultKind, type Fault } from './lib/FaultSchedule.js'
+import { Link, LinkFault } from './lib/Link.js'
+import type { PlantedFaults } from './lib/SoakCluster.js'
+import { SoakRun, type SoakResult } from './lib/SoakRun.js'
+
+const SEED = 2
+const DURATION_MS = 13_000
+
+describe('soak', ({ describe }) => {
+  describe('createSchedule', ({ it }) => {
+    it('is the same for the same seed only', () => {
+      const first = createSchedule({ seed: 7, durationMs: 300_000 })
+      assert.equal(createSchedule({ seed: 7, durationMs: 300_000 }), first)
+      assert.not.equal(createSchedule({ seed: 8, durationMs: 300_000 }), first)
+    })
+
+    it('plays every kind within some seeds, and some faults at the same time', () => {
+      const schedules = Array.from({ length: 40 }, (_unused, seed) => createSchedule({ seed, durationMs: 60_000 }))
+      assert.equal(new Set(schedules.flat().map(({ kind }) => kind)).size, Object.values(FaultKind).length)
+      assert.ok(schedules.some((faults) => faults.some((fault, index) => fault.atMs < (faults[index - 1]?.atMs ?? 0) + (faults[index - 1]?.durationMs ?? 0))))
+    })
+  })
+
+  describe('Link', ({ it }) => {
+    it('passes bytes on, holds them up in one direction, and delivers them later', () => withEcho(async (link, send) => {
+      assert.is(await send('a'), 'a')
+      link.fault = LinkFault.AnswersHeld
+      const held = send('b')
+      assert.is(await Promise.race([held, wait(100)]), undefined)
+      link.fault = LinkFault.None
+      assert.is(await held, 'b')
+    }))
+
+    it('silences open connections for good, while new ones work', () => withEcho(async (link, send) => {
+      const open = connect(link.address.port, link.address.host)
+      open.on('error', () => {})
+      await new Promise((resolve) => { open.once('connect', resolve) })
+      await wait(50)
+      link.silence()
+      open.write('lost')
+      const answered = new Promise((resolve) => { open.once('data', resolve) })
+      assert.is(await Promise.race([answered, wait(100)]), undefined)
+      assert.is(await send('new'), 'new')
+      open.destroy()
+    }))
+  })
+
+  describe('SoakRun', ({ it }) => {
+    let run: SoakRun
+
+    it('starts real daemons and plays the faults of a seed', async () => {
+      run = await SoakRun.start({ seed: SEED, durationMs: DURATION_MS })
+      await run.play()
+    })
+
+    it('keeps the promises to clients', async () => {
+      await run.settle()
+      await run.stop()
+      const { violations, accepted, completed } = run.result
+      assert.ok(accepted > 20 && completed > 15, `${accepted} accepted, ${completed} complete`)
+      assert.equal(violations, [], run.describeViolations(`npm run soak -- --seed ${SEED} --seconds ${DURATION_MS / 1_000}`))
+    })
+  })
+
+  describe('leave during a roll (issue 27)', ({ it }) => {
+    let run: SoakRun
+    let played: Promise<void>
+
+    it('starts', async () => {
+      run = await SoakRun.start({ seed: SEED, durationMs: 18_000, schedule: [{ kind: FaultKind.LeaveDuringRoll, atMs: 2_500, durationMs: 0, target: 0 }] })
+      played = run.play()
+      await wait(9_000)
+    })
+
+    it('leaves no accepted job idle', async () => {
+      await played
+      await run.stop()
+      assert.equal(run.result.violations, [])
+    })
+  })
+
+  describe('planted faults', ({ it }) => {
+    const vmCut: Fault = { kind: FaultKind.VmCut, atMs: 2_000, durationMs: 0, target: 0 }
+    const lateStarts: Fault = { kind: FaultKind.VmLateStarts, atMs: 1_000, durationMs: 8_000, target: 0 }
+
+    it('of the owner and of VMs are found', async () => {
+      const [early, restarting, outliving] = await Promise.all([
+        playPlanted({ naive: NaiveOwner.AcknowledgesEarly }, 4_000, []),
+        playPlanted({ naive: NaiveOwner.RestartsWithoutAnswer }, 10_000, [lateStarts, { ...lateStarts, target: 1 }]),
+        playPlanted({ ignoresLease: true }, 13_000, [vmCut]),
+      ])
+      for (const { result, report } of [early, restarting, outliving]) {
+        assert.ok(result.violations.some(({ rule }) => rule === 'TWICE'), report)
+        assert.match(report, /schedule:[^]*logs of [0-9a-f]{16}:\n {2}d-\d\.log: [^]*play again: npm run soak/)
+      }
+    })
+  })
+})
+
+async function playPlanted (planted: PlantedFaults, durationMs: number, schedule: readonly Fault[]): Promise<{ result: SoakResult, report: string }> {
+  const run = await SoakRun.start({ seed: SEED, durationMs, schedule, planted, daemons: 2 })
+  try {
+    await run.play()
+    return { result: run.result, report: run.describeViolations('npm run soak') }
+  } finally {
+    await run.stop()
+  }
+}
+
+/** Calls the body with a link to an echo server, and with a function that sends text on a new connection and returns the answer. */
+async function withEcho (body: (link: Link, send: (text: string) => Promise<string>) => Promise<void>): Promise<void> {
+  const server: Server = createServer((socket) => socket.on('error', () => {}).pipe(socket))
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const link = await Link.open('127.0.0.1', { host: '127.0.0.1', port: (server.address() as AddressInfo).port })
+  try {
+    await body(link, (text) => new Promise((resolve, reject) => {
+      const socket = connect(link.address.port, link.address.host, () => socket.write(text))
+      socket.once('error', reject)
+      socket.once('data', (data) => {
+        socket.destroy()
+        resolve(data.toString())
+      })
+    }))
+  } finally {
+    link.close()
+    server.close()
+  }
+}
+
+function wait (durationMs: number): Promise<undefined> {
+  return new Promise((resolve) => { setTimeout(() => resolve(undefined), durationMs) })
+}
