End runs of the VM stand-in if its lease timer fires early

The stand-in compared the clock with the end of the lease in the timer's callback, and a timer of the event loop may fire a fraction of a millisecond early, so that the lease never ended. The fake clock of the lab never fires early. The daemons are not at fault. Change: only a later extension keeps the runs; IDLE is reported once for the waiting tasks of a finite step.

--- a/packages/soak/src/lib/SoakChecker.ts
+++ b/packages/soak/src/lib/SoakChecker.ts
@@ -232,7 +232,7 @@
       const isDue = step.after.every((before) => tasks.every((task) => parseTaskName(task)?.step !== before || this.history.hasEnded(task)))
       // A job that has a run is not idle, but each long-running task must run.
       if (!isDue || (!step.longRunning && tasks.some((task) => this.history.isRunning(task)))) return
-      for (const task of waiting) this.checkIdle(record, index, task)
+      for (const task of step.longRunning ? waiting : waiting.slice(0, 1)) this.checkIdle(record, index, task)
     })
   }
 
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -219,7 +219,8 @@
     if (untilMs <= this.leaseUntilMs) return
     this.leaseUntilMs = untilMs
     this.options.timers.after(untilMs - this.clockMs, () => {
-      if (this.clockMs < this.leaseUntilMs || this.options.ignoresLease === true) return
+      // A later extension has a timer of its own. The clock decides nothing here, as a timer may fire a fraction of a millisecond early.
+      if (untilMs < this.leaseUntilMs || this.options.ignoresLease === true) return
       for (const run of [...this.runs.values()]) this.end(run, RunEnd.LeaseExpired)
     })
   }
