Make the planted VM fault of the soak certain to be found

Change: faults choose the VM with most long-running tasks; a cut lasts as long as the schedule says, 8 s at least; a VM may leave as the last one of its pool; starting and playing are tests of their own.

--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -18,8 +18,8 @@
 /** Time from the end of a VM that leaves until another machine joins its pool. */
 const REPLACEMENT_DELAY_MS = 1_000
 
-/** A VM that is cut off runs on for longer than its lease. */
-const VM_CUT_MS = 8_000
+/** Shortest time for which a VM is cut off: longer than its lease. */
+const MIN_VM_CUT_MS = 8_000
 
 const STORE_FAULTS: Readonly<Partial<Record<FaultKind, StoreFault>>> = {
   [FaultKind.StoreSlow]: StoreFault.Slow,
@@ -101,7 +101,7 @@
       case FaultKind.LinkCut: return disturbLink(this.pickLink(target), LINK_FAULTS[kind] ?? LinkFault.None, durationMs)
       case FaultKind.VmCut: {
         const link = this.cluster.vmLinks.get(this.listBusiestVms(target)[0]?.id ?? '')
-        if (link !== undefined) await disturbLink(link, LinkFault.Cut, VM_CUT_MS)
+        if (link !== undefined) await disturbLink(link, LinkFault.Cut, Math.max(MIN_VM_CUT_MS, durationMs))
         return
       }
       case FaultKind.VmCrash: return this.crashVm(target, durationMs)
@@ -126,11 +126,9 @@
 
   /** Drains the VM that has most runs of a pool, removes it, and adds a machine to its pool. */
   private async leave (target: number): Promise<void> {
-    const [vm, other] = this.listBusiestVms(target)
-    const { entry } = vm ?? {}
+    const entry = this.listBusiestVms(target)[0]?.entry
     const machine = entry?.machine
-    // One VM stays, so that the pool is never empty.
-    if (entry === undefined || machine === undefined || other === undefined) return
+    if (entry === undefined || machine === undefined) return
     this.draining.add(entry.id)
     this.cluster.sendToVms({ kind: 'drain', machine })
     await sleep(DRAIN_MS)
@@ -177,10 +175,11 @@
     this.cluster.sendToStore({ kind: 'put', table: 'op', key: `wave/${wave}`, value: { wave, machines, 'duration-s': 20, cap: 1 } })
   }
 
-  /** Returns the VMs of a pool that do not drain, those with most runs first. */
+  /** Returns the VMs of a pool that do not drain, those with most long-running runs first. */
   private listBusiestVms (target: number): ObservedVm[] {
     const pool = pick(POOLS, target)
-    return this.checker.listVms().filter((vm) => vm.entry.pool === pool && !this.draining.has(vm.id)).sort((a, b) => b.runs.size - a.runs.size)
+    const vms = this.checker.listVms().filter((vm) => vm.entry.pool === pool && !this.draining.has(vm.id))
+    return vms.sort((a, b) => countLongRunning(b) - countLongRunning(a))
   }
 
   private pickLink (target: number): Link {
@@ -189,6 +188,10 @@
   }
 }
 
+function countLongRunning (vm: ObservedVm): number {
+  return [...vm.runs.values()].filter(({ behaviour }) => behaviour.durationMs === undefined).length
+}
+
 async function disturbLink (link: Link, fault: LinkFault, durationMs: number): Promise<void> {
   link.fault = fault
   await sleep(durationMs)
--- a/packages/soak/src/lib/messages.ts
+++ b/packages/soak/src/lib/messages.ts
@@ -2,6 +2,7 @@
  * Messages between the soak and the processes of its stand-ins, sent over the IPC channel of each process.
  */
 import type { EndEntry, RunEnd, VmEntry } from '@vanillathread/model'
+import type { StartCall } from '@vanillathread/ports'
 import type { StoreFault, VmFault, VmStandInRun } from '@vanillathread/stand-ins'
 
 /** Command to the process of the store. */
@@ -26,16 +27,6 @@
   | { readonly kind: 'fault', readonly machine: string, readonly fault: VmFault }
   | { readonly kind: 'barrier', readonly number: number }
 
-/** Start order as the checker needs it. */
-export interface StartOrder {
-  readonly task: string
-  readonly run: number
-  readonly payload: string
-  readonly leaseUntilMs: number
-  readonly fencingToken: number
-  readonly checkpoint: string
-}
-
 /** Event from the process of the VMs and machines. Events have the order in which they happened. */
 export type VmEvent =
   | { readonly kind: 'ready', readonly port: number }
@@ -44,7 +35,7 @@
   | { readonly kind: 'unregistered', readonly vm: string }
   /** A VM has ended with all its runs. */
   | { readonly kind: 'died', readonly vm: string }
-  | { readonly kind: 'start', readonly vm: string, readonly run: VmStandInRun, readonly order: StartOrder }
+  | { readonly kind: 'start', readonly vm: string, readonly run: VmStandInRun, readonly order: StartCall }
   | { readonly kind: 'end', readonly vm: string, readonly run: VmStandInRun, readonly end: RunEnd }
   | { readonly kind: 'acknowledged', readonly vm: string, readonly ends: readonly EndEntry[] }
   | { readonly kind: 'take-down', readonly machine: string, readonly runs: readonly VmStandInRun[] }
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -4,10 +4,10 @@
 import { createSchedule, FaultKind, type Fault } from './lib/FaultSchedule.js'
 import { Link, LinkFault } from './lib/Link.js'
 import type { PlantedFaults } from './lib/SoakCluster.js'
-import { SoakRun, type SoakResult } from './lib/SoakRun.js'
+import { SoakRun } from './lib/SoakRun.js'
 
 const SEED = 2
-const DURATION_MS = 13_000
+const DURATION_MS = 12_000
 
 describe('soak', ({ describe }) => {
   describe('createSchedule', ({ it }) => {
@@ -51,10 +51,9 @@
   describe('SoakRun', ({ it }) => {
     let run: SoakRun
 
-    it('starts real daemons and plays the faults of a seed', async () => {
-      run = await SoakRun.start({ seed: SEED, durationMs: DURATION_MS })
-      await run.play()
-    })
+    it('starts real daemons', async () => { run = await SoakRun.start({ seed: SEED, durationMs: DURATION_MS }) })
+
+    it('plays the faults of a seed', () => run.play())
 
     it('keeps the promises to clients', async () => {
       await run.settle()
@@ -67,47 +66,49 @@
 
   describe('leave during a roll (issue 27)', ({ it }) => {
     let run: SoakRun
-    let played: Promise<void>
 
-    it('starts', async () => {
+    it('starts real daemons', async () => {
       run = await SoakRun.start({ seed: SEED, durationMs: 18_000, schedule: [{ kind: FaultKind.LeaveDuringRoll, atMs: 2_500, durationMs: 0, target: 0 }] })
-      played = run.play()
-      await wait(9_000)
     })
 
+    it('plays', () => run.play())
+
     it('leaves no accepted job idle', async () => {
-      await played
       await run.stop()
       assert.equal(run.result.violations, [])
     })
   })
 
   describe('planted faults', ({ it }) => {
-    const vmCut: Fault = { kind: FaultKind.VmCut, atMs: 2_000, durationMs: 0, target: 0 }
     const lateStarts: Fault = { kind: FaultKind.VmLateStarts, atMs: 1_000, durationMs: 8_000, target: 0 }
+    const vmCut: Fault = { kind: FaultKind.VmCut, atMs: 1_500, durationMs: 12_000, target: 0 }
+    let runs: readonly SoakRun[]
+
+    it('start', async () => {
+      runs = await Promise.all([
+        startPlanted({ naive: NaiveOwner.AcknowledgesEarly }, 4_000, []),
+        startPlanted({ naive: NaiveOwner.RestartsWithoutAnswer }, 10_000, [lateStarts, { ...lateStarts, target: 1 }]),
+        startPlanted({ ignoresLease: true }, 13_500, [vmCut, { ...vmCut, target: 1 }]),
+      ])
+    })
 
     it('of the owner and of VMs are found', async () => {
-      const [early, restarting, outliving] = await Promise.all([
-        playPlanted({ naive: NaiveOwner.AcknowledgesEarly }, 4_000, []),
-        playPlanted({ naive: NaiveOwner.RestartsWithoutAnswer }, 10_000, [lateStarts, { ...lateStarts, target: 1 }]),
-        playPlanted({ ignoresLease: true }, 13_000, [vmCut]),
-      ])
-      for (const { result, report } of [early, restarting, outliving]) {
-        assert.ok(result.violations.some(({ rule }) => rule === 'TWICE'), report)
+      const reports = await Promise.all(runs.map(async (run) => {
+        await run.play()
+        const report = run.describeViolations('npm run soak')
+        await run.stop()
+        return report
+      }))
+      for (const [index, report] of reports.entries()) {
+        assert.ok(runs[index]?.result.violations.some(({ rule }) => rule === 'TWICE'), report)
         assert.match(report, /schedule:[^]*logs of [0-9a-f]{16}:\n {2}d-\d\.log: [^]*play again: npm run soak/)
       }
     })
   })
 })
 
-async function playPlanted (planted: PlantedFaults, durationMs: number, schedule: readonly Fault[]): Promise<{ result: SoakResult, report: string }> {
-  const run = await SoakRun.start({ seed: SEED, durationMs, schedule, planted, daemons: 2 })
-  try {
-    await run.play()
-    return { result: run.result, report: run.describeViolations('npm run soak') }
-  } finally {
-    await run.stop()
-  }
+function startPlanted (planted: PlantedFaults, durationMs: number, schedule: readonly Fault[]): Promise<SoakRun> {
+  return SoakRun.start({ seed: SEED, durationMs, schedule, planted, daemons: 2 })
 }
 
 /** Calls the body with a link to an echo server, and with a function that sends text on a new connection and returns the answer. */
