--- a/packages/policy/src/lib/jobs/PendingCancels.test.ts
+++ b/packages/policy/src/lib/jobs/PendingCancels.test.ts
@@ -1,33 +1,12 @@
 /**
  * Checks that cancellations of jobs that the owner never learns of do not accumulate.
  */
-import { STEP_DEFAULTS, type AcceptedJob } from '@vanillathread/model'
 import { assert, describe } from '@vanillathread/testing'
-import { JobScheduler } from './JobScheduler.js'
 import { PendingCancels } from './PendingCancels.js'
+import { createScheduler, createTestJob } from './testSupport.js'
 
 const PERIOD_MS = 1_000
 
-function createScheduler (): JobScheduler {
-  return JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
-}
-
-function createJob (id: string): AcceptedJob {
-  const step = { ...STEP_DEFAULTS, taskCount: 1, need: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, estimateMs: 1 }
-  return {
-    id,
-    queue: 'q',
-    pool: 'p',
-    spec: { payload: '', steps: [step], repeatCount: 0, firstRunMs: 0, intervalMs: 0 },
-    priority: 0,
-    maxAttempts: 1,
-    deadlineFactor: 1,
-    targetLatencyMs: 1,
-    acceptedAtMs: 0,
-    configurationVersion: 1,
-  }
-}
-
 describe('PendingCancels', ({ it }) => {
   it('forgets the cancellations of jobs that do not come, whatever their number', () => {
     const cancels = PendingCancels.create()
@@ -53,13 +32,13 @@
   it('cancels a job whose cancellation came first', () => {
     const scheduler = createScheduler()
     scheduler.cancelJob('a', 0)
-    scheduler.addJob(createJob('a'), 2, 10)
+    scheduler.addJob(createTestJob({ id: 'a' }), 2, 10)
     assert.is(scheduler.state.jobs.get('a')?.isOver, true)
   })
 
   it('does not keep a cancellation of a job that it has dropped', () => {
     const scheduler = createScheduler()
-    scheduler.addJob(createJob('a'), 2, 0)
+    scheduler.addJob(createTestJob({ id: 'a' }), 2, 0)
     const job = scheduler.state.jobs.get('a')
     if (job === undefined) throw new Error('job was not added')
     scheduler.dropJob(job, 10)
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -30,8 +30,8 @@
   /** True if the store listed this VM at the takeover. No earlier owner has started a task on any other VM. */
   mayHavePreviousRuns = false
   /**
-   * Time on the store's clock from which the VM has no runs, as the store's list tells a successor, or may tell it once a write
-   * in flight is carried out. While it is set, the VM gets no leases.
+   * Time on the store's clock from which the VM has no runs, as its roster row says or may say once a write in flight is carried
+   * out. A successor trusts it, so the VM gets no leases while it is set.
    */
   recordedLeaseEndMs: number | undefined
   /** True if the last write of `recordedLeaseEndMs` failed or had an unknown outcome. */
