--- a/packages/integration/src/handOverWaits.test.ts
+++ b/packages/integration/src/handOverWaits.test.ts
@@ -199,7 +199,7 @@
       })
     }
 
-    it('orders no maintenance of a machine whose VM has not yet told the successor what it runs', async () => {
+    it('orders no maintenance of a machine whose VM has not yet reported its runs to the successor', async () => {
       const lab = JobLab.create({ seed: 1 })
       await lab.start()
       const job = submit(lab, createJob(createStep({ longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -40,7 +40,7 @@
   [FaultKind.VmLateStarts]: VmFault.LateStarts,
 }
 
-/** Plays faults and tells the checker when they begin and end. */
+/** Plays faults and reports their begin and end to the checker. */
 export class FaultInjector {
   /** Number of faults that were played, by kind. */
   readonly counts = new Map<FaultKind, number>()
--- a/packages/soak/src/lib/SoakLoad.ts
+++ b/packages/soak/src/lib/SoakLoad.ts
@@ -32,10 +32,10 @@
 const LONG_RUNNING_PERCENT = 10
 const REPEATED_SUBMIT_PERCENT = 10
 
-/** Time after which a request may end without a complete answer in a daemon that is told to stop. */
+/** Time after which a request may end without a complete answer in a daemon that got SIGTERM. */
 const LOSS_SLACK_MS = 200
 
-/** Time in which a daemon that is told to stop answers the requests that it has read. */
+/** Time in which a daemon that got SIGTERM answers the requests that it has read. */
 const STOP_WINDOW_MS = 7_000
 
 /** Time without an unplanned fault after which daemons are in touch. */
@@ -203,7 +203,7 @@
   return createJob(createStep({ taskCount: 4, longRunning: true, mayMiss: 1, maxTasksPerVm: 2, estimateMs: 900 }))
 }
 
-/** Adds the payload that tells the VMs how the tasks behave. */
+/** Adds the payload from which the VMs read how the tasks behave. */
 function withPayload (spec: JobSpec, poison: boolean): JobSpec {
   const steps = spec.steps.map(({ need, estimateMs, longRunning }) => ({ durationMs: longRunning ? undefined : estimateMs, cpuMillis: need.cpuMillis, memoryMb: need.memoryMb }))
   return { ...spec, payload: JSON.stringify({ steps, poison } satisfies JobPayload) }
--- a/packages/soak/src/lib/messages.ts
+++ b/packages/soak/src/lib/messages.ts
@@ -43,7 +43,7 @@
   /** Answers the command `barrier`: all events before the command have been sent. */
   | { readonly kind: 'barrier', readonly number: number }
 
-/** Behaviour of a step's tasks, which the payload of a job tells the stand-ins. */
+/** Behaviour of a step's tasks, which the stand-ins read from the job's payload. */
 export interface StepBehaviour {
   /** Absent for a long-running task. */
   readonly durationMs?: number
