--- a/packages/soak/src/lib/SoakLoad.ts
+++ b/packages/soak/src/lib/SoakLoad.ts
@@ -51,6 +51,7 @@
   private nextJob = 1
   private longRunningCount = 0
   private submitTimer?: NodeJS.Timeout
+  private stopped = false
 
   private constructor (private readonly cluster: SoakCluster, private readonly checker: SoakChecker, private readonly seed: number) {
     this.random = RandomSource.create(seed + 1)
@@ -73,14 +74,17 @@
   }
 
   stop (): void {
+    this.stopped = true
     this.stopSubmitting()
     for (const timer of this.timers) clearInterval(timer)
     for (const session of this.sessions) session.close()
   }
 
-  /** Reports an unexpected error as a violation, so that it fails the soak. */
+  /** Reports an unexpected error as a violation, so that it fails the soak. After the end the links are closed under the clients. */
   private runDetached (work: Promise<void>): void {
-    work.catch((err: unknown) => this.checker.report('CLIENT', err instanceof Error ? err.stack ?? err.message : String(err)))
+    work.catch((err: unknown) => {
+      if (!this.stopped) this.checker.report('CLIENT', err instanceof Error ? err.stack ?? err.message : String(err))
+    })
   }
 
   private async checkReadiness (daemon: SoakDaemon): Promise<void> {
@@ -134,10 +138,12 @@
     if (!job.accepted) return
     if (repeatAfterMs !== undefined) {
       await sleep(repeatAfterMs)
+      if (this.stopped) return
       await this.send('POST', path, encodeJob(spec))
     }
     if (cancelAfterMs === undefined || isLongRunning) return
     await sleep(cancelAfterMs)
+    if (this.stopped) return
     await this.cancel(job, path)
   }
 
