Failing tests: long-running tasks ended beside others that are away

Cause: the lab checked AVAIL at orders for machines only, carried these out at once, and ended stops after 200 ms.

--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -40,7 +40,7 @@
 
 function createFixture (): Fixture {
   const timers = FakeTimerService.create()
-  const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
+  const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
   const transactions: RowTransaction[] = []
   const rows = {
     getStoreClockMs: () => timers.now(),
--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -15,6 +15,8 @@
   readonly metrics: Address
   /** Longest lease that a VM accepts. */
   readonly maxLeaseMs: number
+  /** Longest time from a VM's answer to a stop until the run has ended. */
+  readonly stopMs: number
   /** Time for which all orders for one machine must come from the same holder. */
   readonly orderLeaseMs: number
   /** True if the platform refuses machine orders with a fencing token lower than one that it has seen. */
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -70,6 +70,7 @@
       generation: options.generation,
       fencingToken: options.ownerRow.version,
       leaseMs: this.leaseMs,
+      stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
       logDecision: (code, fields) => log.write(code, fields),
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -4,6 +4,7 @@
 import { JobState, parseTaskName, RunEnd, type EndEntry, type JobSpec } from '@vanillathread/model'
 import type { StartCall } from '@vanillathread/ports'
 import type { MachineObserver, ObservedVm, VmStandInRun, VmObserver } from '@vanillathread/stand-ins'
+import { AvailabilityCheck } from './AvailabilityCheck.js'
 
 /** An invariant that was violated. */
 export interface JobViolation {
@@ -12,7 +13,7 @@
    * - `TWICE`: a task runs on two VMs, or starts after its end as done was acknowledged.
    * - `BUDGET`: a finite task starts after it has failed as often as the attempts allow.
    * - `LIMIT`: the capacity of a VM or the concurrency cap of a wave is exceeded.
-   * - `AVAIL`: an order for a machine makes more long-running tasks unavailable than `mayMiss` allows.
+   * - `AVAIL`: an order for a machine or a stop makes more long-running tasks unavailable than `mayMiss` allows.
    * - `MIXED`: a job or a wave is reported as complete too early.
    * - `LOST`: an accepted job is unknown, or its state is not the one that its runs and cancels lead to.
    * - `UNASKED`: a run belongs to no submitted job, or has another payload.
@@ -64,7 +65,11 @@
   /** Number of failed ends that the owner has acknowledged, by task. Each of them permanently counts as an attempt. */
   private readonly acknowledgedFailures = new Map<string, number>()
 
-  private constructor (private readonly now: () => number, private readonly maxAttempts: number) {}
+  private readonly availability: AvailabilityCheck
+
+  private constructor (private readonly now: () => number, private readonly maxAttempts: number) {
+    this.availability = AvailabilityCheck.create({ now, findJob: (id) => this.jobs.get(id), onViolation: (detail) => this.addViolation('AVAIL', detail) })
+  }
 
   static create (options: { now: () => number, maxAttempts: number }): JobHistory {
     return new JobHistory(options.now, options.maxAttempts)
@@ -72,6 +77,7 @@
 
   onStart (vm: ObservedVm, run: VmStandInRun, call: StartCall): void {
     this.starts += 1
+    this.availability.recordStart(run.task)
     const job = this.checkSubmitted(run, call)
     const runsByVm = this.live.get(run.task) ?? new Map<ObservedVm, number>()
     for (const other of runsByVm.keys()) {
@@ -89,6 +95,7 @@
 
   onEnd (vm: ObservedVm, run: VmStandInRun, end: RunEnd): void {
     this.live.get(run.task)?.delete(vm)
+    this.availability.recordEnd(vm, run, end)
     if (end === RunEnd.Done) this.ended.add(run.task)
     if (end === RunEnd.Failed) this.failedEnds.set(run.task, (this.failedEnds.get(run.task) ?? 0) + 1)
   }
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -281,6 +281,7 @@
     peer: daemon.address,
     metrics: daemon.address,
     maxLeaseMs: 6_000,
+    stopMs: 200,
     orderLeaseMs: 3_000,
     fencingEnforced: true,
     graceMs: 6_000,
--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -81,7 +81,7 @@
 
   private constructor (private readonly options: LoadDayOptions) {
     this.random = RandomSource.create(options.seed)
-    this.scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: LEASE_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
+    this.scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: LEASE_MS, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
   }
 
   static create (options: LoadDayOptions): LoadDay {
--- /dev/null
+++ b/packages/integration/src/ordersOfFormerOwners.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Long-running tasks stay available although the owner changes while its orders are being carried out.
+ */
+import { EventCode } from '@vanillathread/model'
+import { assert, describe } from '@vanillathread/testing'
+import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+import { SEEDS } from './lib/jobs/simulateWithFault.js'
+
+/** Longest time that a stop takes, as the platform's sites state. */
+const STOP_MS = 900
+
+/** Time from the sending of an order for a machine until it is carried out: shorter than the calls' limit of 1.5 s. */
+const ORDER_DELAY_MS = 1_400
+
+function hasOrderedStop (lab: JobLab): boolean {
+  return lab.daemons.some(({ log }) => log.records.some(({ code }) => code === EventCode.TaskStopOrdered))
+}
+
+describe('long-running tasks after the loss of an owner', ({ it }) => {
+  it('are not stopped beside a task whose stop by the former owner has not ended yet', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5, settings: { stopMs: STOP_MS } })
+      await lab.start()
+      lab.submit(createJob(createStep({ taskCount: 3, longRunning: true, maxTasksPerVm: 1, mayMiss: 1 })))
+      await lab.run(4_000)
+      for (const vm of lab.fleet.vms) vm.stopDurationMs = STOP_MS
+      const machines = lab.fleet.vms.filter((vm) => vm.runs.size > 0).map((vm) => vm.entry.machine ?? '')
+      lab.requestWave(1, machines, machines.length)
+      const startsBefore = lab.history.starts
+      const owner = lab.findOwner()
+      while (!hasOrderedStop(lab)) await lab.timers.advance(5)
+      lab.daemons[owner]?.daemon?.stop()
+      await lab.finish(20_000)
+      assert.ok(lab.history.starts > startsBefore)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+
+  it('are not placed on a machine that the former owner has ordered to move', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5 })
+      await lab.start()
+      // The tasks of this job end at once, and the machine that the pool got for them becomes idle.
+      for (let job = 0; job < 4; job++) lab.submit(createJob(createStep({ taskCount: 12, estimateMs: 1_000 })))
+      await lab.run(500)
+      lab.fleet.orderDelayMs = ORDER_DELAY_MS
+      const ordersBefore = lab.fleet.ordersReceived
+      while (lab.fleet.ordersReceived === ordersBefore) await lab.timers.advance(5)
+      const killed = lab.crashDaemon(lab.findOwner(), 1_000)
+      lab.submit(createJob(createStep({ taskCount: 8, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+      await killed
+      await lab.finish(20_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+})
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -43,6 +43,8 @@
   readonly fencingToken: number
   /** Longest lease that this owner or a previous one gives to a VM. */
   readonly leaseMs: number
+  /** Longest time from a VM's answer to a stop until the run has ended. */
+  readonly stopMs: number
   /** Time from `startedAtMs` for which a previous owner may still extend leases of VMs that this owner cannot reach. */
   readonly previousOwnerRenewalMs: number
   /** Time at which this owner began. */
--- a/packages/policy/src/lib/jobs/evacuateVm.test.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.test.ts
@@ -3,7 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { StopReason } from './TrackedRun.js'
-import { createScheduler, createTestJob, createTestStep, createVmEntry, reportRunning, planAndAccept } from './testSupport.js'
+import { createScheduler, createTestJob, createTestStep, createVmEntry, reportRunning, planAndAccept, STOP_MS } from './testSupport.js'
 
 describe('evacuateVm', ({ it }) => {
   const spread = createTestStep({ taskCount: 3, longRunning: true, maxTasksPerVm: 1, mayMiss: 1 })
@@ -58,4 +58,27 @@
     planAndAccept(scheduler, 100)
     assert.equal([...vm.runs.values()].map((run) => run.stopReason), [StopReason.Evacuation])
   })
+
+  it('stops no task of a step while a stop by the former owner may be ending another one', () => {
+    const scheduler = createScheduler({ generation: 1 })
+    for (const id of ['a', 'b', 'c', 'd']) scheduler.restoreVm({ entry: createVmEntry(id) }, { nowMs: 0, storeNowMs: 0 })
+    scheduler.addJob(createTestJob({ steps: [spread] }), 0, 0)
+    const report = (nowMs: number) => {
+      ['a', 'b', 'c', 'd'].forEach((id, index) => {
+        const vm = scheduler.state.vms.get(id)
+        const running = index < 3 ? [{ task: `00000000000000aa.0.0.${index}`, run: 1, checkpoint: '', percent: 100 }] : []
+        if (vm !== undefined) scheduler.applyReport(vm, { clockMs: nowMs, bornMs: 1, running, ends: [] }, nowMs, nowMs)
+      })
+    }
+    const listStops = () => [...scheduler.state.vms.values()].flatMap((vm) => [...vm.runs.values()]).filter((run) => run.stopReason !== undefined)
+    report(0)
+    scheduler.evacuate('b', 0)
+    planAndAccept(scheduler, 10)
+    report(STOP_MS - 100)
+    planAndAccept(scheduler, STOP_MS - 100)
+    assert.equal(listStops(), [], 'the former owner may have stopped a task before the VMs saw the new fencing token')
+    report(STOP_MS + 100)
+    planAndAccept(scheduler, STOP_MS + 100)
+    assert.is(listStops().length, 1)
+  })
 })
--- a/packages/policy/src/lib/jobs/testSupport.ts
+++ b/packages/policy/src/lib/jobs/testSupport.ts
@@ -8,6 +8,9 @@
 
 const LEASE_MS = 5_000
 
+/** Longest time that a stop takes. */
+export const STOP_MS = 900
+
 /** Creates a step of four small tasks without special requirements, except for the given fields. */
 export function createTestStep (step: Partial<StepSpec> = {}): StepSpec {
   return {
@@ -53,7 +56,7 @@
 
 export function createScheduler (options: { generation?: number } = {}): JobScheduler {
   return JobScheduler.create({
-    generation: options.generation ?? 0, fencingToken: 1, leaseMs: LEASE_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {},
+    generation: options.generation ?? 0, fencingToken: 1, leaseMs: LEASE_MS, stopMs: STOP_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {},
   })
 }
 
--- a/packages/policy/src/lib/vms/VmRegistry.test.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.test.ts
@@ -32,4 +32,13 @@
     registry.apply({ ...entry, bornMs: entry.bornMs + 1 })
     assert.is(registry.isTracked('vm'), true)
   })
+
+  it('does not track the record of a VM whose machine runs a newer VM, whichever is read first', () => {
+    const registry = createRegistry()
+    const older = createVmEntry('older', { machine: 'm', bornMs: 1 })
+    const newer = createVmEntry('newer', { machine: 'm', bornMs: 2 })
+    for (const entry of [newer, older]) registry.restore({ entry }, 0, 0)
+    assert.equal([registry.isTracked('older'), registry.isTracked('newer')], [false, true])
+    assert.ok(registry.forgotten.has('older'), 'its record is to be removed')
+  })
 })
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,5 +9,6 @@
 export { RandomFaultPlatform, type FaultProbabilities, type RandomFaultOptions } from './lib/RandomFaultPlatform.js'
 export { PlatformServer, type PlatformServerOptions } from './lib/PlatformServer.js'
 export { StoreClientStandIn, StoreFault, StoreStandIn } from './lib/jobs/StoreStandIn.js'
-export { VmFault, VmStandIn, type ObservedVm, type VmStandInRun, type TaskBehaviour, type VmObserver, type VmStandInOptions } from './lib/jobs/VmStandIn.js'
-export { FleetFeedsStandIn, FleetStandIn, putOperatorConfiguration, putWaveRequest, type FleetStandInOptions, type MachineObserver } from './lib/jobs/FleetStandIn.js'
+export { RESTORE_DURATION_MS, VmFault, VmStandIn, type ObservedVm, type VmStandInRun, type TaskBehaviour, type VmObserver, type VmStandInOptions } from './lib/jobs/VmStandIn.js'
+export { FleetFeedsStandIn, putOperatorConfiguration, putWaveRequest } from './lib/jobs/FleetFeedsStandIn.js'
+export { FleetStandIn, type FleetStandInOptions, type MachineObserver } from './lib/jobs/FleetStandIn.js'
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -1,9 +1,10 @@
 /**
  * In-memory machines, their VMs and the registrations of the VMs, on a fake clock.
  */
-import type { TimerService } from '@vanillathread/kernel'
-import { Result, type OperatorConfiguration, type VmEntry } from '@vanillathread/model'
-import { MachineRefusal, MachineState, VmAnswerKind, type Changes, type FleetFeeds, type Machine, type MachineAnswer, type MachineOrderer, type MachineService, type OperatorChange, type RowStore, type StoredRow, type StoreFailure, type VmChange, type VmClient, type VmClients, type MaintenanceWave } from '@vanillathread/ports'
+import { delay, type TimerService } from '@vanillathread/kernel'
+import { Result, type VmEntry } from '@vanillathread/model'
+import { MachineRefusal, MachineState, VmAnswerKind, type Machine, type MachineAnswer, type MachineOrderer, type MachineService, type VmClient, type VmClients } from '@vanillathread/ports'
+import { encodeStandInRow, VMS_TABLE } from './FleetFeedsStandIn.js'
 import type { StoreStandIn } from './StoreStandIn.js'
 import { VmStandIn, type VmObserver, type VmStandInOptions, type VmStandInRun } from './VmStandIn.js'
 
@@ -14,11 +15,6 @@
 /** Time from the end of a VM until its registration expires. */
 const REGISTRATION_TTL_MS = 4_500
 
-/** Tables of the store. */
-const OPERATOR = 'operator'
-const VMS = 'vms'
-const WAVE_STATES = 'wave-states'
-
 /** Observes the orders that machines carry out, and the completion of waves. @public */
 export interface MachineObserver {
   /** Called before maintenance; `downBefore` is the number of machines that are already down for the wave. */
@@ -58,6 +54,10 @@
   readonly machines = new Map<string, StandInMachine>()
   /** True if orders are not carried out and have an unknown outcome. */
   ignoresOrders = false
+  /** Time from the sending of an order until it is carried out and answered. */
+  orderDelayMs = 0
+  /** Number of orders that were sent, whatever their outcome. */
+  ordersReceived = 0
   private nextVmNumber = 1
 
   private constructor (private readonly options: FleetStandInOptions) {}
@@ -121,7 +121,7 @@
   }
 
   register (vm: VmStandIn): void {
-    this.options.store.put({ table: VMS, part: '', key: vm.id }, encode(vm.entry))
+    this.options.store.put({ table: VMS_TABLE, part: '', key: vm.id }, encodeStandInRow(vm.entry))
   }
 
   open (entry: VmEntry): VmClient {
@@ -147,6 +147,8 @@
   }
 
   async move (id: string, pool: string, orderer: MachineOrderer): Promise<MachineAnswer> {
+    this.ordersReceived += 1
+    if (this.orderDelayMs > 0) await delay(this.options.timers, this.orderDelayMs)
     if (this.ignoresOrders) return { kind: 'unknown', reason: 'no answer' }
     const standInMachine = this.machines.get(id)
     const refusal = this.checkOrder(standInMachine, orderer)
@@ -158,6 +160,8 @@
   }
 
   async maintain (id: string, wave: number, orderer: MachineOrderer): Promise<MachineAnswer> {
+    this.ordersReceived += 1
+    if (this.orderDelayMs > 0) await delay(this.options.timers, this.orderDelayMs)
     if (this.ignoresOrders) return { kind: 'unknown', reason: 'no answer' }
     const standInMachine = this.machines.get(id)
     if (standInMachine?.maintainedWaves.has(wave) === true) return { kind: 'done' }
@@ -222,75 +226,8 @@
   }
 
   private unregister (vm: VmStandIn): void {
-    this.options.store.remove({ table: VMS, part: '', key: vm.id })
-  }
-}
-
-/** Feeds of VMs and operator changes for one daemon, read through the daemon's own store client. @public */
-export class FleetFeedsStandIn implements FleetFeeds {
-  private constructor (private readonly rows: RowStore, private readonly observer: MachineObserver) {}
-
-  static create (rows: RowStore, observer: MachineObserver): FleetFeedsStandIn {
-    return new FleetFeedsStandIn(rows, observer)
-  }
-
-  readOperatorRows (): Promise<Result<Changes<OperatorChange>, StoreFailure>> {
-    return this.readAll(OPERATOR, toOperatorChange)
-  }
-
-  watchOperatorRows (afterVersion: number, waitMs: number): Promise<Result<Changes<OperatorChange>, StoreFailure>> {
-    return this.watch(OPERATOR, afterVersion, waitMs, toOperatorChange)
-  }
-
-  readRegistrations (): Promise<Result<Changes<VmChange>, StoreFailure>> {
-    return this.readAll(VMS, toVmChange)
-  }
-
-  watchRegistrations (afterVersion: number, waitMs: number): Promise<Result<Changes<VmChange>, StoreFailure>> {
-    return this.watch(VMS, afterVersion, waitMs, toVmChange)
-  }
-
-  async writeWaveState (wave: number, complete: boolean): Promise<Result<void, StoreFailure>> {
-    const res = await this.rows.transact({ conditions: [], puts: [{ table: WAVE_STATES, part: '', key: `wave/${wave}`, value: encode({ complete }) }], removes: [] })
-    if (!res.ok) return res
-    if (complete) this.observer.onWaveComplete(wave)
-    return Result.ok(undefined)
+    this.options.store.remove({ table: VMS_TABLE, part: '', key: vm.id })
   }
-
-  private async readAll<T> (table: string, decode: (row: StoredRow) => T): Promise<Result<Changes<T>, StoreFailure>> {
-    const res = await this.rows.readRange({ table, part: '' })
-    return res.ok ? Result.ok({ values: res.value.rows.map(decode), version: res.value.version }) : res
-  }
-
-  private async watch<T> (table: string, afterVersion: number, waitMs: number, decode: (row: StoredRow) => T): Promise<Result<Changes<T>, StoreFailure>> {
-    const res = await this.rows.readFeed(table, afterVersion, waitMs)
-    return res.ok ? Result.ok({ values: res.value.rows.map(decode), version: res.value.version }) : res
-  }
-}
-
-/** Writes the operator's configuration. @public */
-export function putOperatorConfiguration (store: StoreStandIn, configuration: OperatorConfiguration): void {
-  store.put({ table: OPERATOR, part: '', key: 'config' }, encode({ configuration }))
-}
-
-/** Writes the operator's request for a maintenance wave. @public */
-export function putWaveRequest (store: StoreStandIn, wave: MaintenanceWave): void {
-  store.put({ table: OPERATOR, part: '', key: `wave/${wave.number}` }, encode({ wave }))
-}
-
-function toOperatorChange (row: StoredRow): OperatorChange {
-  const value = JSON.parse(Buffer.from(row.value).toString()) as { configuration?: OperatorConfiguration, wave?: MaintenanceWave }
-  if (value.configuration !== undefined) return { kind: 'configuration', configuration: value.configuration }
-  if (value.wave !== undefined) return { kind: 'wave', wave: value.wave }
-  return { kind: 'invalid', key: row.key, reason: 'neither configuration nor wave' }
-}
-
-function toVmChange (row: StoredRow): VmChange {
-  return row.removed ? { id: row.key } : { id: row.key, entry: JSON.parse(Buffer.from(row.value).toString()) as VmEntry }
-}
-
-function encode (value: unknown): Uint8Array {
-  return Buffer.from(JSON.stringify(value))
 }
 
 /** Returns a client of a VM that no longer exists; every call has an unknown outcome. */
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -11,7 +11,7 @@
 /** Time after which a call without an answer times out. */
 const CALL_TIMEOUT_MS = 600
 
-/** Time from a stop order until the run ends. */
+/** Time from a stop order until the run ends, unless {@link VmStandIn.stopDurationMs} is set. */
 const STOP_DURATION_MS = 200
 
 /** Faults of a VM. @public */
@@ -25,8 +25,11 @@
   FailsTasks = 'fails-tasks',
 }
 
-/** Time that a task needs after its start to restore its state; until then its pace is reported as 0 percent. */
-const RESTORE_DURATION_MS = 300
+/**
+ * Time that a task needs after its start to restore its state; until then its pace is reported as 0 percent.
+ * @public
+ */
+export const RESTORE_DURATION_MS = 300
 
 /** Delay of a start order while {@link VmFault.LateStarts} is switched on. */
 const LATE_START_DELAY_MS = 2_500
@@ -85,6 +88,8 @@
   alive = true
   /** Number n if the answer to every n-th renewal is lost; 0 if none is lost. */
   lostRenewalInterval = 0
+  /** Time from a stop order until the run ends. */
+  stopDurationMs = STOP_DURATION_MS
   /** Speed of the VM's steady clock. Set it before the first lease. */
   clockRate = 1
   entry: VmEntry
@@ -192,7 +197,7 @@
     this.highestFencingToken = call.fencingToken
     this.highestBarredRuns.set(call.task, Math.max(this.highestBarredRuns.get(call.task) ?? 0, call.run))
     const run = this.runs.get(`${call.task}#${call.run}`)
-    if (run !== undefined) this.options.timers.after(STOP_DURATION_MS, () => this.end(run, RunEnd.Stopped))
+    if (run !== undefined) this.options.timers.after(this.stopDurationMs, () => this.end(run, RunEnd.Stopped))
     return { kind: VmAnswerKind.Done, value: undefined }
   }
 
