Record moves before they are ordered, and keep tasks away from machines that a former owner has ordered

Callers saw two tasks of a lasting step end at once. Cause: a move was recorded nowhere, and a recorded maintenance was read only after the successor had begun to place tasks. It took the empty VM for a free one, and the former owner's order, carried out later, ended what it had started there. Change: a row for each machine with a pending move, many in a transaction, removed once the move has ended; a successor reads these rows and those of waves with the shard, evacuates the VMs before its first plan and orders the moves again, which makes the platform refuse a late copy. A refusal no longer ends a move whose earlier order may still come. The test of VMs in standby refused writes from before the orders, which now wait for the store; it refuses them once an order is under way, and checks the same.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -3,11 +3,14 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type PoolRules } from '@vanillathread/model'
-import { CapacityPlanner, type JobScheduler, type PlannedMachine, type TrackedVm } from '@vanillathread/policy'
+import { CapacityPlanner, type JobScheduler, type PlannedMachine } from '@vanillathread/policy'
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
+import { MachineDirectory } from './MachineDirectory.js'
 import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
+import { MoveRecords } from './MoveRecords.js'
+import type { OrderedMachines } from './orderedMachines.js'
 import { WavePlanner } from './WavePlanner.js'
 import { WaveProgressStore } from './WaveProgressStore.js'
 
@@ -27,6 +30,8 @@
    * previous owner is older than the order lease by then.
    */
   readonly ordersAllowedFromMs: number
+  /** Orders of earlier owners that may still be carried out. */
+  readonly orderedMachines: OrderedMachines
   getPools (): readonly PoolRules[]
   getWaves (): Iterable<MaintenanceWave>
   /** Called if a machine or the store shows that another daemon owns the shard. */
@@ -37,33 +42,31 @@
 
 /** Plans operations on a shard's machines, evacuates their VMs and gives the orders. */
 export class MachineController {
-  /** Machines by id, as of the last list; a finished move updates the pool. */
-  private readonly machinesById = new Map<string, Machine>()
+  private readonly directory: MachineDirectory
   /** Operations in progress, by machine. */
   private readonly operations = new Map<string, MachineOperation>()
   private readonly waves: WaveProgressStore
+  private readonly moves: MoveRecords
   private readonly planner: CapacityPlanner
   private readonly timer: Subscription
   private readonly wavePlanner: WavePlanner
-  /** First VM on each machine, see `indexVms`. */
-  private readonly vmsByMachine = new Map<string, TrackedVm>()
-  /** Time at which the last list was requested, or minus infinity before the first one. */
-  private listedAtMs = -Infinity
-  private listInFlight = false
   private disposed = false
 
   private constructor (private readonly options: MachineControllerOptions) {
+    this.directory = MachineDirectory.create({ ...options, onList: () => this.wavePlanner.recordList() })
     this.waves = WaveProgressStore.create(options)
+    this.moves = MoveRecords.create({ ...options, versions: new Map(options.orderedMachines.moves.map(({ machine, version }) => [machine, version])) })
     this.wavePlanner = WavePlanner.create({
       ...options,
       waves: this.waves,
-      findMachine: (id) => this.machinesById.get(id),
+      findMachine: (id) => this.directory.findMachine(id),
       findOperation: (id) => this.operations.get(id),
-      findVm: (id) => this.findVm(id),
+      findVm: (id) => this.directory.findVm(id),
     })
     this.planner = CapacityPlanner.create({ moveMs: options.settings.moveMs, ...machineOptions.capacity })
     this.timer = options.timers.every(machineOptions.periodMs, () => { this.runCycle() })
-    this.refreshMachines(options.timers.now())
+    this.adoptOrders(options.timers.now())
+    this.directory.refresh(machineOptions.listPeriodMs)
   }
 
   static create (options: MachineControllerOptions): MachineController {
@@ -72,15 +75,43 @@
 
   dispose (): void {
     this.disposed = true
+    this.directory.dispose()
     this.timer.dispose()
   }
 
+  /**
+   * Keeps tasks away from machines with orders of earlier owners. Moves are ordered again, so that the platform refuses a late copy
+   * of the former order; the wave planner does so for maintenance once it has read the wave.
+   */
+  private adoptOrders (nowMs: number): void {
+    const { moves, maintenances } = this.options.orderedMachines
+    this.directory.indexVms()
+    for (const { machine, toPool, vmId, bornMs } of moves) {
+      // A VM in the target pool shows that the machine was moved, so that a late copy of the order has no effect.
+      if (this.directory.findVm(machine)?.entry.pool === toPool) {
+        this.moves.remove(machine)
+        continue
+      }
+      this.beginOperation({ machine, toPool }, nowMs)
+      const operation = this.operations.get(machine)
+      if (operation === undefined) continue
+      operation.sent = true
+      operation.mayBeCarriedOut = true
+      operation.mayPrecedeVm = operation.former.vmId !== vmId || operation.former.bornMs !== bornMs
+    }
+    for (const { machine, wave } of maintenances) {
+      const vm = this.directory.findVm(machine)
+      const isRequested = [...this.options.getWaves()].some(({ number }) => number === wave)
+      if (vm !== undefined && isRequested) this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
+    }
+  }
+
   /** Evacuates VMs that have started on machines with a pending operation, as its order ends every run on the machine. */
   evacuateNewVms (): void {
     const nowMs = this.options.timers.now()
-    this.indexVms()
+    this.directory.indexVms()
     for (const operation of this.operations.values()) {
-      const vm = this.findVm(operation.machine)
+      const vm = this.directory.findVm(operation.machine)
       if (vm === undefined || vm.id === operation.vmId || operation.phase === 'underway') continue
       // An order in flight may have been carried out before this VM started. The operation therefore keeps the VM that the
       // order was sent for, which is retired if the answer shows that the order was carried out.
@@ -99,54 +130,23 @@
    */
   private runCycle (): void {
     const nowMs = this.options.timers.now()
-    this.refreshMachines(nowMs)
-    if (this.listedAtMs < 0) return
+    const underway = [...this.operations.values()].some((operation) => operation.phase === 'underway')
+    this.directory.refresh(underway ? machineOptions.busyListPeriodMs : machineOptions.listPeriodMs)
+    if (!this.directory.isListed) return
     if (this.options.rows.getTimeSinceAnswerMs() > machineOptions.storeSilentMs) return
-    this.indexVms()
+    this.directory.indexVms()
     for (const { machine, wave } of this.wavePlanner.plan(nowMs)) this.beginOperation({ machine, wave }, nowMs)
     this.planMoves(nowMs)
     this.evacuateNewVms()
-    for (const operation of [...this.operations.values()]) this.advance(operation, nowMs)
-  }
-
-  /** Reads the list of machines if it is due, which it is more often while an operation is underway. */
-  private async refreshMachines (nowMs: number): Promise<void> {
-    const underway = [...this.operations.values()].some((operation) => operation.phase === 'underway')
-    const periodMs = underway ? machineOptions.busyListPeriodMs : machineOptions.listPeriodMs
-    if (this.listInFlight || nowMs - this.listedAtMs < periodMs) return
-    this.listInFlight = true
-    const res = await this.options.machines.list()
-    this.listInFlight = false
-    if (this.disposed) return
-    if (!res.ok) {
-      this.options.log.write(EventCode.StoreCallFailed, { call: 'list machines', reason: res.error })
-      return
-    }
-    this.listedAtMs = nowMs
-    this.machinesById.clear()
-    for (const machine of res.value) this.machinesById.set(machine.id, machine)
-    this.retireMovedVms()
-    this.wavePlanner.recordList()
-  }
-
-  /**
-   * Forgets VMs that ended when a previous owner moved their machine: they are not registered, have not answered this owner,
-   * and the list shows their machine in another pool.
-   */
-  private retireMovedVms (): void {
-    const { scheduler } = this.options
-    for (const vm of [...scheduler.state.vms.values()]) {
-      const machine = this.machinesById.get(vm.entry.machine ?? '')
-      if (machine === undefined || vm.isReconciled || vm.registered || machine.vmId === vm.id) continue
-      if (machine.pool !== vm.entry.pool) scheduler.retireVm(vm.id, 'the list has its machine in another pool')
-    }
+    if (nowMs >= this.options.ordersAllowedFromMs) for (const operation of [...this.operations.values()]) this.advance(operation, nowMs)
+    this.moves.flush()
   }
 
   private planMoves (nowMs: number): void {
     if (nowMs < this.options.ordersAllowedFromMs) return
     const clocks = { nowMs, storeNowMs: this.options.rows.getStoreClockMs() }
     const pools = this.options.getPools().map((pool) => ({ standby: pool.standby, demand: this.options.scheduler.getDemand(pool.name, clocks) }))
-    const machines = [...this.machinesById.values()].map((machine) => this.describeMachine(machine, nowMs)).filter((machine) => machine !== undefined)
+    const machines = this.directory.machines.map((machine) => this.describeMachine(machine, nowMs)).filter((machine) => machine !== undefined)
     for (const move of this.planner.plan(nowMs, pools, machines)) {
       this.options.log.write(EventCode.MoveOrdered, { machine: move.machine, fromPool: move.fromPool, toPool: move.toPool, reason: move.reason })
       this.beginOperation({ machine: move.machine, toPool: move.toPool }, nowMs)
@@ -159,7 +159,7 @@
     const idle = { id, capacity, drainable: false, usedCpuMillis: 0 }
     const operation = this.operations.get(id)
     if (operation?.toPool !== undefined) return { ...idle, pool: operation.toPool, movable: false }
-    const vm = this.findVm(id)
+    const vm = this.directory.findVm(id)
     const pool = vm?.entry.pool ?? machine.pool
     // A machine of a wave, or one whose VM leaves, provides no capacity, so its pool may get another machine.
     if (operation !== undefined || vm?.isLeaving === true) return undefined
@@ -174,7 +174,7 @@
   }
 
   private beginOperation (plan: MachineOperationPlan, nowMs: number): void {
-    const vm = this.findVm(plan.machine)
+    const vm = this.directory.findVm(plan.machine)
     this.operations.set(plan.machine, createMachineOperation(plan, vm))
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
@@ -190,17 +190,17 @@
     }
   }
 
-  /** Sends the order for an evacuated machine. A maintenance order is stored first, so that a successor knows of it. */
+  /** Sends the order for an evacuated machine. It is stored first, so that a successor knows of it. */
   private async sendOrder (operation: MachineOperation): Promise<void> {
     const { machines, settings, ownerRow, timers, log } = this.options
     operation.phase = 'ordering'
     if (operation.wave !== undefined) operation.mayPrecedeVm ||= this.waves.isRecordedForOtherVm(operation.wave, operation.machine, operation.former)
-    if (operation.wave !== undefined && !await this.waves.recordOrder(operation.wave, operation.machine, operation.former)) {
+    if (!await this.recordOrder(operation)) {
       operation.phase = 'evacuating'
       return
     }
     if (this.disposed) return
-    if (operation.wave !== undefined) log.write(EventCode.MaintenanceOrdered, { machine: operation.machine, wave: operation.wave, formerVm: operation.former.vmId, listAgeMs: Math.round(timers.now() - this.listedAtMs) })
+    if (operation.wave !== undefined) log.write(EventCode.MaintenanceOrdered, { machine: operation.machine, wave: operation.wave, formerVm: operation.former.vmId, listAgeMs: Math.round(timers.now() - this.directory.listedAtMs) })
     const orderer = { holder: settings.name, fencingToken: ownerRow.version }
     const sentAtMs = timers.now()
     operation.sent = true
@@ -222,6 +222,11 @@
     this.applyFailure(operation, answer)
   }
 
+  /** Stores the order. Returns false if that could not be stored. */
+  private recordOrder ({ machine, wave, toPool, former }: MachineOperation): Promise<boolean> {
+    return wave === undefined ? this.moves.record(machine, { ...former, toPool: toPool ?? '' }) : this.waves.recordOrder(wave, machine, former)
+  }
+
   /** Handles an order that was refused or has an unknown outcome. */
   private applyFailure (operation: MachineOperation, answer: MachineAnswer): void {
     const refusal = answer.kind === 'refused' ? answer.refusal : undefined
@@ -235,8 +240,10 @@
       this.finish(operation)
       return
     }
-    // A refused move is planned anew. Any other order is sent again, as it may have been carried out.
-    if (operation.wave === undefined && answer.kind === 'refused') this.finish(operation)
+    if (answer.kind === 'unknown') operation.mayBeCarriedOut = true
+    // A refused move is planned anew. Any other order is sent again, as it, or an earlier one, may have been carried out or may still be.
+    const isOver = refusal === MachineRefusal.UnknownMachine || (answer.kind === 'refused' && !operation.mayBeCarriedOut)
+    if (operation.wave === undefined && isOver) this.finish(operation)
     else this.options.timers.after(machineOptions.orderRetryMs, () => { operation.phase = 'evacuating' })
   }
 
@@ -251,43 +258,31 @@
   private checkReturn (operation: MachineOperation, nowMs: number): void {
     const { settings } = this.options
     const takesMs = operation.wave === undefined ? settings.moveMs : settings.maintenanceMs
-    const vm = this.findVm(operation.machine)
-    const machine = this.machinesById.get(operation.machine)
+    const vm = this.directory.findVm(operation.machine)
+    const machine = this.directory.findMachine(operation.machine)
     const { former } = operation
     if (operation.mayPrecedeVm && vm?.id === former.vmId && vm.entry.bornMs === former.bornMs) {
-      if (this.listedAtMs <= operation.confirmedAtMs) return
+      if (this.directory.listedAtMs <= operation.confirmedAtMs) return
       if (machine?.state !== MachineState.Up || machine.vmId !== vm.id) {
         this.retireFormerVm(operation)
         return
       }
     }
-    const listedLater = this.listedAtMs > operation.confirmedAtMs + takesMs
+    const listedLater = this.directory.listedAtMs > operation.confirmedAtMs + takesMs
     const settled = machine === undefined || (machine.state !== MachineState.Moving && machine.state !== MachineState.InMaintenance)
     if (vm === undefined && !(listedLater && settled)) return
-    if (operation.toPool !== undefined && machine !== undefined) this.machinesById.set(operation.machine, { ...machine, pool: operation.toPool })
+    if (operation.toPool !== undefined) this.directory.setPool(operation.machine, operation.toPool)
     this.finish(operation)
   }
 
   private finish (operation: MachineOperation): void {
     this.operations.delete(operation.machine)
+    if (operation.wave === undefined) this.moves.remove(operation.machine)
     const vms = [...this.options.scheduler.state.vms.values()].filter((vm) => vm.entry.machine === operation.machine)
     for (const { id } of vms) this.options.scheduler.endEvacuation(id)
     if (operation.vmId !== undefined) this.options.scheduler.endEvacuation(operation.vmId)
     this.options.onChange()
   }
-
-  /** Indexes the VMs by their machine. An index is used only in the call that made it, as VMs come and go. */
-  private indexVms (): void {
-    this.vmsByMachine.clear()
-    for (const vm of this.options.scheduler.state.vms.values()) {
-      const { machine } = vm.entry
-      if (machine !== undefined && !this.vmsByMachine.has(machine)) this.vmsByMachine.set(machine, vm)
-    }
-  }
-
-  private findVm (machine: string): TrackedVm | undefined {
-    return this.vmsByMachine.get(machine)
-  }
 }
 
 function describeAnswer (answer: MachineAnswer): string | undefined {
--- a/packages/daemon/src/lib/jobs/MachineOperation.ts
+++ b/packages/daemon/src/lib/jobs/MachineOperation.ts
@@ -28,6 +28,8 @@
   confirmedAtMs: number
   /** True once an order was sent. */
   sent: boolean
+  /** True if the outcome of an order is unknown, so that it may be carried out although a later one is refused. */
+  mayBeCarriedOut: boolean
   /**
    * True if an order was sent before the machine got its present VM. That order may have been carried out, so an accepted
    * repetition does not prove that the VM has ended; the list of machines shows whether it has.
@@ -38,5 +40,5 @@
 /** Creates an operation that begins with the evacuation of the machine's VM, if it has one. */
 export function createMachineOperation (plan: MachineOperationPlan, vm: TrackedVm | undefined): MachineOperation {
   const former = { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }
-  return { ...plan, vmId: vm?.id, former, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayPrecedeVm: false }
+  return { ...plan, vmId: vm?.id, former, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayBeCarriedOut: false, mayPrecedeVm: false }
 }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -4,7 +4,7 @@
 import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
 import { JobScheduler, type TrackedVm } from '@vanillathread/policy'
-import type { AdmissionService, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
+import type { AdmissionService, Changes, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
@@ -12,6 +12,7 @@
 import { MachineController } from './MachineController.js'
 import { taskOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
+import { loadOrderedMachines, type OrderedMachines } from './orderedMachines.js'
 import { Table } from './rows.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
@@ -114,13 +115,14 @@
   /** Reads the shard from the store, retrying until that succeeds, and then starts scheduling. */
   async start (): Promise<void> {
     while (!this.disposed) {
-      const [content, vms] = await Promise.all([
+      const [content, orders, vms] = await Promise.all([
         loadShard(this.options.rows, this.options.log, this.shard),
+        loadOrderedMachines(this.options.rows, this.options.log, this.shard),
         this.options.feeds.readRegistrations(),
       ])
       if (this.disposed) return
-      if (content.ok && vms.ok) {
-        this.startScheduling(content.value, vms.value.values, vms.value.version)
+      if (content.ok && orders.ok && vms.ok) {
+        this.startScheduling(content.value, orders.value, vms.value)
         return
       }
       await delay(this.options.timers, taskOptions.storeRetryMs)
@@ -172,7 +174,8 @@
     })
   }
 
-  private startScheduling (content: ShardContent, vms: readonly VmChange[], vmsVersion: number): void {
+  private startScheduling (content: ShardContent, orderedMachines: OrderedMachines, registrations: Changes<VmChange>): void {
+    const { values: vms, version: vmsVersion } = registrations
     const { scheduler, options } = this
     const nowMs = options.timers.now()
     this.commitLoop = CommitLoop.create({
@@ -200,14 +203,14 @@
     this.loaded = true
     this.applyVms(vms)
     options.log.write(EventCode.ShardReady, {
-      shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, tookMs: Math.round(nowMs - this.startedAtMs),
+      shard: this.shard, fencingToken: this.fencingToken, jobs: content.jobs.length, vms: scheduler.state.vms.size, orderedMachines: orderedMachines.moves.length + orderedMachines.maintenances.length, tookMs: Math.round(nowMs - this.startedAtMs),
     })
     this.planTimer = options.timers.every(taskOptions.planPeriodMs, () => {
       this.requestPlan()
       this.commitLoop?.requestDueRecords()
     })
     this.endedJobRemover = EndedJobRemover.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateRetentionFactor })
-    this.createMachineController()
+    this.createMachineController(orderedMachines)
     this.feeds = ShardFeeds.create({
       ...options,
       jobsVersion: content.jobsVersion,
@@ -219,12 +222,13 @@
     this.onChange()
   }
 
-  private createMachineController (): void {
+  private createMachineController (orderedMachines: OrderedMachines): void {
     const { machines, configuration, settings, generation, onSuperseded } = this.options
     if (machines === undefined) return
     this.machineController = MachineController.create({
       ...this.options,
       machines,
+      orderedMachines,
       scheduler: this.scheduler,
       // If the platform does not check fencing tokens, the last order of a previous owner must be older than the order lease.
       ordersAllowedFromMs: generation === 0 || settings.fencingEnforced ? 0 : this.startedAtMs + settings.orderLeaseMs,
--- a/packages/daemon/src/lib/jobs/WaveProgressStore.ts
+++ b/packages/daemon/src/lib/jobs/WaveProgressStore.ts
@@ -207,6 +207,12 @@
   return [...byMachine.values()]
 }
 
+/** Returns the wave and the machine that a row is about, or undefined for a row about a whole wave. */
+export function parseWaveMachineKey (key: string): { readonly wave: number, readonly machine: string } | undefined {
+  const separator = key.indexOf(KEY_SEPARATOR)
+  return separator < 0 ? undefined : { wave: Number(key.slice(0, separator)), machine: key.slice(separator + KEY_SEPARATOR.length) }
+}
+
 /** Adds a row to the progress of a wave. Earlier builds wrote one row for the whole wave, with the wave's number as its key. */
 function addStoredRow (progress: StoredWave, wave: number, row: StoredRow): void {
   if (row.key === String(wave)) {
@@ -215,10 +221,10 @@
     for (const machine of whole?.begun ?? []) progress.begun.add(machine)
     return
   }
-  const prefix = `${wave}${KEY_SEPARATOR}`
-  const stored = row.key.startsWith(prefix) ? decodeWaveMachineRow(row.value) : undefined
-  if (stored === undefined) return
-  const machine = row.key.slice(prefix.length)
+  const key = parseWaveMachineKey(row.key)
+  const stored = key?.wave === wave ? decodeWaveMachineRow(row.value) : undefined
+  if (key === undefined || stored === undefined) return
+  const { machine } = key
   progress.versions.set(machine, row.version)
   progress.ordered.set(machine, { vmId: stored.vmId, bornMs: stored.bornMs })
   if (stored.begun) progress.begun.add(machine)
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -22,6 +22,8 @@
   Members = 'members',
   /** Progress of maintenance waves. */
   Waves = 'waves',
+  /** Machines whose move was ordered or may have been ordered, until the move has ended. */
+  Moves = 'moves',
 }
 
 /** Prefixes of keys in {@link Table.Jobs}: of jobs, and of cancellations. */
@@ -52,7 +54,7 @@
 export type MemberRow = z.infer<typeof memberRowSchema>
 
 /** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | RosterRow | WaveMachineRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | RosterRow | WaveMachineRow | MoveRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -130,6 +132,21 @@
   return Array.isArray(row?.ordered) && Array.isArray(row.begun) ? row : undefined
 }
 
+/** A move of a machine that was ordered or may have been ordered. The key of its row is the machine. */
+export interface MoveRow {
+  readonly toPool: string
+  /** VM that was on the machine, or an empty string if it had none. */
+  readonly vmId: string
+  /** Start time of that VM's incarnation. */
+  readonly bornMs: number
+}
+
+/** Decodes the record of a move. */
+export function decodeMoveRow (bytes: Uint8Array): MoveRow | undefined {
+  const row = decode(bytes) as MoveRow | undefined
+  return typeof row?.toPool === 'string' && typeof row.vmId === 'string' && typeof row.bornMs === 'number' ? row : undefined
+}
+
 /** Decodes CBOR. Returns undefined for other bytes; callers log such rows. */
 function decode (bytes: Uint8Array): unknown {
   try {
--- a/packages/integration/src/handOverWaits.test.ts
+++ b/packages/integration/src/handOverWaits.test.ts
@@ -8,7 +8,7 @@
 import { VmFault, type VmStandIn } from '@vanillathread/stand-ins'
 import { assert, describe } from '@vanillathread/testing'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
-import type { SubmittedJob } from './lib/jobs/JobHistory.js'
+import type { SubmittedJob } from './lib/jobs/SubmittedJob.js'
 
 /** Rule LOST: a job has nothing running for this long, although a task's turn has come and there is room for it. */
 const LOST_AFTER_MS = 3_000
--- a/packages/integration/src/jobs.test.ts
+++ b/packages/integration/src/jobs.test.ts
@@ -174,7 +174,10 @@
       const owner = lab.findOwner()
       const previousOwner = lab.daemons[owner]
       const before = lab.countStandbyMachines()
-      // The owner moves idle machines to the standby pool, but can no longer write that their VMs are gone.
+      // The owner moves idle machines to the standby pool, but can no longer write that their VMs are gone once an order is under way.
+      lab.fleet.orderDelayMs = 100
+      const ordersBefore = lab.fleet.ordersReceived
+      while (lab.fleet.ordersReceived === ordersBefore) await lab.timers.advance(5)
       if (previousOwner !== undefined) previousOwner.store.refusesWrites = true
       await lab.run(2_500)
       assert.ok(lab.countStandbyMachines() > before, 'no machine went to standby')
--- a/packages/integration/src/lib/jobs/AvailabilityCheck.ts
+++ b/packages/integration/src/lib/jobs/AvailabilityCheck.ts
@@ -3,7 +3,7 @@
  */
 import { parseTaskName, RunEnd } from '@vanillathread/model'
 import { RESTORE_DURATION_MS, type ObservedVm, type VmStandInRun } from '@vanillathread/stand-ins'
-import { listTasks, type SubmittedJob } from './JobHistory.js'
+import { listTasks, type SubmittedJob } from './SubmittedJob.js'
 
 /** Options of {@link AvailabilityCheck.create}. */
 export interface AvailabilityCheckOptions {
--- a/packages/integration/src/lib/jobs/DownTimeCheck.ts
+++ b/packages/integration/src/lib/jobs/DownTimeCheck.ts
@@ -3,7 +3,7 @@
  */
 import { formatTaskName } from '@vanillathread/model'
 import { VmFault, type VmStandIn } from '@vanillathread/stand-ins'
-import type { SubmittedJob } from './JobHistory.js'
+import type { SubmittedJob } from './SubmittedJob.js'
 import type { JobLab } from './JobLab.js'
 
 /** Time after a task's last run for which the rule does not hold. */
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -1,10 +1,11 @@
 /**
  * Records what clients, VMs and the platform observe in a simulation, and the invariants that are violated.
  */
-import { JobState, parseTaskName, RunEnd, type EndEntry, type JobSpec } from '@vanillathread/model'
+import { JobState, parseTaskName, RunEnd, type EndEntry } from '@vanillathread/model'
 import type { StartCall } from '@vanillathread/ports'
 import type { MachineObserver, ObservedVm, VmStandInRun, VmObserver } from '@vanillathread/stand-ins'
 import { AvailabilityCheck } from './AvailabilityCheck.js'
+import { listTasks, type SubmittedJob } from './SubmittedJob.js'
 
 /** An invariant that was violated. */
 export interface JobViolation {
@@ -26,27 +27,6 @@
   readonly detail: string
 }
 
-/** A job as its client sees it. */
-export interface SubmittedJob {
-  readonly id: string
-  readonly spec: JobSpec
-  /** True if every run of the job's tasks fails. */
-  readonly poison: boolean
-  /** True if a daemon answered the client that the job is accepted. */
-  accepted: boolean
-  /** True if the job was refused. Stays false after an attempt without an answer, which may have stored the job. */
-  refused: boolean
-  /** True if the client has sent a cancel of the job, whatever its answer. */
-  cancelled: boolean
-  /** State that the daemons showed to the client last. */
-  shownState?: JobState
-  /** Time at which the client first received the state `Complete`. */
-  completeAtMs?: number
-  readonly submittedAtMs: number
-  /** Index of the queue to which the job was submitted. */
-  readonly queue: number
-}
-
 /** Records events of a simulation and checks the invariants. */
 export class JobHistory implements VmObserver, MachineObserver {
   readonly violations: JobViolation[] = []
@@ -223,8 +203,3 @@
     this.violations.push({ rule, atMs: Math.round(this.now()), detail })
   }
 }
-
-/** Returns the names of all tasks of the first occurrence of a job. */
-export function listTasks (job: SubmittedJob): string[] {
-  return job.spec.steps.flatMap((step, index) => Array.from({ length: step.taskCount }, (_unused, task) => `${job.id}.0.${index}.${task}`))
-}
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -8,7 +8,8 @@
 import { RandomSource } from '@vanillathread/policy'
 import { FleetFeedsStandIn, FleetStandIn, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
 import { countCalls, createNaiveClients, type NaiveOwner } from './labVmClients.js'
-import { JobHistory, type SubmittedJob } from './JobHistory.js'
+import { JobHistory } from './JobHistory.js'
+import type { SubmittedJob } from './SubmittedJob.js'
 import { MemoryPeerNetwork } from './MemoryPeerNetwork.js'
 
 /** Options of {@link JobLab.create}. */
--- a/packages/integration/src/ordersOfFormerOwners.test.ts
+++ b/packages/integration/src/ordersOfFormerOwners.test.ts
@@ -53,4 +53,21 @@
       assert.equal(lab.history.violations, [], `seed ${seed}`)
     }
   })
+
+  it('are not placed on a machine whose maintenance the former owner has ordered', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5 })
+      await lab.start()
+      lab.fleet.orderDelayMs = ORDER_DELAY_MS
+      const machines = lab.fleet.vms.map((vm) => vm.entry.machine ?? '')
+      const maintenances = () => lab.daemons.flatMap(({ log }) => log.records).filter(({ code }) => code === EventCode.MaintenanceOrdered).length
+      lab.requestWave(1, machines, 2)
+      while (maintenances() === 0) await lab.timers.advance(5)
+      const killed = lab.crashDaemon(lab.findOwner(), 1_000)
+      lab.submit(createJob(createStep({ taskCount: 8, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+      await killed
+      await lab.finish(30_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
 })
