Do not count an adopted run as available while a stop of the former owner may be ending it

Callers would see one task more of a step away than may be. Cause: a VM lists a run until its stop has ended, up to stop-ms (0.2 to 0.9 s) later, and a successor that adopts the run cannot see that it was stopped. Change: an adopted run counts as available once a report that was requested stop-ms after the VM first answered this owner, and so refuses stops of former ones, lists it. An unused field goes.

--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -79,7 +79,7 @@
   private readonly retention = JobRetention.create()
 
   private constructor (private readonly options: JobSchedulerOptions) {
-    this.state = SchedulerState.create(options.logDecision)
+    this.state = SchedulerState.create(options.logDecision, options.stopMs)
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
     this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -44,10 +44,11 @@
   /** By VM id, since a task was last done there: the number of pauses, and the jobs with failed tasks since the last pause. */
   private readonly failuresByVm = new Map<string, { jobs: Set<string>, pauses: number }>()
 
-  private constructor (readonly logDecision: DecisionLogger) {}
+  private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number) {}
 
-  static create (logDecision: DecisionLogger): SchedulerState {
-    return new SchedulerState(logDecision)
+  /** @param stopMs - longest time from a VM's answer to a stop until the run has ended. */
+  static create (logDecision: DecisionLogger, stopMs: number): SchedulerState {
+    return new SchedulerState(logDecision, stopMs)
   }
 
   takeOrders (): Order[] {
@@ -106,6 +107,7 @@
     const run = TrackedRun.create(task, number, vm.id, nowMs)
     // A previous owner may have changed the pace.
     run.orderedPacePercent = Number.NaN
+    run.mayBeStopping = true
     task.lastRun = Math.max(task.lastRun, number)
     task.runs.add(run)
     task.begun = true
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -44,14 +44,14 @@
   stopAnsweredAtMs: number | undefined
   stopSentAtMs: number | undefined
   stopReason: StopReason | undefined
+  /** True if a former owner may have ordered the stop of this run, which the VM then lists until the stop has ended. */
+  mayBeStopping = false
   /** Pace at which the task works according to the VM's last report, in percent. */
   percent = 0
   /** Last reported tail latency in milliseconds for a latency-sensitive task, otherwise thousandths of a core in use. */
   usage: number | undefined
   /** Pace that the owner last ordered, in percent; `NaN` if the pace in force is not known. */
   orderedPacePercent = 100
-  /** Time since which the VM has listed the run at full pace. No code sets it at present. */
-  atWorkSinceMs: number | undefined
   readonly name: string
 
   private constructor (
--- a/packages/policy/src/lib/jobs/evacuateVm.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.ts
@@ -35,11 +35,11 @@
   return unavailableCount < step.spec.mayMiss
 }
 
-/** Returns true if one of a task's runs works at full pace on a registered VM that answers. */
+/** Returns true if one of a task's runs works at full pace on a registered VM that answers, and no stop of a former owner may be ending it. */
 function isAvailable (state: SchedulerState, runs: ReadonlySet<TrackedRun>): boolean {
   for (const run of runs) {
     const vm = state.vms.get(run.vmId)
-    if (run.phase === RunPhase.Running && run.percent >= 100 && vm?.registered === true && vm.unresponsiveSinceMs === undefined) return true
+    if (run.phase === RunPhase.Running && !run.mayBeStopping && run.percent >= 100 && vm?.registered === true && vm.unresponsiveSinceMs === undefined) return true
   }
   return false
 }
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -18,6 +18,7 @@
  */
 export function reconcileReport (state: SchedulerState, vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
   if (report.bornMs !== undefined && report.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, report.bornMs)
+  vm.answeredAtMs ??= nowMs
   vm.isReconciled = true
   vm.unresponsiveSinceMs = undefined
   vm.observeClock(report.clockMs, nowMs)
@@ -25,7 +26,9 @@
   const listed = new Set<TrackedRun>()
   for (const entry of report.running) {
     const run = applyRunning(state, vm, entry, nowMs)
-    if (run !== undefined) listed.add(run)
+    if (run === undefined) continue
+    listed.add(run)
+    if (sentAtMs >= vm.answeredAtMs + state.stopMs) run.mayBeStopping = false
   }
   if (!allEndsApplied) return
   for (const run of [...vm.runs.values()]) {
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -38,6 +38,8 @@
   recordUnconfirmed = false
   /** Time from which a VM that the store listed at the takeover certainly has no runs of previous owners, if that was recorded. */
   previousLeaseExpiresAtMs: number | undefined
+  /** Time at which the VM first answered this owner, and so refuses orders of former ones; undefined before. */
+  answeredAtMs: number | undefined
   /** Time at which the registration disappeared, or undefined while the VM is registered. */
   unregisteredAtMs: number | undefined
   /** Time since which the VM has been unresponsive, or undefined while it answers. */
@@ -176,6 +178,7 @@
     this.clockMs = 0
     this.clockReadAtMs = 0
     this.leaseUntilClockMs = 0
+    this.answeredAtMs = undefined
     this.isReconciled = false
     return lost
   }
--- a/packages/policy/src/lib/vms/VmRegistry.test.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.test.ts
@@ -7,7 +7,7 @@
 import { VmRegistry } from './VmRegistry.js'
 
 function createRegistry (): VmRegistry {
-  return VmRegistry.create({ state: SchedulerState.create(() => {}), leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, onForget: () => {} })
+  return VmRegistry.create({ state: SchedulerState.create(() => {}, 900), leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, onForget: () => {} })
 }
 
 describe('VmRegistry', ({ it }) => {
