Do not stop a start without an answer because of an older report

Callers would see a lasting task that had just begun to work end again. Cause: a report that lacks the run was taken as proof that it had not begun, also if it was requested before the start's outcome was unknown and may have left the VM before the start arrived. Change: only a report that was requested later leads to the stop.

--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -119,7 +119,7 @@
   restoreRun (taskName: string, number: number, vm: TrackedVm, nowMs: number): void {
     const { task } = this.findTask(taskName)
     if (task === undefined || task.done || task.step.occurrence.job.isOver) return
-    this.adoptRun(task, vm, number, nowMs).phase = RunPhase.Unknown
+    this.adoptRun(task, vm, number, nowMs).markUnknown(nowMs)
   }
 
   /** Orders the stop of a run, unless that was done before. */
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -40,6 +40,8 @@
   phase = RunPhase.Ordered
   /** Time at which the VM first confirmed the run, by its answer to the start or in a report. */
   confirmedAtMs: number | undefined
+  /** Time since which the outcome of the start is unknown. */
+  unknownSinceMs: number | undefined
   /** Time at which the VM answered a stop. A report that was requested later and lacks the run proves that the run has ended. */
   stopAnsweredAtMs: number | undefined
   stopSentAtMs: number | undefined
@@ -69,6 +71,12 @@
     return `${this.name}#${this.number}`
   }
 
+  /** Records that the start got no answer, so that the VM may have carried it out. */
+  markUnknown (nowMs: number): void {
+    this.phase = RunPhase.Unknown
+    this.unknownSinceMs = nowMs
+  }
+
   static create (task: TrackedTask, number: number, vmId: string, orderedAtMs: number): TrackedRun {
     return new TrackedRun(task, number, vmId, orderedAtMs)
   }
--- a/packages/policy/src/lib/jobs/applyStartOutcome.ts
+++ b/packages/policy/src/lib/jobs/applyStartOutcome.ts
@@ -23,7 +23,7 @@
     return
   }
   if (outcome === StartOutcome.Unknown) {
-    if (run.phase === RunPhase.Ordered) run.phase = RunPhase.Unknown
+    if (run.phase === RunPhase.Ordered) run.markUnknown(nowMs)
     return
   }
   // If a stop was ordered meanwhile, its answer and the reports after it show whether the run exists.
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -106,14 +106,15 @@
 /**
  * Handles a run that a report lacks although the report lists all ends. The run is lost if the report was requested after the
  * VM had confirmed the run or answered its stop. If the start of the run got no answer, a stop is ordered, as the VM may still
- * carry out the start.
+ * carry out the start, unless the report was requested before that was known.
  */
 function applyUnlistedRun (state: SchedulerState, vm: TrackedVm, run: TrackedRun, sentAtMs: number, nowMs: number): void {
   switch (run.phase) {
     case RunPhase.Ordered:
       return
     case RunPhase.Unknown:
-      state.stopRun(run, StopReason.NoAnswer, nowMs)
+      // An older report may have left the VM before the start arrived there.
+      if (sentAtMs >= (run.unknownSinceMs ?? 0)) state.stopRun(run, StopReason.NoAnswer, nowMs)
       return
     case RunPhase.Running:
       if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) state.loseRuns(vm, [run], 'VM does not list the run')
