Do not track the record of a VM whose machine runs a newer VM, whichever is read first

Callers would see the tasks of a live VM end by an order for its machine. Cause: records of the roster are read in the order of their keys; an older VM that came after the newer one of its machine was tracked beside it, and the machine's operation then asked the older one whether it was evacuated. Change: a VM of a machine that has a newer one is not tracked, and its record is removed. Measured: the unit of VmRegistry failed before; policy and lab tests of jobs, hand-overs and leases pass.

--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -51,6 +51,7 @@
   /** Applies a new or changed registration. @returns true if the VM drains and did not before, as far as this owner knows. */
   apply (entry: VmEntry): boolean {
     const { state } = this.options
+    if (this.isReplaced(entry)) return false
     this.retireReplaced(entry)
     if (this.retired.get(entry.id) === entry.bornMs) return false
     this.retired.delete(entry.id)
@@ -79,7 +80,10 @@
   restore ({ entry, leaseEndMs, runs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
     const drains = this.apply(entry)
     const vm = this.options.state.vms.get(entry.id)
-    if (vm === undefined) return false
+    if (vm === undefined) {
+      this.forgotten.add(entry.id)
+      return false
+    }
     vm.recorded = true
     vm.mayHavePreviousRuns = true
     vm.recordedLeaseEndMs = leaseEndMs
@@ -154,6 +158,12 @@
     return Math.min(vm.previousLeaseExpiresAtMs ?? Infinity, this.getPreviousLeaseExpiryMs())
   }
 
+  /** Returns true if a newer VM is tracked on the machine of an entry, which proves that the entry's VM has ended. */
+  private isReplaced (entry: VmEntry): boolean {
+    if (entry.machine === undefined) return false
+    return [...this.options.state.vms.values()].some((vm) => vm.entry.machine === entry.machine && vm.id !== entry.id && vm.entry.bornMs > entry.bornMs)
+  }
+
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
   private retireReplaced (entry: VmEntry): void {
     if (entry.machine === undefined) return
