Take a VM's runs for known only once the jobs of all of them are read

Callers would see tasks end by an order for a machine that seemed empty, or a VM filled beyond its capacity. Cause: a VM counted as reconciled after its first report, also while runs in it belonged to jobs that the successor had not read, because they were accepted while it loaded the shard.

--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -48,7 +48,8 @@
       // A VM lists its end entries again until they are acknowledged, so the next long poll waits for their commit.
       // The VM gets no lease until the recorded end of its former one is withdrawn.
       if (vm.appliedEnd > vm.acknowledgedEnd || (vm.unresponsiveSinceMs === undefined && !vm.mayBeLeased)) await this.waitForCommit()
-      else if (vm.unresponsiveSinceMs !== undefined) await delay(timers, taskOptions.unresponsiveRetryMs)
+      // A VM that answers is not reconciled while jobs of its runs are being read from the store.
+      else if (vm.unresponsiveSinceMs !== undefined || !vm.isReconciled) await delay(timers, taskOptions.unresponsiveRetryMs)
     }
   }
 
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -19,17 +19,19 @@
 export function reconcileReport (state: SchedulerState, vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
   if (report.bornMs !== undefined && report.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, report.bornMs)
   vm.answeredAtMs ??= nowMs
-  vm.isReconciled = true
   vm.unresponsiveSinceMs = undefined
   vm.observeClock(report.clockMs, nowMs)
   const allEndsApplied = applyEnds(state, vm, report, nowMs)
   const listed = new Set<TrackedRun>()
+  let allRunsKnown = true
   for (const entry of report.running) {
-    const run = applyRunning(state, vm, entry, nowMs)
+    const { run, unread } = applyRunning(state, vm, entry, nowMs)
+    if (unread) allRunsKnown = false
     if (run === undefined) continue
     listed.add(run)
     if (sentAtMs >= vm.answeredAtMs + state.stopMs) run.mayBeStopping = false
   }
+  vm.isReconciled ||= allRunsKnown
   if (!allEndsApplied) return
   for (const run of [...vm.runs.values()]) {
     if (!listed.has(run)) applyUnlistedRun(state, vm, run, sentAtMs, nowMs)
@@ -60,19 +62,20 @@
   return report.ends.length < MAX_ENDS_PER_REPORT
 }
 
-function applyRunning (state: SchedulerState, vm: TrackedVm, entry: RunningEntry, nowMs: number): TrackedRun | undefined {
+/** Returns the listed run, or `unread` as true if its job has to be read first. */
+function applyRunning (state: SchedulerState, vm: TrackedVm, entry: RunningEntry, nowMs: number): { readonly run?: TrackedRun, readonly unread: boolean } {
   let run = vm.runs.get(`${entry.task}#${entry.run}`)
   const adopted = run === undefined
   if (run === undefined) {
     const { task, unread } = state.findTask(entry.task)
-    if (unread || task === undefined) return undefined
+    if (unread || task === undefined) return { unread }
     run = state.adoptRun(task, vm, entry.run, nowMs)
     state.logDecision(EventCode.TaskAdopted, { task: entry.task, run: entry.run, vm: vm.id })
     loseEarlierRuns(state, run)
   }
   confirmRun(run, entry, nowMs)
   if (adopted && !isWanted(run.task, run)) state.stopRun(run, StopReason.Unwanted, nowMs)
-  return run
+  return { run, unread: false }
 }
 
 /**
