Stop tasks of a draining VM only once allowed stops of their step have ended elsewhere

Cause: a stop takes up to stop-ms (0.9 s). Tasks of a VM that begins to drain were stopped meanwhile without regard to the limit, so that they were away when the earlier stop ended. Change: such a task waits for stops of its step that are under way on VMs that do not drain.

--- a/packages/policy/src/lib/jobs/evacuateVm.test.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.test.ts
@@ -1,6 +1,7 @@
 /**
  * Which tasks are stopped on a VM that is evacuated, and when.
  */
+import { RunEnd } from '@vanillathread/model'
 import { assert, describe } from '@vanillathread/testing'
 import { StopReason } from './TrackedRun.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, reportRunning, planAndAccept, STOP_MS } from './testSupport.js'
@@ -81,4 +82,21 @@
     planAndAccept(scheduler, STOP_MS + 100)
     assert.is(listStops().length, 1)
   })
+
+  it('stops no task of a draining VM while a stop of its step is under way on a VM that does not drain', () => {
+    const { scheduler, used } = prepare()
+    const [first, second] = used
+    if (first === undefined || second === undefined) throw new Error('tasks were not spread')
+    scheduler.evacuate(first.id, 0)
+    planAndAccept(scheduler, 200)
+    scheduler.applyRegistration({ ...second.entry, draining: true }, 210)
+    planAndAccept(scheduler, 220)
+    assert.equal([...second.runs.values()].map((run) => run.stopReason), [undefined], 'the stop on the first VM has not ended')
+    const [stopped] = first.runs.values()
+    if (stopped === undefined) throw new Error('no task was stopped')
+    const end = { number: 1, task: stopped.name, run: stopped.number, end: RunEnd.Stopped, checkpoint: '' }
+    scheduler.applyReport(first, { clockMs: 300, bornMs: 1, running: [], ends: [end] }, 290, 300)
+    planAndAccept(scheduler, 310)
+    assert.equal([...second.runs.values()].map((run) => run.stopReason), [StopReason.Evacuation])
+  })
 })
--- a/packages/policy/src/lib/jobs/evacuateVm.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.ts
@@ -19,8 +19,9 @@
       if (nowMs >= stopFiniteAtMs) state.stopRun(run, StopReason.Evacuation, nowMs)
       continue
     }
-    // A draining VM soon ends its tasks itself, so waiting for unavailable tasks of the step to return gains nothing.
-    const allowed = vm.entry.draining || canInterruptTask(state, step)
+    // A draining VM soon ends its tasks itself, so waiting for unavailable tasks of the step to return gains nothing. A stop
+    // that is under way on another VM was allowed beside fewer unavailable tasks, though, and ends first.
+    const allowed = canInterruptTask(state, step) || (vm.entry.draining && !isStopUnderWay(state, step))
     if (allowed && hasRoomElsewhere(state, vm, run, nowMs)) state.stopRun(run, StopReason.Evacuation, nowMs)
   }
 }
@@ -35,6 +36,11 @@
   return unavailableCount < step.spec.mayMiss
 }
 
+/** Returns true if a task of the step is being stopped on a VM that does not drain. */
+function isStopUnderWay (state: SchedulerState, step: TrackedStep): boolean {
+  return step.tasks.some((task) => [...task.runs].some((run) => run.phase === RunPhase.Stopping && state.vms.get(run.vmId)?.entry.draining === false))
+}
+
 /** Returns true if one of a task's runs works at full pace on a registered VM that answers, and no stop of a former owner may be ending it. */
 function isAvailable (state: SchedulerState, runs: ReadonlySet<TrackedRun>): boolean {
   for (const run of runs) {
