Failing tests: a task that crashes every VM that starts it

Cause: lost runs leave no trace in the job, copies spread the crash, and lost jobs rank first. Change: stand-in VMs crash under chosen tasks and are back after 3 s; the lab checks BUDGET for them, and that innocent jobs complete beside them, under loss of owners and beside crashes that no task causes.

--- /dev/null
+++ b/packages/integration/src/deadlyTasks.test.ts
@@ -0,0 +1,81 @@
+/**
+ * Tasks that crash every VM that starts them, beside jobs that are innocent.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import { JobState } from '@vanillathread/model'
+import { createJob, createStep, JobLab, type JobLabOptions } from './lib/jobs/JobLab.js'
+import { SEEDS } from './lib/jobs/simulateWithFault.js'
+
+/** Crashes that show that a task is at fault: the first one, and that of the VM on which it was started alone. */
+const EXPECTED_CRASHES = 2
+
+/** Crashes of which an owner that was killed may have known nothing. */
+const CRASHES_OF_LOST_OWNERS = 1
+
+/** Submits a steady load with one deadly job in six, for 6 s, and lets it settle. */
+async function simulateLoad (lab: JobLab, onJob: (job: number) => void = () => {}): Promise<void> {
+  await lab.start()
+  for (let job = 0; job < 24; job++) {
+    lab.submit(createJob(createStep({ taskCount: 4, estimateMs: 500 })), { deadlyTask: job % 6 === 2 ? job % 4 : undefined })
+    onJob(job)
+    await lab.run(250)
+  }
+  await lab.finish(40_000)
+}
+
+function listStates (lab: JobLab, deadly: boolean): Array<JobState | undefined> {
+  return [...lab.history.jobs.values()].filter((job) => job.accepted && (job.deadlyTask !== undefined) === deadly).map(({ shownState }) => shownState)
+}
+
+function createLab (seed: number, options: Partial<JobLabOptions> = {}): JobLab {
+  return JobLab.create({ seed, daemons: 5, ...options })
+}
+
+describe('a task that crashes every VM that starts it', ({ it }) => {
+  it('is given up after two crashes, and innocent jobs of its queue complete', async () => {
+    for (const seed of SEEDS) {
+      const lab = createLab(seed)
+      await simulateLoad(lab)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+      assert.ok(listStates(lab, true).every((state) => state === JobState.Failed), `seed ${seed}: deadly jobs are failed`)
+      assert.ok(listStates(lab, false).every((state) => state === JobState.Complete), `seed ${seed}: innocent jobs are complete`)
+      assert.ok(Math.max(...lab.history.crashes.values()) <= EXPECTED_CRASHES, `seed ${seed}: ${[...lab.history.crashes.values()].join()} crashes`)
+    }
+  })
+
+  it('is given up although owners are killed between its crashes', async () => {
+    for (const seed of SEEDS) {
+      const lab = createLab(seed)
+      await simulateLoad(lab, (job) => { if (job % 8 === 5) lab.crashDaemon(lab.findOwner(), 1_500) })
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+      assert.ok(Math.max(...lab.history.crashes.values()) <= EXPECTED_CRASHES + CRASHES_OF_LOST_OWNERS, `seed ${seed}: ${[...lab.history.crashes.values()].join()} crashes`)
+    }
+  })
+
+  it('is given up if it is long-running, and so is one that may have copies', async () => {
+    for (const seed of SEEDS) {
+      const lab = createLab(seed)
+      await lab.start()
+      lab.submit(createJob(createStep({ longRunning: true, taskCount: 3 })), { deadlyTask: 1 })
+      lab.submit(createJob(createStep({ speculative: true, taskCount: 3 })), { deadlyTask: 1 })
+      await lab.finish(30_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+      assert.ok(listStates(lab, true).every((state) => state === JobState.Failed), `seed ${seed}: deadly jobs are failed`)
+      assert.ok(Math.max(...lab.history.crashes.values()) <= EXPECTED_CRASHES, `seed ${seed}: ${[...lab.history.crashes.values()].join()} crashes`)
+    }
+  })
+})
+
+describe('jobs on VMs that crash without any task being at fault', ({ it }) => {
+  it('are not given up, also beside a deadly task', async () => {
+    for (const seed of SEEDS) {
+      const lab = createLab(seed)
+      await simulateLoad(lab, (job) => {
+        if (job % 3 !== 0) return
+        for (const vm of lab.random.sample(lab.fleet.vms.filter(({ runs }) => runs.size > 0), 1)) lab.fleet.crash(vm.entry.machine ?? '', 1_400)
+      })
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+      assert.ok(listStates(lab, false).every((state) => state === JobState.Complete), `seed ${seed}: innocent jobs are complete`)
+    }
+  })
+})
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -12,7 +12,7 @@
   /**
    * Short name of the invariant:
    * - `TWICE`: a task runs on two VMs, or starts after its end as done was acknowledged.
-   * - `BUDGET`: a finite task starts after it has failed as often as the attempts allow.
+   * - `BUDGET`: a finite task starts after it has failed as often as the attempts allow, or a task that crashes VMs starts too often.
    * - `LIMIT`: the capacity of a VM or the concurrency cap of a wave is exceeded.
    * - `AVAIL`: an order for a machine or a stop makes more long-running tasks unavailable than `mayMiss` allows.
    * - `MIXED`: a job or a wave is reported as complete too early.
@@ -27,6 +27,13 @@
   readonly detail: string
 }
 
+/** Number of VMs that a task must have crashed before its job may be given up. */
+const CRASHES_TO_GIVE_UP = 2
+
+/** Number of VMs after whose crash the starts of a task are counted, and the count that breaks the rule BUDGET. */
+const CRASHES_BEFORE_LAST_STARTS = 3
+const MAX_STARTS_AFTER_CRASHES = 3
+
 /** Records events of a simulation and checks the invariants. */
 export class JobHistory implements VmObserver, MachineObserver {
   readonly violations: JobViolation[] = []
@@ -45,6 +52,10 @@
   /** Number of failed ends that the owner has acknowledged, by task. Each of them permanently counts as an attempt. */
   private readonly acknowledgedFailures = new Map<string, number>()
 
+  /** Number of VMs that a task has crashed, by task. */
+  readonly crashes = new Map<string, number>()
+  /** Number of starts of a task after it had crashed {@link CRASHES_BEFORE_LAST_STARTS} VMs, by task. */
+  private readonly startsAfterCrashes = new Map<string, number>()
   private readonly availability: AvailabilityCheck
 
   private constructor (private readonly now: () => number, private readonly maxAttempts: number) {
@@ -68,11 +79,17 @@
     if (this.acknowledgedDone.has(run.task)) this.addViolation('TWICE', `${run.task} started after its end was acknowledged`)
     this.checkCapacity(vm)
     if (job !== undefined) this.checkStepOrder(run.task, job)
+    this.checkCrashes(run.task)
     // Long-running tasks have no limit: they are started again even if they failed.
     const hasAttemptLimit = run.behaviour.durationMs !== undefined
     if (hasAttemptLimit && (this.acknowledgedFailures.get(run.task) ?? 0) >= this.maxAttempts) this.addViolation('BUDGET', `${run.task} started after ${this.maxAttempts} failures`)
   }
 
+  /** Records that a run crashes its VM. */
+  recordCrash ({ task }: VmStandInRun): void {
+    this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1)
+  }
+
   onEnd (vm: ObservedVm, run: VmStandInRun, end: RunEnd): void {
     this.live.get(run.task)?.delete(vm)
     this.availability.recordEnd(vm, run, end)
@@ -126,7 +143,7 @@
         if (!this.ended.has(task)) this.addViolation('MIXED', `${job.id} is shown as complete, but ${task} has not ended`)
       }
     }
-    if (state === JobState.Failed && !this.hasSpentAttempts(job)) this.addViolation('LOST', `${job.id} is shown as failed without cause`)
+    if (state === JobState.Failed && !this.hasSpentAttempts(job) && !this.hasCrashedVms(job)) this.addViolation('LOST', `${job.id} is shown as failed without cause`)
     if (state === JobState.Cancelled && !job.cancelled) this.addViolation('LOST', `${job.id} is shown as cancelled without cause`)
   }
 
@@ -145,11 +162,11 @@
     for (const job of this.jobs.values()) {
       if (!job.accepted || job.cancelled) continue
       const hasLongRunningStep = job.spec.steps.some((step) => step.longRunning)
-      if (hasLongRunningStep) {
+      if (hasLongRunningStep && !this.hasCrashedVms(job)) {
         for (const task of listTasks(job)) {
           if (!this.isRunning(task)) this.addViolation('LOST', `long-running ${task} does not run`)
         }
-      } else if (job.shownState !== (this.hasSpentAttempts(job) ? JobState.Failed : JobState.Complete)) {
+      } else if (job.shownState !== (this.hasSpentAttempts(job) || this.hasCrashedVms(job) ? JobState.Failed : JobState.Complete)) {
         this.addViolation('LOST', `${job.id} was accepted, but is shown as ${job.shownState ?? 'nothing'}`)
       }
     }
@@ -170,6 +187,18 @@
     return listTasks(job).some((task) => (this.failedEnds.get(task) ?? 0) >= this.maxAttempts)
   }
 
+  /** Returns true if a task of the job has crashed as many VMs as it takes to give the job up. */
+  private hasCrashedVms (job: SubmittedJob): boolean {
+    return listTasks(job).some((task) => (this.crashes.get(task) ?? 0) >= CRASHES_TO_GIVE_UP)
+  }
+
+  private checkCrashes (task: string): void {
+    if ((this.crashes.get(task) ?? 0) < CRASHES_BEFORE_LAST_STARTS) return
+    const starts = (this.startsAfterCrashes.get(task) ?? 0) + 1
+    this.startsAfterCrashes.set(task, starts)
+    if (starts >= MAX_STARTS_AFTER_CRASHES) this.addViolation('BUDGET', `${task} is started for the ${starts}th time after it crashed ${CRASHES_BEFORE_LAST_STARTS} VMs`)
+  }
+
   /** Checks that a run belongs to a submitted job that was not refused and has its payload. Returns the job. */
   private checkSubmitted (run: VmStandInRun, call: StartCall): SubmittedJob | undefined {
     const job = this.jobs.get(parseTaskName(run.task)?.jobId ?? '')
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -78,6 +78,7 @@
       vmObserver: this.history,
       machineObserver: this.history,
       getBehaviour: (task) => this.getBehaviour(task),
+      onCrash: (run) => this.history.recordCrash(run),
     })
   }
 
@@ -148,9 +149,9 @@
   }
 
   /** Submits a job as a client does: after an attempt without an answer, it retries with a random daemon. */
-  async submit (spec: JobSpec, options: { poison?: boolean, queue?: number } = {}): Promise<SubmittedJob> {
+  async submit (spec: JobSpec, options: { poison?: boolean, deadlyTask?: number, queue?: number } = {}): Promise<SubmittedJob> {
     const id = (this.nextJobNumber++).toString(16).padStart(16, '0')
-    const job: SubmittedJob = { id, spec, poison: options.poison ?? false, accepted: false, refused: false, cancelled: false, submittedAtMs: this.timers.now(), queue: options.queue ?? 0 }
+    const job: SubmittedJob = { id, spec, poison: options.poison ?? false, deadlyTask: options.deadlyTask, accepted: false, refused: false, cancelled: false, submittedAtMs: this.timers.now(), queue: options.queue ?? 0 }
     this.history.jobs.set(id, job)
     const path = `${LAB_QUEUES[options.queue ?? 0]}${id}`
     let unanswered = false
@@ -241,6 +242,7 @@
     return {
       durationMs: step?.longRunning === true ? undefined : step?.estimateMs ?? 0,
       fails: job?.poison ?? false,
+      crashesVm: job?.deadlyTask !== undefined && name?.step === 0 && name.index === job.deadlyTask,
       cpuMillis: step?.need.cpuMillis ?? 0,
       memoryMb: step?.need.memoryMb ?? 0,
     }
--- a/packages/integration/src/lib/jobs/SubmittedJob.ts
+++ b/packages/integration/src/lib/jobs/SubmittedJob.ts
@@ -9,6 +9,8 @@
   readonly spec: JobSpec
   /** True if every run of the job's tasks fails. */
   readonly poison: boolean
+  /** Index of the task of the first step whose runs crash their VMs, if there is one. */
+  readonly deadlyTask?: number
   /** True if a daemon answered the client that the job is accepted. */
   accepted: boolean
   /** True if the job was refused. Stays false after an attempt without an answer, which may have stored the job. */
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -12,6 +12,9 @@
 const MOVE_MS = 1_500
 const MAINTENANCE_MS = 2_000
 
+/** Time from the crash of a VM by a task until its machine has a new VM. */
+const CRASHED_VM_DOWN_MS = 3_000
+
 /** Time from the end of a VM until its registration expires. */
 const REGISTRATION_TTL_MS = 4_500
 
@@ -35,6 +38,8 @@
   readonly vmObserver: VmObserver
   readonly machineObserver: MachineObserver
   getBehaviour: VmStandInOptions['getBehaviour']
+  /** Called before a run crashes its VM. */
+  onCrash? (run: VmStandInRun): void
   readonly ignoresLease?: boolean
 }
 
@@ -222,7 +227,17 @@
 
   private createVm (entry: VmEntry): VmStandIn {
     const { timers, vmObserver, getBehaviour, ignoresLease } = this.options
-    return VmStandIn.create({ entry, timers, observer: vmObserver, getBehaviour, ignoresLease })
+    return VmStandIn.create({
+      entry,
+      timers,
+      observer: vmObserver,
+      getBehaviour,
+      ignoresLease,
+      onCrash: (run) => {
+        this.options.onCrash?.(run)
+        this.crash(entry.machine ?? '', CRASHED_VM_DOWN_MS)
+      },
+    })
   }
 
   private unregister (vm: VmStandIn): void {
--- a/packages/stand-ins/src/lib/jobs/VmStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/VmStandIn.ts
@@ -40,6 +40,8 @@
   readonly durationMs?: number
   /** True if every run of the task fails. */
   readonly fails: boolean
+  /** True if every run of the task crashes its VM. */
+  readonly crashesVm?: boolean
   /** Thousandths of a core that each run needs. */
   readonly cpuMillis: number
   readonly memoryMb: number
@@ -79,6 +81,8 @@
   getBehaviour (task: string): TaskBehaviour
   /** True if runs go on after the lease has expired, which breaks the contract of VMs. */
   readonly ignoresLease?: boolean
+  /** Called when a run crashes the VM, which is to be killed. */
+  onCrash? (run: VmStandInRun): void
 }
 
 /** One incarnation of a VM. @public */
@@ -174,6 +178,7 @@
     const run: VmStandInRun = { task: call.task, run: call.run, startedAtMs: this.options.timers.now(), behaviour }
     this.runs.set(`${call.task}#${call.run}`, run)
     this.options.observer.onStart(this, run, call)
+    if (behaviour.crashesVm === true) this.options.timers.after(CRASH_DELAY_MS, () => { if (this.runs.get(`${call.task}#${call.run}`) === run) this.options.onCrash?.(run) })
     const fails = behaviour.fails || this.fault === VmFault.FailsTasks
     const endsAfterMs = fails ? TASK_FAILURE_DELAY_MS : behaviour.durationMs
     if (endsAfterMs !== undefined) this.options.timers.after(endsAfterMs, () => this.end(run, fails ? RunEnd.Failed : RunEnd.Done))
@@ -264,5 +269,8 @@
   }
 }
 
+/** Time from the start of a task that crashes its VM until the crash. */
+const CRASH_DELAY_MS = 10
+
 /** Time from its start until a failing task fails. */
 const TASK_FAILURE_DELAY_MS = 100
