--- a/packages/policy/src/lib/jobs/JobProgress.ts
+++ b/packages/policy/src/lib/jobs/JobProgress.ts
@@ -2,6 +2,7 @@
  * The progress of a job as its owner writes it to the store, in a row beside the accepted job.
  */
 import type { JobState } from '@vanillathread/model'
+import type { TaskCrash } from './TrackedTask.js'
 
 /** Progress of one occurrence that has not ended. @public */
 export interface OccurrenceProgress {
@@ -10,8 +11,8 @@
   readonly done: ReadonlyArray<readonly [number, readonly number[]]>
   /** For each task with failed runs: the index of its step, its own index, and the numbers of these runs. */
   readonly failed: ReadonlyArray<readonly [number, number, readonly number[]]>
-  /** For each task that may have crashed VMs: the index of its step, its own index, and the ids of these VMs. */
-  readonly crashed?: ReadonlyArray<readonly [number, number, readonly string[]]>
+  /** For each task that may have crashed VMs: the index of its step, its own index, and these crashes. */
+  readonly crashed?: ReadonlyArray<readonly [number, number, readonly TaskCrash[]]>
 }
 
 /** Progress of a job. @public */
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -3,7 +3,7 @@
  */
 import { isFinalState, JobState, type AcceptedJob, type StepSpec } from '@vanillathread/model'
 import type { JobProgress, OccurrenceProgress } from './JobProgress.js'
-import { TrackedTask } from './TrackedTask.js'
+import { TrackedTask, type TaskCrash } from './TrackedTask.js'
 
 /** One step of an occurrence. @public */
 export class TrackedStep {
@@ -167,16 +167,16 @@
 
   /** Returns the tasks that may have crashed a VM. */
   listSuspects (): TrackedTask[] {
-    return [...this.occurrences.values()].flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks.filter(({ crashedVms }) => crashedVms.length > 0)))
+    return [...this.occurrences.values()].flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks.filter(({ crashes }) => crashes.length > 0)))
   }
 
   /** Records that progress of the job is stored. */
   markStored (progress: JobProgress): void {
     this.storedState = progress.state
     for (const { index, crashed = [] } of progress.occurrences) {
-      for (const [step, task, vmIds] of crashed) {
+      for (const [step, task, crashes] of crashed) {
         const stored = this.findTask(index, step, task)
-        if (stored !== undefined) stored.storedCrashCount = Math.min(vmIds.length, stored.crashedVms.length)
+        if (stored !== undefined) stored.storedCrashCount = Math.min(crashes.length, stored.crashes.length)
       }
     }
   }
@@ -237,21 +237,21 @@
       const task = occurrence?.steps[step]?.tasks[index]
       for (const run of runs) task?.failedRuns.add(run)
     }
-    for (const [step, index, vmIds] of saved.crashed ?? []) occurrence?.steps[step]?.tasks[index]?.restoreCrashes(vmIds)
+    for (const [step, index, crashes] of saved.crashed ?? []) occurrence?.steps[step]?.tasks[index]?.restoreCrashes(crashes)
   }
 }
 
 function toOccurrenceProgress (occurrence: TrackedOccurrence): OccurrenceProgress {
   const done: Array<[number, number[]]> = []
   const failed: Array<[number, number, number[]]> = []
-  const crashed: Array<[number, number, readonly string[]]> = []
+  const crashed: Array<[number, number, readonly TaskCrash[]]> = []
   for (const step of occurrence.steps) {
     const indexes = step.tasks.filter((task) => task.done).map((task) => task.index)
     if (indexes.length > 0) done.push([step.index, indexes])
     for (const task of step.tasks) {
       // Long-running tasks have no limit of attempts, so their failures need not be stored.
       if (!step.spec.longRunning && task.failedRuns.size > 0) failed.push([step.index, task.index, [...task.failedRuns]])
-      if (!task.done && task.crashedVms.length > 0) crashed.push([step.index, task.index, task.crashedVms])
+      if (!task.done && task.crashes.length > 0) crashed.push([step.index, task.index, task.crashes])
     }
   }
   return { index: occurrence.index, done, failed, ...(crashed.length > 0 && { crashed }) }
--- a/packages/policy/src/lib/jobs/TrackedTask.ts
+++ b/packages/policy/src/lib/jobs/TrackedTask.ts
@@ -4,6 +4,13 @@
 import type { TrackedStep } from './TrackedJob.js'
 import type { TrackedRun } from './TrackedRun.js'
 
+/** A crash of a VM on which a task had just been started. @public */
+export interface TaskCrash {
+  readonly vm: string
+  /** True if the VM had confirmed the run, so that it certainly crashed under it. */
+  readonly confirmed: boolean
+}
+
 /** One task of a step. @public */
 export class TrackedTask {
   done = false
@@ -13,9 +20,9 @@
   readonly failedRuns = new Set<number>()
   /** Ids of VMs on which a run of this task failed or was overdue. */
   readonly failedVms = new Set<string>()
-  /** Ids of VMs that crashed shortly after a run of this task had begun there. */
-  crashedVms: readonly string[] = []
-  /** Number of entries of `crashedVms` that are stored. The task is not started before all are. */
+  /** VMs that crashed shortly after this task was started there. */
+  crashes: readonly TaskCrash[] = []
+  /** Number of entries of `crashes` that are stored. The task is not started before all are. */
   storedCrashCount = 0
   /** True if the next run is to be started in a trial, without tasks of other steps beside it. */
   needsTrial = false
@@ -39,28 +46,28 @@
 
   /** True if the task needs a run to be started: its first, the next after one that ended, or a second beside an overdue one. */
   get isWaiting (): boolean {
-    return !this.done && (this.runs.size === 0 || this.needsSecondRun) && this.storedCrashCount >= this.crashedVms.length
+    return !this.done && (this.runs.size === 0 || this.needsSecondRun) && this.storedCrashCount >= this.crashes.length
   }
 
   /** Records that a VM crashed under a run of this task. */
-  recordCrash (vmId: string, needsTrial: boolean): void {
-    this.crashedVms = [...this.crashedVms, vmId]
-    this.needsTrial ||= needsTrial || this.crashedVms.length > 1
+  recordCrash (crash: TaskCrash, needsTrial: boolean): void {
+    this.crashes = [...this.crashes, crash]
+    this.needsTrial ||= needsTrial || this.crashes.length > 1
     this.step.occurrence.job.changed = true
   }
 
   /** Forgets the crashes of a task that has proved innocent. */
   clearCrashes (): void {
-    this.crashedVms = []
+    this.crashes = []
     this.storedCrashCount = 0
     this.needsTrial = false
     this.step.occurrence.job.changed = true
   }
 
   /** Restores crashes that a previous owner has stored. */
-  restoreCrashes (vmIds: readonly string[]): void {
-    this.crashedVms = vmIds
-    this.storedCrashCount = vmIds.length
+  restoreCrashes (crashes: readonly TaskCrash[]): void {
+    this.crashes = crashes
+    this.storedCrashCount = crashes.length
     this.needsTrial = true
   }
 }
--- a/packages/policy/src/lib/jobs/crashBlame.ts
+++ b/packages/policy/src/lib/jobs/crashBlame.ts
@@ -20,11 +20,14 @@
 /** A run is a prime suspect if it was ordered at most this long before the last answer of the VM, or after it. */
 const PRIME_WINDOW_MS = 100
 
-/** Crashes after which a task is given up, if the last one was in a trial. */
-const CRASHES_TO_GIVE_UP = 2
+/** Confirmed crashes after which a task is given up, if the last one was in a trial; one more in any case. */
+const CONFIRMED_CRASHES_TO_GIVE_UP = 2
 
-/** Crashes after which a task is given up in any case, as the platform allows no more than two starts after them. */
-const MAX_CRASHES = 3
+/**
+ * Crashes, confirmed or not, after which a task is given up: the platform allows two starts after the third crash. A start that the VM
+ * did not confirm may have come after its crash.
+ */
+const MAX_CRASHES = 5
 
 /** Time after a crash for which the machine is used last for trials, as it may crash again by itself. */
 const MACHINE_CAUTION_MS = 10_000
@@ -39,23 +42,27 @@
   state.logDecision(EventCode.VmCrashed, { vm: vm.id, machine: vm.entry.machine, runs: vm.runs.size, trial: inTrial, suspects: suspects.slice(0, MAX_LOGGED_RUNS).map(({ name }) => name).join(' ') })
   for (const run of suspects) {
     const { task } = run
-    task.recordCrash(vm.id, isPrimeSuspect(run, vm))
+    task.recordCrash({ vm: vm.id, confirmed: run.confirmedAtMs !== undefined }, isPrimeSuspect(run, vm))
     state.suspects.add(task)
-    const { crashedVms } = task
-    if (crashedVms.length >= MAX_CRASHES || (crashedVms.length >= CRASHES_TO_GIVE_UP && inTrial)) giveUp(state, task, nowMs)
+    if (isAtFault(task, inTrial)) giveUp(state, task, nowMs)
   }
 }
 
+function isAtFault ({ crashes }: TrackedTask, inTrial: boolean): boolean {
+  const confirmed = crashes.filter((crash) => crash.confirmed).length
+  return crashes.length >= MAX_CRASHES || confirmed > CONFIRMED_CRASHES_TO_GIVE_UP || (inTrial && crashes.at(-1)?.confirmed === true && confirmed === CONFIRMED_CRASHES_TO_GIVE_UP)
+}
+
 /** Clears a task once its run has worked long enough for the run to be innocent. */
 export function clearIfInnocent (state: SchedulerState, run: TrackedRun, nowMs: number): void {
-  if (run.task.crashedVms.length === 0 || run.confirmedAtMs === undefined || nowMs - run.confirmedAtMs < CLEARED_AFTER_MS) return
+  if (run.task.crashes.length === 0 || run.confirmedAtMs === undefined || nowMs - run.confirmedAtMs < CLEARED_AFTER_MS) return
   run.task.clearCrashes()
   state.suspects.delete(run.task)
 }
 
 /** Returns true if a run may have silenced its VM, so that a copy of it may crash another one. */
 export function maySilenceVm (run: TrackedRun, vm: TrackedVm): boolean {
-  return run.task.crashedVms.length > 0 || (vm.unresponsiveSinceMs !== undefined && isPrimeSuspect(run, vm))
+  return run.task.crashes.length > 0 || (vm.unresponsiveSinceMs !== undefined && isPrimeSuspect(run, vm))
 }
 
 /** Returns true if the machine of a VM has crashed a short time ago. */
@@ -68,7 +75,7 @@
 
 function isSuspect (run: TrackedRun, vm: TrackedVm): boolean {
   const { task } = run
-  if (vm.runs.get(run.key) !== run || task.done || task.step.occurrence.job.isOver || task.crashedVms.includes(vm.id)) return false
+  if (vm.runs.get(run.key) !== run || task.done || task.step.occurrence.job.isOver || task.crashes.some((crash) => crash.vm === vm.id)) return false
   return run.confirmedAtMs === undefined || vm.lastAnswerAtMs - run.confirmedAtMs < CLEARED_AFTER_MS
 }
 
@@ -81,6 +88,6 @@
   const { job } = task.step.occurrence
   job.failed = true
   job.changed = true
-  state.logDecision(EventCode.JobGivenUp, { job: job.id, step: task.step.index, index: task.index, crashes: task.crashedVms.length, vms: task.crashedVms.join(' ') })
+  state.logDecision(EventCode.JobGivenUp, { job: job.id, step: task.step.index, index: task.index, crashes: task.crashes.length, vms: task.crashes.map((crash) => crash.vm).join(' ') })
   state.closeIfOver(job, nowMs)
 }
