Plan machines by the size that their VMs have at present, and test VMs that shrink while they run

Cause: capacity planning took the machine's listed size, subtracted the free room of the VM, and so counted room that is gone as in use. Change: the VM's own size, if the machine has a VM. LIMIT itself holds: placement goes by the registration.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -155,8 +155,8 @@
 
   /** Describes a machine for capacity planning. Returns undefined if the machine currently provides no capacity. */
   private describeMachine (machine: Machine, nowMs: number): PlannedMachine | undefined {
-    const { id, capacity } = machine
-    const idle = { id, capacity, drainable: false, usedCpuMillis: 0 }
+    const { id } = machine
+    const idle = { id, capacity: machine.capacity, drainable: false, usedCpuMillis: 0 }
     const operation = this.operations.get(id)
     if (operation?.toPool !== undefined) return { ...idle, pool: operation.toPool, movable: false }
     const vm = this.directory.findVm(id)
@@ -166,6 +166,8 @@
     if (vm !== undefined) {
       const usable = vm.isUsable(nowMs)
       const drainable = usable && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
+      // The list may show another size than the VM has at present.
+      const { capacity } = vm.entry
       return { id, capacity, pool, movable: usable && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
     }
     const standby = this.options.getPools().some((rules) => rules.standby && rules.name === machine.pool)
--- a/packages/integration/src/lib/jobs/JobHistory.ts
+++ b/packages/integration/src/lib/jobs/JobHistory.ts
@@ -1,7 +1,7 @@
 /**
  * Records what clients, VMs and the platform observe in a simulation, and the invariants that are violated.
  */
-import { JobState, parseTaskName, RunEnd, type EndEntry } from '@vanillathread/model'
+import { JobState, parseTaskName, RunEnd, type Capacity, type EndEntry } from '@vanillathread/model'
 import type { StartCall } from '@vanillathread/ports'
 import type { MachineObserver, ObservedVm, VmStandInRun, VmObserver } from '@vanillathread/stand-ins'
 import { AvailabilityCheck } from './AvailabilityCheck.js'
@@ -27,6 +27,9 @@
   readonly detail: string
 }
 
+/** Time after which an owner must know that a VM has shrunk: the platform's `contact-ms` and one heartbeat interval. */
+const RESIZE_KNOWN_AFTER_MS = 3_000 + 1_500
+
 /** Number of VMs that a task must have crashed before its job may be given up. */
 const CRASHES_TO_GIVE_UP = 2
 
@@ -58,6 +61,8 @@
   private readonly crashesUnder = new Map<string, number>()
   /** Number of starts of a task after it had crashed {@link CRASHES_BEFORE_LAST_STARTS} VMs, by task. */
   private readonly startsAfterCrashes = new Map<string, number>()
+  /** Capacities of VMs before their last change, by VM. */
+  private readonly formerCapacities = new Map<string, { readonly capacity: Capacity, readonly untilMs: number }>()
   private readonly availability: AvailabilityCheck
 
   private constructor (private readonly now: () => number, private readonly maxAttempts: number) {
@@ -87,6 +92,11 @@
     if (hasAttemptLimit && (this.acknowledgedFailures.get(run.task) ?? 0) >= this.maxAttempts) this.addViolation('BUDGET', `${run.task} started after ${this.maxAttempts} failures`)
   }
 
+  /** Records that the capacity of a VM changes. Room that has shrunk counts once its owner must have learned of it. */
+  recordResize (vm: ObservedVm, former: Capacity): void {
+    this.formerCapacities.set(vm.id, { capacity: former, untilMs: this.now() + RESIZE_KNOWN_AFTER_MS })
+  }
+
   /** Records that a VM crashes, and which run causes that, if any does. */
   recordCrash (runs: readonly VmStandInRun[], cause?: VmStandInRun): void {
     if (cause !== undefined) this.crashes.set(cause.task, (this.crashes.get(cause.task) ?? 0) + 1)
@@ -219,7 +229,9 @@
       cpuMillis += behaviour.cpuMillis
       memoryMb += behaviour.memoryMb
     }
-    const { capacity } = vm.entry
+    const former = this.formerCapacities.get(vm.id)
+    const isFormerValid = former !== undefined && former.untilMs > this.now()
+    const capacity = isFormerValid && former.capacity.cpuMillis > vm.entry.capacity.cpuMillis ? former.capacity : vm.entry.capacity
     if (cpuMillis > capacity.cpuMillis || memoryMb > capacity.memoryMb) this.addViolation('LIMIT', `${vm.id} holds ${cpuMillis} of ${capacity.cpuMillis}, ${memoryMb} MB of ${capacity.memoryMb}`)
   }
 
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -78,6 +78,7 @@
       vmObserver: this.history,
       machineObserver: this.history,
       getBehaviour: (task) => this.getBehaviour(task),
+      onResize: (vm, former) => this.history.recordResize(vm, former),
       onCrash: (runs, cause) => this.history.recordCrash(runs, cause),
     })
   }
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -38,6 +38,8 @@
   readonly vmObserver: VmObserver
   readonly machineObserver: MachineObserver
   getBehaviour: VmStandInOptions['getBehaviour']
+  /** Called before the capacity of a VM changes. */
+  onResize? (vm: VmStandIn, former: VmEntry['capacity']): void
   /** Called before a VM with the given runs crashes; `cause` is the run that crashes it, if one does. */
   onCrash? (runs: readonly VmStandInRun[], cause?: VmStandInRun): void
   readonly ignoresLease?: boolean
@@ -111,6 +113,15 @@
     this.unregister(vm)
   }
 
+  /** Changes the capacity of a machine's VM while it runs; its registration says so. */
+  resize (id: string, capacity: VmEntry['capacity']): void {
+    const vm = this.machines.get(id)?.vm
+    if (vm === undefined) return
+    this.options.onResize?.(vm, vm.entry.capacity)
+    vm.entry = { ...vm.entry, capacity }
+    this.register(vm)
+  }
+
   /** Starts a machine's VM again under the id that it had: it holds no runs, and has seen no fencing token. */
   restart (id: string): void {
     const standInMachine = this.machines.get(id)
