Record at a release when all leases end, so that the next owner does not begin the wait anew

Cause: the next owner waited for the longest lease from its own takeover. Change: the row of a released shard holds the time on the store's clock from which every lease given until then has expired; the clock is read after the last lease. A successor of a released shard waits no longer than that.

--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -6,7 +6,8 @@
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { shardOptions } from './jobOptions.js'
 import type { OwnerRecord } from './OwnerRecord.js'
-import type { ShardOwner, ShardOwnerContext } from './ShardOwner.js'
+import type { ShardOwner } from './ShardOwner.js'
+import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import type { OwnerTerm, Succession } from './Succession.js'
 
 /** Options of {@link OwnerHeartbeats.create}. */
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -1,6 +1,7 @@
 /**
  * The owner row of a shard and its owner's store heartbeat, in the store.
  */
+import type { TimerService } from '@vanillathread/kernel'
 import type { Address, Result } from '@vanillathread/model'
 import { StoreFailureKind, type RowCommit, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { decodeOwnerRow, decodeStoreHeartbeatRow, encodeRow, Table, type OwnerRow } from './rows.js'
@@ -55,9 +56,14 @@
     return this.rows.transact({ conditions: [{ ...this.key, version: expectedVersion }], puts, removes: [] })
   }
 
-  /** Writes a row without an owner after the given one, on condition that the row has the expected version. */
-  release (former: OwnerRow | undefined, expectedVersion: number): Promise<Result<RowCommit, StoreFailure>> {
-    return this.write({ owner: '', host: '', port: 0, generation: former?.generation ?? 0, leaseEndsKeptSince: former?.leaseEndsKeptSince }, expectedVersion, false)
+  /**
+   * Writes a row without an owner after the given one, on condition that the row has the expected version.
+   *
+   * @param leasesEndMs - time on the store's clock from which every lease given before the release has expired, if it is known.
+   */
+  release (former: OwnerRow | undefined, expectedVersion: number, leasesEndMs: number | undefined): Promise<Result<RowCommit, StoreFailure>> {
+    const value = { owner: '', host: '', port: 0, generation: former?.generation ?? 0, leaseEndsKeptSince: former?.leaseEndsKeptSince, leasesEndMs }
+    return this.write(value, expectedVersion, false)
   }
 
   /** Writes a store heartbeat. Returns false if the store shows another owner. */
@@ -76,6 +82,19 @@
     return { version: row?.version ?? 0, ageMs: this.rows.getStoreClockMs() - writtenAtMs }
   }
 
+  /**
+   * Converts a time on this daemon's clock to the store's clock, rounded up. Returns undefined if the store does not answer. The store's
+   * clock is read first, as a daemon's own clock does not count the time for which its VM is suspended.
+   */
+  async toStoreTime (atMs: number, timers: TimerService): Promise<number | undefined> {
+    const sentAtMs = timers.now()
+    if (await this.read() === 'unavailable') return undefined
+    const reading = this.rows.getStoreClockReading()
+    const nowMs = timers.now()
+    if (reading === undefined || nowMs - reading.sentAgoMs < sentAtMs) return undefined
+    return Math.ceil(reading.clockMs + reading.sentAgoMs + atMs - nowMs)
+  }
+
   private createHeartbeat (): RowPut {
     return { table: Table.StoreHeartbeats, part: this.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.rows.getStoreClockMs()) }) }
   }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -1,37 +1,22 @@
 /**
  * The owner of a shard: schedules the shard's jobs on its VMs until another owner supersedes it or it hands the shard over.
  */
-import { delay, type EventLog, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { delay, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
 import { JobScheduler, type TrackedVm } from '@vanillathread/policy'
-import type { AdmissionService, Changes, FleetFeeds, MachineService, RowCondition, RowStore, VmChange, VmClients } from '@vanillathread/ports'
+import type { Changes, RowCondition, VmChange } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
-import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController } from './MachineController.js'
 import { taskOptions } from './jobOptions.js'
-import type { JobsSettings } from './JobsSettings.js'
 import { loadOrderedMachines, type OrderedMachines } from './orderedMachines.js'
 import { Table } from './rows.js'
+import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
 import { VmSessions } from './VmSessions.js'
 
-/** Services and settings that an owner uses. */
-export interface ShardOwnerContext {
-  readonly settings: JobsSettings
-  readonly timers: TimerService
-  readonly log: EventLog
-  readonly rows: RowStore
-  readonly feeds: FleetFeeds
-  readonly vms: VmClients
-  /** Admission service, if the platform has one. */
-  readonly admissionService?: AdmissionService
-  readonly machines?: MachineService
-  readonly configuration: ConfigurationWatcher
-}
-
 /** Options of {@link ShardOwner.create}. */
 export interface ShardOwnerOptions extends ShardOwnerContext {
   readonly shard: string
@@ -43,6 +28,8 @@
   readonly previousOwnerRenewalMs: number
   /** Store version since which the previous owners kept the ends of leases in the roster up to date, if the last one did. */
   readonly leaseEndsKeptSince: number | undefined
+  /** Time on the store's clock from which every lease of previous owners has expired, if the last one recorded it at its release. */
+  readonly previousLeasesEndMs: number | undefined
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
@@ -74,6 +61,7 @@
       stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
+      previousLeasesEndAtMs: options.previousLeasesEndMs === undefined ? undefined : this.startedAtMs + options.previousLeasesEndMs - options.rows.getStoreClockMs(),
       logDecision: (code, fields) => log.write(code, fields),
     })
     this.sessions = VmSessions.create({
@@ -108,6 +96,11 @@
     return this.loaded
   }
 
+  /** Returns the time on this daemon's clock from which every lease of this owner and of previous ones has certainly expired. */
+  getLeasesEndMs (): number {
+    return this.scheduler.getLeasesEndMs(this.options.timers.now())
+  }
+
   private get leaseMs (): number {
     return Math.min(taskOptions.leaseMs, this.options.settings.maxLeaseMs)
   }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -13,7 +13,8 @@
 import { OwnerWatch } from './OwnerWatch.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
 import type { OwnerRow } from './rows.js'
-import { ShardOwner, type ShardOwnerContext } from './ShardOwner.js'
+import { ShardOwner } from './ShardOwner.js'
+import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import { Succession, type OwnerTerm } from './Succession.js'
 import { TakeoverReason } from './TakeoverReason.js'
 
@@ -202,6 +203,7 @@
       ownerRow: { ...this.record.key, version: res.value.version },
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
       leaseEndsKeptSince: former?.leaseEndsKeptSince,
+      previousLeasesEndMs: former?.owner === '' ? former.leasesEndMs : undefined,
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
@@ -220,9 +222,9 @@
   }
 
   /** Writes an owner row without an owner, so that other daemons can take over without suspecting this one first. */
-  private async release (fencingToken: number): Promise<void> {
+  private async release (fencingToken: number, leasesEndMs?: number): Promise<void> {
     const { context, shard, network, members } = this.options
-    const res = await this.record.release(this.row?.value, fencingToken)
+    const res = await this.record.release(this.row?.value, fencingToken, leasesEndMs)
     this.rowCurrent = false
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
@@ -286,6 +288,6 @@
     await localOwner.finish(limitMs)
     if (this.localOwner !== localOwner) return
     this.localOwner = undefined
-    await this.release(localOwner.fencingToken)
+    await this.release(localOwner.fencingToken, await this.record.toStoreTime(localOwner.getLeasesEndMs(), this.options.context.timers))
   }
 }
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -43,6 +43,8 @@
    * keep them, and leave rows of their predecessors alone.
    */
   leaseEndsKeptSince: z.number().optional(),
+  /** In a row without an owner: time on the store's clock from which every lease given before the release has certainly expired. */
+  leasesEndMs: z.number().optional(),
 })
 
 /** Owner of a shard; an empty name means that the shard has no owner. */
--- a/packages/integration/src/lostAfterHandOver.test.ts
+++ b/packages/integration/src/lostAfterHandOver.test.ts
@@ -154,6 +154,27 @@
   })
 })
 
+describe('long-running tasks of a VM that is cut off while the shard is released', ({ it }) => {
+  it('do not run twice, although its clock runs slow and the next owner knows when its lease ends', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 3 })
+      await lab.start()
+      for (const vm of lab.fleet.vms) vm.clockRate = 0.98
+      lab.submit(createJob(createStep({ taskCount: TASKS, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+      await lab.run(4_000)
+      const vm = lab.fleet.vms.find((each) => each.runs.size === 2)
+      if (vm === undefined) throw new Error('tasks were not spread')
+      for (const { daemon } of lab.daemons) daemon?.stop()
+      vm.fault = VmFault.Partitioned
+      lab.timers.after(1_000, () => lab.daemons.forEach((_daemon, index) => lab.startDaemon(index)))
+      await lab.run(12_000)
+      vm.fault = VmFault.None
+      await lab.finish(8_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+})
+
 describe('starts of jobs from before a hand-over', ({ it }) => {
   it('do not wait for a VM that has no roster row, and so cannot have runs of an earlier owner', async () => {
     for (const seed of SEEDS) {
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -101,6 +101,11 @@
     if (this.registry.apply(entry, nowMs)) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
   }
 
+  /** Returns the time from which every lease given until now, by this owner or a previous one, has certainly expired. */
+  getLeasesEndMs (nowMs: number): number {
+    return this.registry.getLeasesEndMs(nowMs)
+  }
+
   /** Adds a VM that the store's roster lists at the takeover. */
   restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
     if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuate(record.entry.id, clocks.nowMs + DRAINING_TASK_GRACE_MS)
--- a/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
+++ b/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
@@ -17,6 +17,8 @@
   readonly previousOwnerRenewalMs: number
   /** Time at which this owner began. */
   readonly startedAtMs: number
+  /** Time from which every lease of previous owners has expired, if the last one recorded it. */
+  readonly previousLeasesEndAtMs?: number
   readonly logDecision: DecisionLogger
 }
 
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -23,6 +23,8 @@
   readonly previousOwnerRenewalMs: number
   /** Time at which this owner began. */
   readonly startedAtMs: number
+  /** Time from which every lease of previous owners has expired, if the last one recorded it. */
+  readonly previousLeasesEndAtMs?: number
   /** Called for each VM that is forgotten. */
   onForget (id: string): void
 }
@@ -165,6 +167,11 @@
     return [...this.options.state.vms.values()].some((vm) => vm.entry.machine === entry.machine && vm.id !== entry.id && vm.entry.bornMs > entry.bornMs)
   }
 
+  /** Returns the time from which every lease given until now, by this owner or a previous one, has certainly expired. */
+  getLeasesEndMs (nowMs: number): number {
+    return Math.max(nowMs + this.options.leaseMs * SLOW_CLOCK_FACTOR, this.getPreviousLeaseExpiryMs())
+  }
+
   /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
   private retireReplaced (entry: VmEntry, nowMs: number): void {
     if (entry.machine === undefined) return
@@ -177,7 +184,7 @@
 
   /** Returns the time from which no VM has runs under a previous owner's lease, whatever is recorded. */
   private getPreviousLeaseExpiryMs (): number {
-    const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
-    return startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR
+    const { startedAtMs, previousOwnerRenewalMs, leaseMs, previousLeasesEndAtMs = Infinity } = this.options
+    return Math.min(previousLeasesEndAtMs, startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR)
   }
 }
