Explain which VMs crashed under the tasks of a job that was given up

Cause: a job that is given up for crashes had no failed end, so that explain named zero VMs. Change: explain lists the crashes with their times, and names the VMs as the cause.

--- a/packages/cli/src/lib/jobs/explainLogs.ts
+++ b/packages/cli/src/lib/jobs/explainLogs.ts
@@ -51,6 +51,7 @@
   const failures = filterByEvent(related, EventCode.TaskEnded).filter(({ fields }) => fields['end'] === 'failed')
   const lost = filterByEvent(related, EventCode.TaskLost)
   const stops = filterByEvent(related, EventCode.TaskStopOrdered)
+  const crashes = filterByEvent(all, EventCode.VmCrashed).filter(({ fields }) => String(fields['suspects']).includes(id))
   const untilTime = ended?.time ?? related.at(-1)?.time ?? ''
   const takeovers = filterByEvent(all, EventCode.ShardTaken).filter(({ time }) => accepted !== undefined && time >= accepted.time && time <= untilTime)
   const firstWaitMs = Number(starts[0]?.fields['waitedMs'] ?? 0)
@@ -61,16 +62,19 @@
     ...formatCounts('ends', filterByEvent(related, EventCode.TaskEnded), 'end'),
     ...formatCounts('stops', stops, 'reason'),
     ...formatCounts('runs lost', lost, 'reason'),
+    ...crashes.map((entry) => `VM ${String(entry.fields['vm'])} crashed, found at ${formatClockTime(entry)}${entry.fields['trial'] === true ? ', in a trial of this job' : ''}`),
     ...takeovers.map((entry) => `shard taken at ${formatClockTime(entry)} by ${entry.daemon}: ${String(entry.fields['reason'])}`),
     ...(ended === undefined ? [] : [`${String(ended.fields['state'])} at ${formatClockTime(ended)}`]),
   ]
-  return { kind: LoggedKind.Job, id, outcome, cause: findCause({ outcome, refused, failures, lost, takeovers, stops, firstWaitMs }), facts }
+  return { kind: LoggedKind.Job, id, outcome, cause: findCause({ outcome, refused, givenUp: find(EventCode.JobGivenUp), failures, lost, takeovers, stops, firstWaitMs }), facts }
 }
 
 /** Facts from which the cause of a job's outcome is derived. */
 interface JobEvidence {
   readonly outcome: string
   readonly refused?: TimelineEntry
+  /** Line that says that the job was given up because VMs crashed under one of its tasks. */
+  readonly givenUp?: TimelineEntry
   readonly failures: readonly TimelineEntry[]
   readonly lost: readonly TimelineEntry[]
   readonly takeovers: readonly TimelineEntry[]
@@ -80,9 +84,10 @@
 
 /** Returns the most significant cause that the evidence supports, or undefined if it supports none. */
 function findCause (evidence: JobEvidence): string | undefined {
-  const { outcome, refused, failures, lost, takeovers, stops, firstWaitMs } = evidence
+  const { outcome, refused, givenUp, failures, lost, takeovers, stops, firstWaitMs } = evidence
   if (outcome === 'refused') return String(refused?.fields['reason'])
   if (outcome === 'outcome unknown') return 'the store did not answer the write in time'
+  if (outcome === 'failed' && givenUp !== undefined) return `VMs crashed under its tasks: ${String(givenUp.fields['vms'])}`
   if (outcome === 'failed') {
     const vms = new Set(failures.map(({ fields }) => fields['vm']))
     return vms.size === 1 ? `every failed run was on VM ${[...vms].join()}` : `its tasks failed on ${vms.size} VMs, so the job is at fault`
--- a/packages/integration/src/explain.test.ts
+++ b/packages/integration/src/explain.test.ts
@@ -70,4 +70,17 @@
     assert.ok(listTimeline(lab, String(lost?.fields['vm'])).some((entry) => entry.event === EventCode.VmSilent))
     for (const { daemon } of lab.daemons) await daemon?.kill()
   })
+
+  it('names the VMs that crashed under a task of a job that was given up', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    const submission = lab.submit(createJob(createStep({ taskCount: 2 })), { deadlyTask: 1 })
+    await lab.run(15_000)
+    const { id } = await submission
+    const explanation = findCause(lab, id)
+    assert.is(explanation?.outcome, 'failed')
+    assert.match(explanation?.cause ?? '', /^VMs crashed under its tasks: vm-\d+ vm-\d+$/)
+    assert.is(explanation?.facts.filter((fact) => fact.includes('crashed, found at')).length, 2)
+    for (const { daemon } of lab.daemons) await daemon?.kill()
+  })
 })
