Free a VM that is reserved for a trial once nothing waits for one, and say once that a job is given up

Callers would see a pool lose a VM for good. Cause: no suspects at all ended the placement of suspects before it freed reservations, so that a VM stayed reserved if the last suspect's job was cancelled and another pool was planned first. Change: reservations are freed whenever nothing of the pool waits; several tasks of one trial log event 708 once.

--- a/packages/policy/src/lib/jobs/crashBlame.ts
+++ b/packages/policy/src/lib/jobs/crashBlame.ts
@@ -44,7 +44,7 @@
     const { task } = run
     task.recordCrash({ vm: vm.id, confirmed: run.confirmedAtMs !== undefined }, isPrimeSuspect(run, vm))
     state.suspects.add(task)
-    if (isAtFault(task, inTrial)) giveUp(state, task, nowMs)
+    if (!task.step.occurrence.job.isOver && isAtFault(task, inTrial)) giveUp(state, task, nowMs)
   }
 }
 
--- /dev/null
+++ b/packages/policy/src/lib/jobs/placeSuspects.test.ts
@@ -0,0 +1,81 @@
+/**
+ * Trials of tasks that may have crashed a VM.
+ */
+import { assert, describe } from '@vanillathread/testing'
+import type { JobScheduler } from './JobScheduler.js'
+import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from './testSupport.js'
+
+const SUSPECT = '00000000000000aa'
+const OTHER = '00000000000000bb'
+
+/** Time after which a machine that has crashed has a new VM. */
+const CRASH_FOUND_MS = 3_000
+
+/** Crashes a VM under the tasks that run there: its machine has a newer VM. */
+function crash (scheduler: JobScheduler, vmId: string, nowMs: number): void {
+  reportRunning(scheduler, createVmEntry(`${vmId}-next`, { machine: `m-${vmId}`, bornMs: nowMs }), nowMs)
+}
+
+/** Marks the progress of all jobs as stored. */
+function store (scheduler: JobScheduler): void {
+  for (const job of scheduler.listJobsToStore()) {
+    job.changed = false
+    scheduler.markStored(job, job.toProgress(0))
+  }
+}
+
+describe('placeSuspects', ({ it }) => {
+  const start = (): JobScheduler => {
+    const scheduler = createScheduler()
+    reportRunning(scheduler, createVmEntry('a'), 0)
+    scheduler.addJob(createTestJob({ id: SUSPECT, steps: [createTestStep({ taskCount: 2 })] }), 1, 0)
+    planAndAccept(scheduler, 10)
+    crash(scheduler, 'a', CRASH_FOUND_MS)
+    return scheduler
+  }
+
+  it('starts a suspect only once its crash is stored', () => {
+    const scheduler = start()
+    assert.equal(planAndAccept(scheduler, CRASH_FOUND_MS + 10), [])
+    store(scheduler)
+    assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 20).length, 2)
+  })
+
+  it('starts no other task on the VM of a trial until the VM has answered after it', () => {
+    const scheduler = start()
+    store(scheduler)
+    planAndAccept(scheduler, CRASH_FOUND_MS + 10)
+    scheduler.addJob(createTestJob({ id: OTHER, steps: [createTestStep({ taskCount: 1 })] }), 2, CRASH_FOUND_MS + 20)
+    assert.equal(planAndAccept(scheduler, CRASH_FOUND_MS + 100), [])
+    const vm = scheduler.state.vms.get('a-next')
+    if (vm === undefined) throw new Error('no VM')
+    scheduler.recordAnswer(vm, CRASH_FOUND_MS + 200)
+    assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 210).length, 1)
+  })
+
+  it('fails the job if another VM crashes in the trial', () => {
+    const scheduler = start()
+    store(scheduler)
+    planAndAccept(scheduler, CRASH_FOUND_MS + 10)
+    reportRunning(scheduler, createVmEntry('last', { machine: 'm-a', bornMs: 2 * CRASH_FOUND_MS }), 2 * CRASH_FOUND_MS)
+    assert.is(scheduler.state.jobs.get(SUSPECT)?.failed, true)
+  })
+
+  it('does not keep a VM reserved for a suspect whose job was cancelled, whichever pool is planned next', () => {
+    const scheduler = createScheduler()
+    reportRunning(scheduler, createVmEntry('a'), 0)
+    reportRunning(scheduler, createVmEntry('c', { pool: 'other' }), 0)
+    scheduler.addJob(createTestJob({ id: SUSPECT, steps: [createTestStep({ taskCount: 2 })] }), 1, 0)
+    planAndAccept(scheduler, 10)
+    crash(scheduler, 'a', CRASH_FOUND_MS)
+    store(scheduler)
+    const vm = scheduler.state.vms.get('a-next')
+    if (vm === undefined) throw new Error('no VM')
+    vm.reservedForTrial = true
+    scheduler.cancelJob(SUSPECT, CRASH_FOUND_MS + 5)
+    scheduler.addJob({ ...createTestJob({ id: '00000000000000cc', steps: [createTestStep({ taskCount: 1 })] }), pool: 'other' }, 2, CRASH_FOUND_MS + 10)
+    planAndAccept(scheduler, CRASH_FOUND_MS + 20)
+    scheduler.addJob(createTestJob({ id: OTHER, steps: [createTestStep({ taskCount: 1 })] }), 3, CRASH_FOUND_MS + 30)
+    assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 500).length, 1)
+  })
+})
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -13,14 +13,16 @@
 /** Share of a pool's VMs that may have a trial at the same time; one is always allowed. */
 const TRIAL_SHARE = 0.25
 
-/** Share of a pool's VMs that trials may have silenced for further ones to begin; one is always allowed. */
+/** Share of a pool's VMs that trials may have silenced; no further trial begins beyond it. */
 const SILENCED_SHARE = 0.5
 
 /** Starts the tasks of a pool that need a trial, as far as VMs are quiet. Reserves a VM if none is. */
 export function placeSuspects (state: SchedulerState, pool: string, vms: readonly TrackedVm[], context: PlacementContext): void {
-  if (state.suspects.size === 0) return
   const waiting = groupWaiting(state, pool, context)
-  if (waiting.size === 0) for (const vm of context.vms) vm.reservedForTrial = false
+  if (waiting.size === 0) {
+    for (const vm of context.vms) vm.reservedForTrial = false
+    return
+  }
   const onTrial = context.vms.filter((vm) => vm.isOnTrial)
   const silenced = onTrial.filter((vm) => vm.unresponsiveSinceMs !== undefined).length
   if (silenced > Math.floor(context.vms.length * SILENCED_SHARE)) return
