Count a machine as back from maintenance no sooner than the maintenance takes

Cause: a VM that had started just before the order was carried out, and was ended by it, registered after the answer and counted as the machine's return. Change: an operation ends no sooner than its duration after the answer.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -270,6 +270,8 @@
         return
       }
     }
+    // A VM that registers earlier had started before the order was carried out, which ended it.
+    if (nowMs < operation.confirmedAtMs + takesMs) return
     const listedLater = this.directory.listedAtMs > operation.confirmedAtMs + takesMs
     const settled = machine === undefined || (machine.state !== MachineState.Moving && machine.state !== MachineState.InMaintenance)
     if (vm === undefined && !(listedLater && settled)) return
--- a/packages/integration/src/ordersOfFormerOwners.test.ts
+++ b/packages/integration/src/ordersOfFormerOwners.test.ts
@@ -12,6 +12,8 @@
 /** Time from the sending of an order for a machine until it is carried out: shorter than the calls' limit of 1.5 s. */
 const ORDER_DELAY_MS = 1_400
 
+const FOREVER_MS = 3_600_000
+
 function hasOrderedStop (lab: JobLab): boolean {
   return lab.daemons.some(({ log }) => log.records.some(({ code }) => code === EventCode.TaskStopOrdered))
 }
@@ -71,3 +73,27 @@
     }
   })
 })
+
+describe('a wave on machines whose VMs have crashed', ({ it }) => {
+  it('never has more machines down than its cap, although a VM starts on a machine while its order is under way', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 5 })
+      await lab.start()
+      for (let job = 0; job < 6; job++) lab.submit(createJob(createStep({ taskCount: 12, estimateMs: 1_500 })))
+      await lab.run(3_500)
+      const machines = lab.fleet.vms.map((vm) => vm.entry.machine ?? '')
+      for (const machine of machines) lab.fleet.crash(machine, FOREVER_MS)
+      lab.fleet.keepsRegistrations = true
+      lab.fleet.orderDelayMs = 100
+      await lab.run(6_000)
+      lab.requestWave(1, machines, 2)
+      const ordersBefore = lab.fleet.ordersReceived
+      while (lab.fleet.ordersReceived === ordersBefore) await lab.timers.advance(5)
+      await lab.timers.advance(50)
+      for (const machine of machines) lab.fleet.recover(machine)
+      await lab.finish(40_000)
+      assert.equal(lab.history.violations.filter(({ rule }) => rule === 'LIMIT'), [], `seed ${seed}`)
+      assert.ok(lab.history.completeWaves.has(1), `seed ${seed}: the wave is complete`)
+    }
+  })
+})
--- a/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/FleetStandIn.ts
@@ -63,6 +63,8 @@
   ignoresOrders = false
   /** Time from the sending of an order until it is carried out and answered. */
   orderDelayMs = 0
+  /** True if the registration of a VM that an order has ended stays for as long as that of one that has crashed. */
+  keepsRegistrations = false
   /** Number of orders that were sent, whatever their outcome. */
   ordersReceived = 0
   private nextVmNumber = 1
@@ -95,6 +97,12 @@
     this.options.timers.after(downMs, () => { if (standInMachine.vm === undefined && standInMachine.machine.state === MachineState.Up) this.startVm(id) })
   }
 
+  /** Starts a VM on a machine whose VM has crashed. */
+  recover (id: string): void {
+    const standInMachine = this.machines.get(id)
+    if (standInMachine?.vm === undefined && standInMachine?.machine.state === MachineState.Up) this.startVm(id)
+  }
+
   /** Removes a machine from the list and kills its VM. */
   remove (id: string): void {
     const vm = this.machines.get(id)?.vm
@@ -207,7 +215,7 @@
     const { vm } = standInMachine
     this.options.machineObserver.onBeforeTakeDown(standInMachine.machine.id, [...vm?.runs.values() ?? []])
     vm?.kill()
-    if (vm !== undefined) this.unregister(vm)
+    if (vm !== undefined) this.options.timers.after(this.keepsRegistrations ? REGISTRATION_TTL_MS : 0, () => this.unregister(vm))
     standInMachine.vm = undefined
     standInMachine.machine = { ...standInMachine.machine, state }
     this.options.timers.after(downMs, () => {
