Name a file for its main export, and say more plainly which runs are likely causes of a crash

Cause: reading the diff once more. Change: orderedMachines.ts becomes loadOrderedMachines.ts; four comments.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -10,7 +10,7 @@
 import { MachineDirectory } from './MachineDirectory.js'
 import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { MoveRecords } from './MoveRecords.js'
-import type { OrderedMachines } from './orderedMachines.js'
+import type { OrderedMachines } from './loadOrderedMachines.js'
 import { WavePlanner } from './WavePlanner.js'
 import { WaveProgressStore } from './WaveProgressStore.js'
 
--- a/packages/policy/src/lib/jobs/TrackedTask.ts
+++ b/packages/policy/src/lib/jobs/TrackedTask.ts
@@ -56,7 +56,7 @@
     this.step.occurrence.job.changed = true
   }
 
-  /** Forgets the crashes of a task that has proved innocent. */
+  /** Forgets the crashes of a task that has worked since without one. */
   clearCrashes (): void {
     this.crashes = []
     this.storedCrashCount = 0
--- a/packages/policy/src/lib/jobs/crashBlame.ts
+++ b/packages/policy/src/lib/jobs/crashBlame.ts
@@ -48,12 +48,13 @@
   }
 }
 
+/** Returns true if the crashes suffice to give the task up. */
 function isAtFault ({ crashes }: TrackedTask, inTrial: boolean): boolean {
   const confirmed = crashes.filter((crash) => crash.confirmed).length
   return crashes.length >= MAX_CRASHES || confirmed > CONFIRMED_CRASHES_TO_GIVE_UP || (inTrial && crashes.at(-1)?.confirmed === true && confirmed === CONFIRMED_CRASHES_TO_GIVE_UP)
 }
 
-/** Clears a task once its run has worked long enough for the run to be innocent. */
+/** Clears a task whose run has worked for `CLEARED_AFTER_MS`, so that it did not cause the former crashes. */
 export function clearIfInnocent (state: SchedulerState, run: TrackedRun, nowMs: number): void {
   if (run.task.crashes.length === 0 || run.confirmedAtMs === undefined || nowMs - run.confirmedAtMs < CLEARED_AFTER_MS) return
   run.task.clearCrashes()
@@ -79,7 +80,10 @@
   return run.confirmedAtMs === undefined || vm.lastAnswerAtMs - run.confirmedAtMs < CLEARED_AFTER_MS
 }
 
-/** A run that a former owner recorded for a silent VM is one, as the time of its start is not known. */
+/**
+ * Returns true if the run began so shortly before the VM's last answer, or after it, that it is likely to have caused the crash. The runs
+ * that a former owner recorded for a silent VM all are, as the VM has not answered this owner since.
+ */
 function isPrimeSuspect (run: TrackedRun, vm: TrackedVm): boolean {
   return run.orderedAtMs >= vm.lastAnswerAtMs - PRIME_WINDOW_MS
 }
