--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -29,4 +29,10 @@
   readonly moveMs: number
   /** Time for which clients can query the state of an ended job. */
   readonly stateKeptMs: number
+  /** Time within which an accepted configuration version must be in force at a daemon that reaches the store. */
+  readonly configurationApplyMs: number
+  /** Time after which a removed API key must be refused everywhere, or undefined on a deployment without teams. */
+  readonly keyRevocationMs?: number
+  /** Factor by which a task takes longer outside the rack of its data, or undefined if it is not known. */
+  readonly remoteFactor?: number
 }
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -270,9 +270,10 @@
   return {
     version: 1,
     queues: LAB_QUEUES.map((pathPrefix, index) => ({
-      name: POOLS[index] ?? '', host: HOST, pathPrefix, pool: POOLS[index] ?? '', timeoutMs: 3_000, targetLatencyMs: 600, priority: 0, maxAttempts: MAX_ATTEMPTS, deadlineFactor: 1.6,
+      name: POOLS[index] ?? '', host: HOST, pathPrefix, pool: POOLS[index] ?? '', timeoutMs: 3_000, targetLatencyMs: 600, priority: 0, maxAttempts: MAX_ATTEMPTS, deadlineFactor: 1.6, isPublic: true,
     })),
     pools: [...POOLS.map((name) => ({ name, standby: false, checksAdmission: false })), { name: STANDBY_POOL, standby: true, checksAdmission: false }],
+    teams: [],
     maxBodyBytes: 262_144,
   }
 }
@@ -292,5 +293,6 @@
     maintenanceMs: 2_000,
     moveMs: 1_500,
     stateKeptMs: 120_000,
+    configurationApplyMs: 2_000,
   }
 }
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -24,5 +24,6 @@
   isFinalState, STEP_DEFAULTS, JobState,
   type AcceptedJob, type AdmissionServiceRules, type Capacity, type JobSpec, type OperatorConfiguration, type PoolRules, type QueueRules, type StepSpec,
 } from './lib/jobs/JobSpec.js'
+export type { TeamRules } from './lib/teams/TeamRules.js'
 export { OrderRefusal, RunEnd, type EndEntry, type RunningEntry, type VmEntry, type VmReport } from './lib/jobs/Vm.js'
 export { formatStepName, formatTaskName, parseTaskName, type TaskName } from './lib/jobs/taskName.js'
--- a/packages/model/src/lib/jobs/JobSpec.ts
+++ b/packages/model/src/lib/jobs/JobSpec.ts
@@ -1,6 +1,7 @@
 /**
  * Jobs and the operator's rules for them. A client submits a job of steps; all tasks of a step have the same needs.
  */
+import type { TeamRules } from '../teams/TeamRules.js'
 
 /** Capacity of a VM or machine, or what a task needs of it. @public */
 export interface Capacity {
@@ -86,6 +87,8 @@
   readonly deadlineFactor: number
   /** Present if a task may only start on a VM for which the admission service granted a ticket. */
   readonly advice?: AdmissionServiceRules
+  /** True if calls on the queue need no API key. Always true on a deployment without teams. */
+  readonly isPublic: boolean
 }
 
 /** Times of the admission service, which grants tickets per step and VM. @public */
@@ -113,6 +116,8 @@
   readonly version: number
   readonly queues: readonly QueueRules[]
   readonly pools: readonly PoolRules[]
+  /** Teams that share the queues; empty on a deployment without teams. */
+  readonly teams: readonly TeamRules[]
   /** Largest body of a client's request, in bytes. */
   readonly maxBodyBytes: number
 }
@@ -123,6 +128,8 @@
   readonly id: string
   readonly queue: string
   readonly pool: string
+  /** Name of the team whose key submitted the job; absent if the queue is public. */
+  readonly team?: string
   readonly spec: JobSpec
   readonly priority: number
   readonly maxAttempts: number
