Let tasks that are long wherever they run end, instead of restarting them for ever

Callers saw: accepted jobs never complete. Cause: restartOverdue took every overdue run for a fault of its VM.

--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -190,6 +190,7 @@
   private applyDone (vm: TrackedVm, run: TrackedRun | undefined, task: TrackedTask, nowMs: number): void {
     const { job } = task.step.occurrence
     this.failuresByVm.delete(vm.id)
+    vm.doneCount += 1
     if (run?.confirmedAtMs !== undefined) this.learnDuration(task, nowMs - run.confirmedAtMs)
     job.markDone(task)
     for (const other of task.runs) this.stopRun(other, StopReason.Unwanted, nowMs)
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -48,6 +48,8 @@
   stopReason: StopReason | undefined
   /** True if a former owner may have ordered the stop of this run, which the VM then lists until the stop has ended. */
   mayBeStopping = false
+  /** Number of tasks that the VM had ended as done when the run was added to it, as counted by this owner. */
+  vmDoneCountBefore = 0
   /** Pace at which the task works according to the VM's last report, in percent. */
   percent = 0
   /** Last reported tail latency in milliseconds for a latency-sensitive task, otherwise thousandths of a core in use. */
--- a/packages/policy/src/lib/jobs/TrackedTask.ts
+++ b/packages/policy/src/lib/jobs/TrackedTask.ts
@@ -20,6 +20,8 @@
   readonly failedRuns = new Set<number>()
   /** Ids of VMs on which a run of this task failed or was overdue. */
   readonly failedVms = new Set<string>()
+  /** Number of runs that were stopped because they took several times the expected duration. */
+  stallCount = 0
   /** VMs that crashed shortly after this task was started there. */
   crashes: readonly TaskCrash[] = []
   /** Number of entries of `crashes` that are stored. The task is not started before all are. */
--- a/packages/policy/src/lib/jobs/restartOverdue.test.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.test.ts
@@ -37,7 +37,7 @@
   return { scheduler, startMs }
 }
 
-describe('restartOverdue', ({ it }) => {
+describe('restartOverdue', ({ describe, it }) => {
   it('leaves tasks alone that are within the usual spread of durations', () => {
     const { scheduler, startMs } = prepare(false)
     reportRunning(scheduler, createVmEntry('a'), startMs + 1_400)
@@ -67,4 +67,83 @@
     assert.equal(orders.map((order) => [order.kind, order.run.vmId, order.run.number]), [[OrderKind.Start, 'b', 2], [OrderKind.Start, 'b', 2]])
     assert.equal(planAndAccept(scheduler, atMs + 100), [])
   })
+
+  describe('for tasks that are long wherever they run', ({ it }) => {
+    /** Reports the runs of one job on a VM as done, and the others as running. */
+    function endJob (scheduler: JobScheduler, vmId: string, jobId: string, nowMs: number): void {
+      const vm = scheduler.state.vms.get(vmId)
+      if (vm === undefined) return
+      const runs = [...vm.runs.values()]
+      const ended = runs.filter(({ name }) => name.startsWith(jobId))
+      const ends = ended.map((run, index) => ({ number: vm.appliedEnd + index + 1, task: run.name, run: run.number, end: RunEnd.Done, checkpoint: '' }))
+      const running = runs.filter((run) => !ended.includes(run)).map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
+      scheduler.applyReport(vm, { clockMs: nowMs, bornMs: 1, running, ends }, nowMs, nowMs)
+      vm.extendLease(nowMs, 60_000)
+    }
+
+    it('does not stop a run at the usual limit on a VM that ends other tasks, but at twice the limit', () => {
+      const { scheduler, startMs } = prepare(false)
+      const other = 'e'.repeat(16)
+      scheduler.addJob(createTestJob({ id: other, steps: [createTestStep({ taskCount: 1 })] }), 1, startMs + 100)
+      scheduler.unregisterVm('b', startMs)
+      planAndAccept(scheduler, startMs + 100)
+      endJob(scheduler, 'a', other, startMs + 600)
+      for (const factor of [4, 6, 7.8]) {
+        reportRunning(scheduler, createVmEntry('a'), startMs + factor * DURATION_MS)
+        assert.equal(planAndAccept(scheduler, startMs + factor * DURATION_MS), [], `stopped after ${factor} times the mean`)
+      }
+      reportRunning(scheduler, createVmEntry('a'), startMs + 8.4 * DURATION_MS)
+      const stops = planAndAccept(scheduler, startMs + 8.4 * DURATION_MS)
+      assert.equal(stops.map(({ kind }) => kind), [OrderKind.Stop, OrderKind.Stop])
+    })
+
+    it('gives each further run twice the time, so that a task that takes longer than the limit is not restarted for ever', () => {
+      const { scheduler, startMs } = prepare(false)
+      const taskMs = 14 * DURATION_MS
+      const beganAtMs = new Map<string, number>()
+      let ended = 0
+      let starts = 0
+      for (let nowMs = startMs; nowMs < startMs + 60_000 && ended < 2; nowMs += 100) {
+        for (const vm of scheduler.state.vms.values()) {
+          const runs = [...vm.runs.values()]
+          const isDone = (key: string): boolean => nowMs - (beganAtMs.get(key) ?? nowMs) >= taskMs
+          const over = runs.filter((run) => run.stopReason !== undefined || isDone(run.key))
+          ended += over.filter((run) => run.stopReason === undefined).length
+          const ends = over.map((run, index) => ({ number: vm.appliedEnd + index + 1, task: run.name, run: run.number, end: run.stopReason === undefined ? RunEnd.Done : RunEnd.Stopped, checkpoint: '' }))
+          const running = runs.filter((run) => !over.includes(run)).map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
+          scheduler.applyReport(vm, { clockMs: nowMs, bornMs: 1, running, ends }, nowMs, nowMs)
+          vm.extendLease(nowMs, 60_000)
+        }
+        for (const { kind, run } of planAndAccept(scheduler, nowMs)) {
+          if (kind !== OrderKind.Start) continue
+          starts += 1
+          beganAtMs.set(run.key, nowMs)
+        }
+      }
+      assert.is(ended, 2)
+      assert.ok(starts <= 6, `${starts} starts after the first two`)
+    })
+
+    it('pauses no VM on which two long tasks of different jobs run beside many that end in time', () => {
+      const scheduler = createScheduler()
+      reportRunning(scheduler, createVmEntry('a'), 0)
+      for (let job = 0; job < 6; job++) {
+        scheduler.addJob(createTestJob({ id: `${job}`.padStart(16, '0') }), 1, 0)
+        planAndAccept(scheduler, job * DURATION_MS)
+        endAll(scheduler, 'a', (job + 1) * DURATION_MS)
+      }
+      const startMs = 6 * DURATION_MS
+      const long = ['d'.repeat(16), 'c'.repeat(16)]
+      for (const id of long) scheduler.addJob(createTestJob({ id, steps: [createTestStep({ taskCount: 1 })] }), 1, startMs)
+      for (let round = 0; round < 4; round++) {
+        const id = `${round}`.padStart(16, 'a')
+        const nowMs = startMs + round * DURATION_MS
+        scheduler.addJob(createTestJob({ id }), 1, nowMs)
+        planAndAccept(scheduler, nowMs)
+        endJob(scheduler, 'a', id, nowMs + DURATION_MS)
+      }
+      planAndAccept(scheduler, startMs + 4 * DURATION_MS)
+      assert.is(scheduler.state.vms.get('a')?.pausedUntilMs, 0)
+    })
+  })
 })
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -61,6 +61,8 @@
   acknowledgedEnd = 0
   /** End entries up to this number are applied in memory. */
   appliedEnd = 0
+  /** Number of tasks that this owner knows the VM to have ended as done. */
+  doneCount = 0
   /** Runs that may occupy the VM, by {@link TrackedRun.key}. */
   readonly runs = new Map<string, TrackedRun>()
   /** The VM's steady clock as last read; `clockReadAtMs` is the owner's clock at that time. */
@@ -143,6 +145,7 @@
 
   addRun (run: TrackedRun): void {
     this.runs.set(run.key, run)
+    run.vmDoneCountBefore = this.doneCount
     this.adjustUsed(run, 1)
   }
 
