Check API keys at the gateways, and refuse calls once the configuration may be out of date

Cause: a gateway served every call whatever its key, and one that the store did not answer would have gone on to accept a key that was removed meanwhile. Change: authorizeCall (policy/teams) decides on the key, the age of the configuration and the bounds; CallGuard applies it to submit, query, cancel and pending counts, and again before each write. The age runs from the time at which the read that proved the version was sent, on the clock that says more.

--- a/packages/daemon/src/lib/jobs/ConfigurationWatcher.ts
+++ b/packages/daemon/src/lib/jobs/ConfigurationWatcher.ts
@@ -2,8 +2,9 @@
  * Follows the operator's configuration and maintenance waves. Within a process, the version in force never decreases.
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
-import { EventCode, type OperatorConfiguration, type QueueRules } from '@vanillathread/model'
-import { StoreFailureKind, type FleetFeeds, type OperatorChange, type MaintenanceWave } from '@vanillathread/ports'
+import { EventCode, type OperatorConfiguration, type QueueRules, type Result } from '@vanillathread/model'
+import { KeyIndex } from '@vanillathread/policy'
+import { StoreFailureKind, type Changes, type FleetFeeds, type OperatorChange, type MaintenanceWave, type StoreFailure } from '@vanillathread/ports'
 import { watchOptions } from './jobOptions.js'
 
 /** Options of {@link ConfigurationWatcher.create}. */
@@ -11,6 +12,14 @@
   readonly feeds: FleetFeeds
   readonly timers: TimerService
   readonly log: EventLog
+  /** Time after which a removed API key must be refused everywhere, or undefined on a deployment without teams. */
+  readonly keyRevocationMs?: number
+}
+
+/** One moment on both clocks, in milliseconds. */
+interface ClockReading {
+  readonly steadyMs: number
+  readonly wallMs: number
 }
 
 /** Holds the newest configuration and the maintenance waves that this daemon has read. */
@@ -18,6 +27,9 @@
   /** Maintenance waves by number. */
   readonly waves = new Map<number, MaintenanceWave>()
   private configuration: OperatorConfiguration | undefined
+  private keyIndex = KeyIndex.create([])
+  /** Time at which the latest read that proved the configuration current was sent. */
+  private provedAt: ClockReading | undefined
   /** Queues of each host, those with the longest path prefix first. */
   private readonly queuesByHost = new Map<string, QueueRules[]>()
   private disposed = false
@@ -33,6 +45,27 @@
     return this.configuration
   }
 
+  /** API keys of the configuration in force. */
+  get keys (): KeyIndex {
+    return this.keyIndex
+  }
+
+  /** True if some queue of the configuration in force needs an API key. */
+  get needsKeys (): boolean {
+    return this.configuration?.queues.some(({ isPublic }) => !isPublic) ?? false
+  }
+
+  /**
+   * Time since the read that last proved the configuration current was sent, in milliseconds; infinite before the first one. It is
+   * the larger of the ages on both clocks, as the steady clock does not count the time for which the VM was suspended.
+   */
+  get ageMs (): number {
+    const { provedAt } = this
+    if (provedAt === undefined) return Infinity
+    const now = this.readClocks()
+    return Math.max(now.steadyMs - provedAt.steadyMs, now.wallMs - provedAt.wallMs)
+  }
+
   /** Returns the queue with the longest path prefix that matches, or undefined. */
   findQueue (host: string, path: string): QueueRules | undefined {
     return this.queuesByHost.get(host)?.find((queue) => path.startsWith(queue.pathPrefix))
@@ -41,12 +74,15 @@
   /** Follows the operator's feed until this watcher is disposed. */
   async run (): Promise<void> {
     let version: number | undefined
+    let hasFailed = false
     while (!this.disposed) {
-      const res = version === undefined
+      const sentAt = this.readClocks()
+      const res: Result<Changes<OperatorChange>, StoreFailure> = version === undefined
         ? await this.options.feeds.readOperatorRows()
-        : await this.options.feeds.watchOperatorRows(version, watchOptions.operatorFeedWaitMs)
+        : await this.options.feeds.watchOperatorRows(version, this.getFeedWaitMs(hasFailed))
+      hasFailed = !res.ok
       if (res.ok) {
-        for (const change of res.value.values) this.apply(change)
+        this.applyRead(res.value, version === undefined, sentAt)
         version = res.value.version
         continue
       }
@@ -63,6 +99,32 @@
     this.disposed = true
   }
 
+  /**
+   * Returns the wait of a long poll. With teams it is a fifth of the revocation time at the most: the age reaches two waits and two
+   * answers before a poll proves the configuration again, and must stay below half of that time with a store that answers in 250 ms.
+   * After a failed read the answer is needed at once, as the next one lost would make the daemon refuse calls.
+   */
+  private getFeedWaitMs (hasFailed: boolean): number {
+    const { keyRevocationMs } = this.options
+    if (keyRevocationMs === undefined) return watchOptions.operatorFeedWaitMs
+    return hasFailed ? 0 : Math.min(watchOptions.operatorFeedWaitMs, keyRevocationMs * watchOptions.feedWaitShare)
+  }
+
+  private readClocks (): ClockReading {
+    const { timers } = this.options
+    return { steadyMs: timers.now(), wallMs: timers.wallClock() }
+  }
+
+  private applyRead ({ values, hasMore }: Changes<OperatorChange>, isWholeTable: boolean, sentAt: ClockReading): void {
+    for (const change of values) this.apply(change)
+    if (hasMore === true || this.configuration === undefined) return
+    const versions = values.flatMap((change) => change.kind === 'configuration' ? [change.configuration.version] : [])
+    const hasInvalid = values.some((change) => change.kind === 'invalid')
+    // A read that holds only older versions than the one in force, or a whole table without any, shows an earlier state of the store.
+    const isCurrent = versions.length > 0 ? versions.includes(this.configuration.version) : !isWholeTable || hasInvalid
+    if (isCurrent) this.provedAt = sentAt
+  }
+
   private apply (change: OperatorChange): void {
     const { log } = this.options
     if (change.kind === 'invalid') log.write(EventCode.ConfigurationRejected, { key: change.key, reason: change.reason })
@@ -79,6 +141,7 @@
   private applyConfiguration (configuration: OperatorConfiguration): void {
     if (this.configuration !== undefined && configuration.version <= this.configuration.version) return
     this.configuration = configuration
+    this.keyIndex = KeyIndex.create(configuration.teams)
     this.queuesByHost.clear()
     const longestFirst = [...configuration.queues].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const queue of longestFirst) {
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -3,10 +3,13 @@
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
+import type { ConfigurationBounds } from '@vanillathread/policy'
 import { IngressAnswerKind, readRow, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
+import { CallGuard, type WritePermit } from './CallGuard.js'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
+import { findJobId, isJobId } from './jobId.js'
 import { clientOptions } from './jobOptions.js'
 import type { WriteResult } from './JobRowBatcher.js'
 import { JobWriter } from './JobWriter.js'
@@ -26,9 +29,16 @@
   readonly network: PeerTransport
   readonly metrics: Metrics
   readonly members: MemberDirectory
+  readonly bounds: ConfigurationBounds
 }
 
-const JOB_ID = /^[0-9a-f]{16}$/
+/** A client's call: its queue, the path after the queue's prefix, and the permit for its writes if the queue needs a key. */
+interface CallTarget {
+  readonly answer?: undefined
+  readonly queue: QueueRules
+  readonly rest: string
+  readonly permit?: WritePermit
+}
 
 /** Limit on the cached final states of jobs, which let repeated queries be answered without the owner or the store. */
 const MAX_CACHED_STATES = 5_000
@@ -40,10 +50,12 @@
   private readonly finalStates = new Map<string, JobState>()
   private readonly queries: OwnerQueries
   private readonly writer: JobWriter
+  private readonly guard: CallGuard
 
   private constructor (private readonly options: JobGatewayOptions) {
     this.queries = OwnerQueries.create(options)
-    this.writer = JobWriter.create(options)
+    this.guard = CallGuard.create(options)
+    this.writer = JobWriter.create({ ...options, canServe: () => this.guard.canServe() })
   }
 
   static create (options: JobGatewayOptions): JobGateway {
@@ -51,7 +63,7 @@
   }
 
   isReady (): boolean {
-    return !this.stopping && this.options.configuration.current !== undefined && this.options.rows.getTimeSinceAnswerMs() < clientOptions.storeSilentMs
+    return !this.stopping && this.options.configuration.current !== undefined && this.guard.isReady() && this.options.rows.getTimeSinceAnswerMs() < clientOptions.storeSilentMs
   }
 
   isStopping (): boolean {
@@ -91,9 +103,9 @@
   private async trySubmit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer> {
     const target = this.findTarget(req)
     if (target.answer !== undefined) return target.answer
-    const { queue, rest: id } = target
-    if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownQueue }
-    return this.store(this.toJob(id, queue, spec), req)
+    const { queue, rest: id, permit } = target
+    if (!isJobId(id)) return { kind: IngressAnswerKind.UnknownQueue }
+    return this.store(this.toJob(id, queue, spec, permit?.team), req, permit)
   }
 
   private async tryQuery (req: ClientRequest): Promise<IngressAnswer> {
@@ -101,7 +113,7 @@
     if (target.answer !== undefined) return target.answer
     const { queue, rest } = target
     if (rest === '') return this.countPending(queue)
-    if (!JOB_ID.test(rest)) return { kind: IngressAnswerKind.UnknownJob }
+    if (!isJobId(rest)) return { kind: IngressAnswerKind.UnknownJob }
     const state = await this.findState(rest)
     if (state === 'unavailable') return this.refuse(rest, ResultCode.JobStateUnavailable, 'store does not answer')
     return state === undefined ? { kind: IngressAnswerKind.UnknownJob } : { kind: IngressAnswerKind.State, state }
@@ -110,9 +122,9 @@
   private async tryCancel (req: ClientRequest): Promise<IngressAnswer> {
     const target = this.findTarget(req)
     if (target.answer !== undefined) return target.answer
-    const { rest: id } = target
-    if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownJob }
-    const { outcome } = await this.retryUnknown(req, () => this.writer.writeCancel(id))
+    const { rest: id, permit } = target
+    if (!isJobId(id)) return { kind: IngressAnswerKind.UnknownJob }
+    const { outcome } = await this.retryUnknown(req, () => this.writer.writeCancel(id, permit), permit)
     switch (outcome) {
       case WriteOutcome.Stored:
       case WriteOutcome.Exists:
@@ -121,29 +133,34 @@
         return { kind: IngressAnswerKind.Cancelled }
       case WriteOutcome.Absent: return { kind: IngressAnswerKind.UnknownJob }
       case WriteOutcome.NotDone:
-      case WriteOutcome.Unknown:
-        return this.refuse(id, ResultCode.JobNotStored, 'cancel could not be stored')
+      case WriteOutcome.Unknown: {
+        // A call that lost its permit before the write gets the reason; one whose write may have been carried out does not.
+        const refusal = outcome === WriteOutcome.NotDone ? this.findTarget(req).answer : undefined
+        return refusal ?? this.refuse(id, ResultCode.JobNotStored, 'cancel could not be stored')
+      }
       default: throw exhaustiveSwitchError(outcome)
     }
   }
 
   /**
-   * Finds the queue of a request; `rest` is the path after the queue's prefix. Returns an answer instead if no queue matches
-   * or no configuration has been read yet.
+   * Finds the queue of a call and checks the call's key. Returns an answer instead if the key is refused, no queue matches or no
+   * configuration has been read yet.
    */
-  private findTarget (req: ClientRequest): { answer: IngressAnswer } | { answer?: undefined, queue: QueueRules, rest: string } {
+  private findTarget (req: ClientRequest): { answer: IngressAnswer } | CallTarget {
     const { configuration } = this.options
-    if (configuration.current === undefined) return { answer: this.refuse(req.path.slice(req.path.lastIndexOf('/') + 1), ResultCode.NoConfiguration, 'no configuration yet') }
+    if (configuration.current === undefined) return { answer: this.refuse(findJobId(req.path), ResultCode.NoConfiguration, 'no configuration yet') }
     const queue = configuration.findQueue(req.host, req.path)
-    if (queue === undefined) return { answer: { kind: IngressAnswerKind.UnknownQueue } }
-    return { queue, rest: req.path.slice(queue.pathPrefix.length) }
+    if (queue === undefined) return { answer: this.guard.answerUnknownQueue(req) }
+    const res = this.guard.check(req, queue)
+    return res.answer !== undefined ? res : { queue, rest: req.path.slice(queue.pathPrefix.length), permit: res.permit }
   }
 
-  private toJob (id: string, queue: QueueRules, spec: JobSpec): AcceptedJob {
+  private toJob (id: string, queue: QueueRules, spec: JobSpec, team: string | undefined): AcceptedJob {
     return {
       id,
       queue: queue.name,
       pool: queue.pool,
+      ...(team === undefined ? {} : { team }),
       spec,
       priority: queue.priority,
       maxAttempts: queue.maxAttempts,
@@ -156,11 +173,11 @@
   }
 
   /** Stores a job. An existing row is the same job, submitted before. */
-  private async store (job: AcceptedJob, req: ClientRequest): Promise<IngressAnswer> {
+  private async store (job: AcceptedJob, req: ClientRequest, permit: WritePermit | undefined): Promise<IngressAnswer> {
     const { timers, log } = this.options
     const startedAtMs = timers.now()
     const value = encodeRow(job)
-    const { outcome, version } = await this.retryUnknown(req, () => this.writer.writeJob(job.id, value))
+    const { outcome, version } = await this.retryUnknown(req, () => this.writer.writeJob(job.id, value, permit), permit)
     const storeMs = Math.round(timers.now() - startedAtMs)
     switch (outcome) {
       case WriteOutcome.Stored:
@@ -170,7 +187,7 @@
         return { kind: IngressAnswerKind.Accepted }
       case WriteOutcome.NotDone:
       case WriteOutcome.Absent:
-        return this.refuse(job.id, ResultCode.JobNotStored, 'store took no write')
+        return this.findTarget(req).answer ?? this.refuse(job.id, ResultCode.JobNotStored, 'store took no write')
       case WriteOutcome.Unknown:
         log.write(EventCode.JobOutcomeUnknown, { job: job.id, storeMs, storeSilentMs: Math.round(this.options.rows.getTimeSinceAnswerMs()) })
         return { kind: IngressAnswerKind.OutcomeUnknown }
@@ -181,9 +198,9 @@
   /**
    * Retries a write while its outcome is unknown, until shortly before the request's deadline. A definite outcome is returned
    * at once, so that a refused client can try another daemon. `NotDone` is definite only if no earlier attempt had an unknown
-   * outcome.
+   * outcome. A call that loses its permit is not retried.
    */
-  private async retryUnknown (req: ClientRequest, write: () => Promise<WriteResult>): Promise<WriteResult> {
+  private async retryUnknown (req: ClientRequest, write: () => Promise<WriteResult>, permit: WritePermit | undefined): Promise<WriteResult> {
     const { timers } = this.options
     const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
     let mayBeStored = false
@@ -193,6 +210,7 @@
       if (result.outcome !== WriteOutcome.Unknown && (result.outcome !== WriteOutcome.NotDone || !mayBeStored)) return result
       if (timers.now() + clientOptions.submitRetryMs >= untilMs) return { outcome: WriteOutcome.Unknown }
       await delay(timers, clientOptions.submitRetryMs)
+      if (permit?.isValid() === false) return { outcome: WriteOutcome.Unknown }
     }
   }
 
--- a/packages/daemon/src/lib/jobs/JobRowBatcher.ts
+++ b/packages/daemon/src/lib/jobs/JobRowBatcher.ts
@@ -5,6 +5,7 @@
 import { decideWriteStart } from '@vanillathread/policy'
 import { StoreFailureKind, type RowStore, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 import { WriteOutcome } from '../peer/messages.js'
+import type { WritePermit } from './CallGuard.js'
 import { JOB_PREFIX, Table } from './rows.js'
 
 /** Jobs in one transaction at the most: two of the platform's 100 entries each. */
@@ -36,6 +37,8 @@
 interface PendingJob {
   readonly id: string
   readonly value: Uint8Array
+  /** Checked before each transaction; absent if the call needs no key. */
+  readonly permit?: WritePermit
   /** Time at which a busy store first refused the job, if it did. */
   refusedAtMs?: number
   settle (result: WriteResult): void
@@ -53,19 +56,22 @@
     return new JobRowBatcher(options)
   }
 
-  /** Writes one row. A row that exists is the same job, submitted before. */
-  write (id: string, value: Uint8Array): Promise<WriteResult> {
+  /** Writes one row, unless its permit ends while it waits. A row that exists is the same job, submitted before. */
+  write (id: string, value: Uint8Array, permit?: WritePermit): Promise<WriteResult> {
     return new Promise((resolve) => {
-      this.pending.push({ id, value, settle: resolve })
+      this.pending.push({ id, value, permit, settle: resolve })
       this.sendNext()
     })
   }
 
   private sendNext (): void {
-    while (this.pending.length > 0 && decideWriteStart([...this.inFlight].map(({ sentAtMs }) => sentAtMs), this.options.timers.now())) this.send(this.takeBatch())
+    while (this.pending.length > 0 && decideWriteStart([...this.inFlight].map(({ sentAtMs }) => sentAtMs), this.options.timers.now())) {
+      const batch = this.takeBatch()
+      if (batch.length > 0) this.send(batch)
+    }
   }
 
-  /** Takes the next jobs. A second write of the same job goes into a later transaction. */
+  /** Takes the next jobs, and ends those without a valid permit, none of which was written. A second write of the same job goes into a later transaction. */
   private takeBatch (): PendingJob[] {
     const ids = new Set<string>()
     const batch: PendingJob[] = []
@@ -77,6 +83,10 @@
         rest.push(job)
         continue
       }
+      if (job.permit?.isValid() === false) {
+        job.settle({ outcome: WriteOutcome.NotDone })
+        continue
+      }
       ids.add(job.id)
       batch.push(job)
       bytes += job.value.length
--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -5,6 +5,7 @@
 import { readRow, StoreFailureKind, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
+import type { WritePermit } from './CallGuard.js'
 import { clientOptions } from './jobOptions.js'
 import { JobRowBatcher, toOutcome, type WriteResult } from './JobRowBatcher.js'
 import type { MemberDirectory } from './MemberDirectory.js'
@@ -20,10 +21,15 @@
   readonly shard: ShardOwnership
   readonly shardName: string
   readonly members: MemberDirectory
+  /** Returns true if this daemon's configuration is current enough to write for calls with keys that another daemon checked. */
+  canServe (): boolean
 }
 
-/** The write that another daemon is asked to carry out: an encoded job, or the id of a job to cancel. */
-type RelayedWrite = Pick<PeerMessageOf<PeerMessageKind.WriteRequest>, 'job' | 'cancel'>
+/**
+ * The write that another daemon is asked to carry out: an encoded job, or the id of a job to cancel. For a call with a key,
+ * `untilMs` is the time on the store's clock until which the sender's check of the key holds.
+ */
+type RelayedWrite = Omit<PeerMessageOf<PeerMessageKind.WriteRequest>, 'kind' | 'seq'>
 
 /**
  * Writes each row directly and, if necessary, through one other daemon. Both writes are safe together: a job's row is written
@@ -37,8 +43,8 @@
   private constructor (private readonly options: JobWriterOptions) {
     this.jobRows = JobRowBatcher.create(options)
     this.pendingRequests = PendingRequests.create(options.timers)
-    options.network.on(PeerMessageKind.WriteRequest, ({ seq, job, cancel }, reply) => {
-      this.writeForPeer({ job, cancel }).then((result) => reply({ kind: PeerMessageKind.WriteAnswer, seq, ...result }))
+    options.network.on(PeerMessageKind.WriteRequest, ({ kind, seq, ...write }, reply) => {
+      this.writeForPeer(write).then((result) => reply({ kind: PeerMessageKind.WriteAnswer, seq, ...result }))
     })
     options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => { this.pendingRequests.settle(seq, { outcome, version }) })
   }
@@ -47,12 +53,14 @@
     return new JobWriter(options)
   }
 
-  writeJob (id: string, value: Uint8Array<ArrayBuffer>): Promise<WriteResult> {
-    return this.hedge(() => this.jobRows.write(id, value), () => this.relay({ job: value }), clientOptions.hedgeAfterMs)
+  /** Writes a job. Without a permit the call needs no key. */
+  writeJob (id: string, value: Uint8Array<ArrayBuffer>, permit?: WritePermit): Promise<WriteResult> {
+    return this.hedge(() => this.jobRows.write(id, value, permit), () => this.relay({ job: value }, permit), clientOptions.hedgeAfterMs)
   }
 
-  writeCancel (id: string): Promise<WriteResult> {
-    return this.hedge(() => this.writeCancelDirectly(id), () => this.relay({ cancel: id }), clientOptions.hedgeAfterMs)
+  /** Writes the cancellation of a job, which is absent for callers of other teams. */
+  writeCancel (id: string, permit?: WritePermit): Promise<WriteResult> {
+    return this.hedge(() => this.writeCancelDirectly(id, permit), () => this.relay({ cancel: id }, permit), clientOptions.hedgeAfterMs)
   }
 
   /** Returns the first definite outcome of one way to write, and of a second one if the first is slow or has no definite outcome. */
@@ -66,19 +74,28 @@
     return combineResults(await first, await second)
   }
 
-  private async writeForPeer ({ job, cancel }: RelayedWrite): Promise<WriteResult> {
-    if (cancel !== undefined) return this.writeCancelDirectly(cancel)
+  /**
+   * Writes for another daemon, which checked the call's key. A message may wait in a socket, so the check expires on the store's
+   * clock; as this daemon's reading of that clock is wrong just after a suspension, its configuration must be current too.
+   */
+  private async writeForPeer ({ job, cancel, team, untilMs }: RelayedWrite): Promise<WriteResult> {
+    const { rows, canServe } = this.options
+    const permit = untilMs === undefined ? undefined : { team, isValid: () => rows.getStoreClockMs() < untilMs && canServe() }
+    if (cancel !== undefined) return this.writeCancelDirectly(cancel, permit)
     const id = job === undefined ? undefined : decodeJobRow(job)?.id
     if (job === undefined || id === undefined) return { outcome: WriteOutcome.NotDone }
-    return this.jobRows.write(id, job)
+    return this.jobRows.write(id, job, permit)
   }
 
-  private async writeCancelDirectly (id: string): Promise<WriteResult> {
+  private async writeCancelDirectly (id: string, permit: WritePermit | undefined): Promise<WriteResult> {
     const { rows, shardName } = this.options
     const jobKey = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` }
     const job = await readRow(rows, jobKey)
     if (!job.ok) return { outcome: WriteOutcome.NotDone }
     if (job.value === undefined) return { outcome: WriteOutcome.Absent }
+    const team = decodeJobRow(job.value.value)?.team
+    if (team !== undefined && team !== permit?.team) return { outcome: WriteOutcome.Absent }
+    if (permit?.isValid() === false) return { outcome: WriteOutcome.NotDone }
     const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
     const res = await rows.transact({
       conditions: [{ ...jobKey, version: job.value.version }],
@@ -91,13 +108,15 @@
   }
 
   /** Sends a write to the owner or, if no other daemon is known to be the owner, to the next of the other daemons in turn. */
-  private async relay (request: RelayedWrite): Promise<WriteResult> {
-    const { network, shard, members } = this.options
+  private async relay (request: RelayedWrite, permit: WritePermit | undefined): Promise<WriteResult> {
+    if (permit?.isValid() === false) return { outcome: WriteOutcome.NotDone }
+    const { network, shard, members, rows } = this.options
     const others = members.others
     const address = shard.remoteOwner?.address ?? others[this.nextPeerIndex++ % Math.max(1, others.length)]?.address
     if (address === undefined) return { outcome: WriteOutcome.NotDone }
+    const check = permit === undefined ? {} : { team: permit.team, untilMs: Math.round(rows.getStoreClockMs() + clientOptions.relayAnswerMs) }
     return this.pendingRequests.request(
-      (seq) => network.send(address, { kind: PeerMessageKind.WriteRequest, seq, ...request }),
+      (seq) => network.send(address, { kind: PeerMessageKind.WriteRequest, seq, ...request, ...check }),
       clientOptions.relayAnswerMs, { outcome: WriteOutcome.Unknown })
   }
 }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -202,6 +202,8 @@
    * be in force.
    */
   operatorFeedWaitMs: 1_200,
+  /** Limit on the same wait, as a share of the time within which a removed API key must be refused. */
+  feedWaitShare: 0.2,
   /** Pause after a failed read. */
   retryMs: 150,
   /** Period of reading the rows of all daemons. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -63,7 +63,7 @@
 
   constructor (kernel: Kernel) {
     this.store = StoreOutageMonitor.create({ rows: kernel.get(JOBS_PLATFORM).rows, timers: kernel.timers, log: kernel.log, metrics: kernel.metrics })
-    this.watcher = ConfigurationWatcher.create({ feeds: kernel.get(JOBS_PLATFORM).feeds, timers: kernel.timers, log: kernel.log })
+    this.watcher = ConfigurationWatcher.create({ feeds: kernel.get(JOBS_PLATFORM).feeds, timers: kernel.timers, log: kernel.log, keyRevocationMs: kernel.get(JOBS_SETTINGS).keyRevocationMs })
     kernel.provide(CONFIGURATION, this.watcher)
   }
 
@@ -114,6 +114,7 @@
       log: kernel.log,
       rows: platform.rows,
       configuration: kernel.get(CONFIGURATION),
+      bounds: kernel.get(JOBS_SETTINGS),
       shard: kernel.get(SHARD),
       shardName: SHARD_NAME,
       network: kernel.get(NETWORK),
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -115,7 +115,7 @@
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: nonNegativeInt, job: z.string().optional(), queue: z.string().optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobAnswer), seq: nonNegativeInt, state: z.enum(JobState).optional(), pending: nonNegativeInt.optional() }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: nonNegativeInt, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: nonNegativeInt, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional(), team: z.string().optional(), untilMs: nonNegativeInt.optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmCalls), owner: z.string(), batch: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmAnswers), owner: z.string(), batch: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteAnswer), seq: nonNegativeInt, outcome: z.enum(WriteOutcome), version: nonNegativeInt.optional() }),
--- a/packages/kernel/src/lib/timer/FakeTimerService.ts
+++ b/packages/kernel/src/lib/timer/FakeTimerService.ts
@@ -18,7 +18,7 @@
   private nextOrder = 0
   private readonly timers = new Set<PendingTimer>()
 
-  private constructor (private readonly wallClockStartMs: number) {}
+  private constructor (private wallClockStartMs: number) {}
 
   static create (options: { wallClockStartMs?: number } = {}): FakeTimerService {
     return new FakeTimerService(options.wallClockStartMs ?? 0)
@@ -32,6 +32,11 @@
     return this.wallClockStartMs + this.nowMs
   }
 
+  /** Sets the wall clock ahead while the steady clock stands still, as when the VM of a process is suspended. */
+  jumpWallClock (byMs: number): void {
+    this.wallClockStartMs += byMs
+  }
+
   after (delayMs: number, callback: () => void): Subscription {
     return this.add({ dueMs: this.nowMs + delayMs, order: this.nextOrder++, callback })
   }
--- a/packages/kernel/src/lib/timer/TimerService.ts
+++ b/packages/kernel/src/lib/timer/TimerService.ts
@@ -12,7 +12,7 @@
 export interface TimerService {
   /** Returns monotonic time in milliseconds. Only differences between two values have a meaning. */
   now (): number
-  /** Returns wall-clock time in milliseconds since 1970, for display and maintenance windows. */
+  /** Returns wall-clock time in milliseconds since 1970, for display, maintenance windows and time for which the VM was suspended. */
   wallClock (): number
   /** Calls the function once, after a delay in milliseconds. */
   after (delayMs: number, callback: () => void): Subscription
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -100,6 +100,8 @@
   JobsRemoved = 707,
   /** A job is given up, as VMs crashed under one of its tasks, the last one in a trial; `vms` names them. */
   JobGivenUp = 708,
+  /** A call was refused because of its key or the age of the configuration, with the result code `code`; `reason` and `ageMs` say why. */
+  CallRefused = 709,
   /** The owner sends the start of a run to a VM. */
   TaskStartOrdered = 710,
   /** The start of a run was refused, got no answer or was accepted late. A start that is accepted soon is not logged. */
@@ -239,6 +241,7 @@
   [EventCode.JobCancelled]: { level: EventLevel.Info, message: 'job was cancelled' },
   [EventCode.JobRowInvalid]: { level: EventLevel.Error, message: 'stored row of a job cannot be read' },
   [EventCode.JobGivenUp]: { level: EventLevel.Warn, message: 'job is given up because VMs crashed under one of its tasks' },
+  [EventCode.CallRefused]: { level: EventLevel.Info, message: 'call was refused because of its key or the age of the configuration' },
   [EventCode.VmCrashed]: { level: EventLevel.Warn, message: 'VM crashed under its runs' },
   [EventCode.JobsRemoved]: { level: EventLevel.Info, message: 'rows of jobs that ended long ago were removed' },
   [EventCode.TaskStartOrdered]: { level: EventLevel.Info, message: 'task start was sent to a VM' },
--- a/packages/model/src/lib/result/ResultCode.ts
+++ b/packages/model/src/lib/result/ResultCode.ts
@@ -67,6 +67,10 @@
   JobOutcomeUnknown = 2105,
   /** Neither the owner nor the store returned the state of the job or the count of pending jobs. */
   JobStateUnavailable = 2106,
+  /** The call has no usable key, or one that no team holds. */
+  Unauthorized = 2107,
+  /** The daemon has not proved its configuration current for so long that it cannot judge the call's key or path. */
+  ConfigurationStale = 2108,
   /** The version that an edit is based on is not the accepted one. */
   VersionConflict = 3001,
   NothingToApply = 3002,
@@ -128,6 +132,8 @@
   [ResultCode.JobNotStored]: { title: 'Job or cancel was not stored', status: 503, execution: Execution.NotRun },
   [ResultCode.JobOutcomeUnknown]: { title: 'Whether the job was stored is not known', status: 504, execution: Execution.Unknown },
   [ResultCode.JobStateUnavailable]: { title: 'State of the job or queue cannot be read now', status: 503, execution: Execution.NotRun },
+  [ResultCode.Unauthorized]: { title: 'Call has no valid key', status: 401, execution: Execution.NotRun },
+  [ResultCode.ConfigurationStale]: { title: 'Configuration may be out of date', status: 503, execution: Execution.NotRun },
   [ResultCode.VersionConflict]: { title: 'Configuration changed since the version that the edit was based on' },
   [ResultCode.NothingToApply]: { title: 'Declarations equal the configuration in force' },
   [ResultCode.RolloutIncomplete]: { title: 'Configuration was accepted and is not yet in force everywhere' },
--- a/packages/ports/src/lib/jobs/FleetService.ts
+++ b/packages/ports/src/lib/jobs/FleetService.ts
@@ -81,6 +81,8 @@
 /** Changes of a table up to a version. @public */
 export interface Changes<T> {
   readonly values: readonly T[]
+  /** True if the table has further changes that are not among the values. */
+  readonly hasMore?: boolean
   /** Version of the store up to which the changes are complete; the next call continues after it. */
   readonly version: number
 }
--- a/packages/ports/src/lib/jobs/Ingress.ts
+++ b/packages/ports/src/lib/jobs/Ingress.ts
@@ -34,6 +34,8 @@
   readonly host: string
   /** Path: the prefix of a queue, followed by the id of a job unless the request is about the queue. */
   readonly path: string
+  /** API key; undefined if the call has none or several. It must not be logged, stored or sent to other daemons. */
+  readonly key?: string
   /** Time that the client waits for an answer, in milliseconds from the arrival of the request. */
   readonly deadlineMs: number
 }
