Test calls with keys at gateways that are cut off, suspended, restarted or slow, and keys that change

Cause: the check of keys must hold under each failure that lets a gateway miss the removal of a key.

--- a/packages/daemon/src/lib/jobs/JobWriter.test.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.test.ts
@@ -1,14 +1,15 @@
 /**
- * Checks that a cancellation is not stored for a job whose rows are removed meanwhile.
+ * Checks that a cancellation is not stored for a job whose rows are removed meanwhile, and how long another daemon's check of a key holds.
  */
 import { FakeTimerService } from '@vanillathread/kernel'
-import { Result } from '@vanillathread/model'
+import { Result, type AcceptedJob } from '@vanillathread/model'
 import { StoreFailureKind, type RowStore, type RowTransaction, type StoredRow } from '@vanillathread/ports'
 import { assert, describe } from '@vanillathread/testing'
-import { WriteOutcome } from '../peer/messages.js'
-import type { PeerTransport } from '../peer/PeerTransport.js'
+import { PeerMessageKind, WriteOutcome, type PeerMessage, type PeerMessageOf } from '../peer/messages.js'
+import type { MessageHandler, PeerTransport } from '../peer/PeerTransport.js'
 import type { WriteResult } from './JobRowBatcher.js'
 import { JobWriter, type JobWriterOptions } from './JobWriter.js'
+import { encodeRow } from './rows.js'
 
 const JOB_ROW: StoredRow = { table: 'jobs', part: 's', key: 'j/a', value: new Uint8Array(), version: 7, removed: false }
 
@@ -29,6 +30,20 @@
   return { result: await writer.writeCancel('a'), stored }
 }
 
+/** Asks a daemon to write a job, for a call whose key was checked until 100 ms on the store's clock. Returns the outcome. */
+async function relayJob (storeClockMs: number, isCurrent: boolean): Promise<WriteOutcome | undefined> {
+  const row = encodeRow({ id: 'a', spec: { steps: [] } } as unknown as AcceptedJob)
+  const rows = { getStoreClockMs: () => storeClockMs, transact: async () => Result.ok({ version: 9 }) } as unknown as RowStore
+  let outcome: WriteOutcome | undefined
+  let handle: MessageHandler<PeerMessageKind.WriteRequest> | undefined
+  const network = { on: (kind: PeerMessageKind, handler: never) => { if (kind === PeerMessageKind.WriteRequest) handle = handler } } as unknown as PeerTransport
+  const timers = FakeTimerService.create()
+  JobWriter.create({ timers, rows, network, shardName: 's', canServe: () => isCurrent } as unknown as JobWriterOptions)
+  handle?.({ kind: PeerMessageKind.WriteRequest, seq: 1, job: row, untilMs: 100 }, (answer: PeerMessage) => { outcome = (answer as PeerMessageOf<PeerMessageKind.WriteAnswer>).outcome })
+  await timers.advance(1)
+  return outcome
+}
+
 describe('JobWriter', ({ it }) => {
   it('stores the cancellation of a job', async () => {
     assert.equal(await cancelJob(7), { result: { outcome: WriteOutcome.Stored, version: 9 }, stored: ['c/a'] })
@@ -37,4 +52,8 @@
   it('stores none if the job is removed between the read and the write, as nothing would remove it again', async () => {
     assert.equal(await cancelJob(0), { result: { outcome: WriteOutcome.Absent }, stored: [] })
   })
+
+  it('writes for a key that another daemon checked only until that check expires, and not with a stale configuration after a suspension', async () => {
+    assert.equal([await relayJob(99, true), await relayJob(100, true), await relayJob(99, false)], [WriteOutcome.Stored, WriteOutcome.NotDone, WriteOutcome.NotDone])
+  })
 })
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -266,7 +266,8 @@
   return { payload: 'text', steps: steps.length > 0 ? steps : [createStep()], repeatCount: 0, firstRunMs: 0, intervalMs: 0 }
 }
 
-function createConfiguration (): OperatorConfiguration {
+/** Builds the configuration that the lab starts with. */
+export function createConfiguration (): OperatorConfiguration {
   return {
     version: 1,
     queues: LAB_QUEUES.map((pathPrefix, index) => ({
