--- a/packages/integration/src/teams.test.ts
+++ b/packages/integration/src/teams.test.ts
@@ -113,4 +113,14 @@
     assert.equal(lab.store.readRange({ table: 'jobs', part: 'main', from: 'j/', to: 'j0' }).rows.map(({ key }) => key), ['j/0000000000000001'])
     await stop(lab)
   })
+
+  it('learn that the outcome is unknown if their configuration gets stale after a write that may have been carried out', async () => {
+    const { lab, gateway } = await startLab()
+    lab.store.fault = StoreFault.Unresponsive
+    const submitted = call(lab, gateway, 'submit', 1, 'k-a')
+    await lab.timers.advance(500)
+    lab.timers.jumpWallClock(60_000)
+    assert.is(await submitted, IngressAnswerKind.OutcomeUnknown)
+    await stop(lab)
+  })
 })
