Cap what a team has running, and charge a new owner's teams for runs that it cannot see yet

Cause: a team had 283 GB of memory in use with 254 GB allowed; nothing compared the runs of a team with its cap. Change: TeamLedger sums the needs of all runs that VMs hold, in step with startRun, adoptRun and releaseRun; placement, gangs and trials ask it before each start. PossibleRuns adds, after a takeover, what the VMs whose runs are unknown may run for the team. Tasks that a cap forbids are no demand. Nothing is looked up for jobs without a team.

--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -233,7 +233,8 @@
   }
 
   private plan (): void {
-    const { timers, rows } = this.options
+    const { timers, rows, configuration } = this.options
+    this.scheduler.setTeams(configuration.current?.teams)
     const clocks = { nowMs: timers.now(), storeNowMs: rows.getStoreClockMs(), wallClockMs: timers.wallClock() }
     const orders = this.scheduler.plan(clocks, (step) => this.advice.getTickets(step, this.listUsableVms(step.occurrence.job.accepted.pool)))
     for (const order of orders) this.sessions.execute(order)
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -114,6 +114,8 @@
   TaskAdopted = 715,
   /** The owner changes the pace of a best-effort task to `percent`. */
   TaskPaced = 716,
+  /** A job of a team has waited for a while; `reason` says whether the team's cap, its share or its weight is the cause. */
+  JobWaits = 717,
   /** A VM crashed under `runs` runs; `suspects` names tasks that may have caused it. In a `trial`, only these were started there. */
   VmCrashed = 718,
   /** The owner tracks a VM from its registration on. */
@@ -239,6 +241,7 @@
   [EventCode.JobCancelled]: { level: EventLevel.Info, message: 'job was cancelled' },
   [EventCode.JobRowInvalid]: { level: EventLevel.Error, message: 'stored row of a job cannot be read' },
   [EventCode.JobGivenUp]: { level: EventLevel.Warn, message: 'job is given up because VMs crashed under one of its tasks' },
+  [EventCode.JobWaits]: { level: EventLevel.Info, message: 'job waits because of the rules for its team' },
   [EventCode.VmCrashed]: { level: EventLevel.Warn, message: 'VM crashed under its runs' },
   [EventCode.JobsRemoved]: { level: EventLevel.Info, message: 'rows of jobs that ended long ago were removed' },
   [EventCode.TaskStartOrdered]: { level: EventLevel.Info, message: 'task start was sent to a VM' },
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -46,6 +46,8 @@
 export { TrackedJob, TrackedStep, type TrackedOccurrence } from './lib/jobs/TrackedJob.js'
 export { TrackedTask, type TaskCrash } from './lib/jobs/TrackedTask.js'
 export { RunPhase, StopReason, TrackedRun } from './lib/jobs/TrackedRun.js'
+export { TeamScheduling, TeamWait } from './lib/teams/TeamScheduling.js'
+export type { TeamAccount, TeamLedger } from './lib/teams/TeamLedger.js'
 export { canInterruptTask, evacuateVm } from './lib/jobs/evacuateVm.js'
 export { PaceController } from './lib/jobs/PaceController.js'
 export { CapacityPlanner, type CapacityPlannerOptions, type PlannedMachine, type PlannedMove, type PlannedPool } from './lib/machines/CapacityPlanner.js'
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -1,12 +1,13 @@
 /**
  * The scheduler of one shard, which its owner runs: it applies events to the shard's state and returns orders.
  */
-import { EventCode, isFinalState, JobState, type AcceptedJob, type VmEntry, type VmReport } from '@vanillathread/model'
+import { EventCode, isFinalState, JobState, type AcceptedJob, type TeamRules, type VmEntry, type VmReport } from '@vanillathread/model'
 import type { RosterClocks, RosterRecord, RosterWrite } from '../vms/rosterRecords.js'
 import { StartGate } from '../vms/StartGate.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
-import { VmRegistry } from '../vms/VmRegistry.js'
+import { SLOW_CLOCK_FACTOR, VmRegistry } from '../vms/VmRegistry.js'
 import { ArrivalMeter, getJobWork, measureDemand, type PoolCapacityDemand } from '../machines/PoolCapacityDemand.js'
+import { TeamScheduling } from '../teams/TeamScheduling.js'
 import { applyStartOutcome } from './applyStartOutcome.js'
 import { blameCrash } from './crashBlame.js'
 import { describeSteps } from './describeSteps.js'
@@ -55,7 +56,10 @@
   private readonly retention = JobRetention.create()
 
   private constructor (private readonly options: JobSchedulerOptions) {
-    this.state = SchedulerState.create(options.logDecision, options.stopMs)
+    const { logDecision, stopMs, leaseMs, generation, startedAtMs, previousOwnerRenewalMs } = options
+    const previousOwnerUntilMs = generation > 0 ? startedAtMs + previousOwnerRenewalMs : -Infinity
+    const endedJobRunMs = leaseMs * SLOW_CLOCK_FACTOR + previousOwnerRenewalMs + stopMs
+    this.state = SchedulerState.create(logDecision, stopMs, TeamScheduling.create({ previousOwnerUntilMs, endedJobRunMs, startedAtMs, logDecision }))
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
     this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
@@ -76,7 +80,8 @@
       changes: this.changedJobs,
     })
     this.state.addJob(job)
-    if (!predatesTakeover) this.arrivals.recordArrival(accepted.pool, getJobWork(this.state, job), nowMs)
+    this.state.teams.addJob(job, nowMs)
+    if (!predatesTakeover && !this.state.teams.isAtCap(job)) this.arrivals.recordArrival(accepted.pool, getJobWork(this.state, job), nowMs)
     this.state.jobsToRead.delete(accepted.id)
     // A job that ended under a previous owner was logged by that owner.
     if (!job.isOver) this.state.logDecision(EventCode.JobOwned, { job: job.id, queue: accepted.queue, acceptedVersion, state: job.state, steps: describeSteps(accepted.spec) })
@@ -231,6 +236,7 @@
     }
     if (isCheckDue) restartOverdue(this.state, nowMs)
     const vmsByPool = this.state.groupVmsByPool()
+    this.state.teams.beginPlan(vmsByPool, clocks)
     for (const pool of this.state.openJobs.keys()) {
       const vms = vmsByPool.get(pool) ?? []
       const mayStart = this.startGate.createCheck(pool, vms, nowMs)
@@ -240,6 +246,11 @@
     return this.state.takeOrders()
   }
 
+  /** Applies the teams of the configuration in force; undefined before one has been read. */
+  setTeams (teams: readonly TeamRules[] | undefined): void {
+    this.state.teams.setTeams(teams)
+  }
+
   /** Returns the jobs with progress that is neither stored nor part of a commit in progress. */
   listJobsToStore (): TrackedJob[] {
     return [...this.changedJobs]
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -8,6 +8,7 @@
 import type { TrackedJob } from './TrackedJob.js'
 import type { TrackedTask } from './TrackedTask.js'
 import { RunPhase, StopReason, TrackedRun } from './TrackedRun.js'
+import type { TeamScheduling } from '../teams/TeamScheduling.js'
 
 /** Log fields that explain a decision. @public */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>
@@ -49,11 +50,11 @@
   /** By VM id, since a task was last done there: the number of pauses, and the jobs with failed tasks since the last pause. */
   private readonly failuresByVm = new Map<string, { jobs: Set<string>, pauses: number }>()
 
-  private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number) {}
+  private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number, readonly teams: TeamScheduling) {}
 
   /** @param stopMs - longest time from a VM's answer to a stop until the run has ended. */
-  static create (logDecision: DecisionLogger, stopMs: number): SchedulerState {
-    return new SchedulerState(logDecision, stopMs)
+  static create (logDecision: DecisionLogger, stopMs: number, teams: TeamScheduling): SchedulerState {
+    return new SchedulerState(logDecision, stopMs, teams)
   }
 
   takeOrders (): Order[] {
@@ -102,8 +103,7 @@
     const run = TrackedRun.create(task, number, vm.id, nowMs)
     task.lastRun = Math.max(task.lastRun, number)
     task.needsSecondRun = false
-    task.runs.add(run)
-    vm.addRun(run)
+    this.trackRun(run, vm)
     this.orders.push({ kind: OrderKind.Start, run, ticket })
     return run
   }
@@ -115,9 +115,8 @@
     run.orderedPacePercent = Number.NaN
     run.mayBeStopping = true
     task.lastRun = Math.max(task.lastRun, number)
-    task.runs.add(run)
     task.begun = true
-    vm.addRun(run)
+    this.trackRun(run, vm)
     return run
   }
 
@@ -140,7 +139,7 @@
 
   /** Removes a run that no longer occupies its VM. */
   releaseRun (run: TrackedRun): void {
-    run.task.runs.delete(run)
+    if (run.task.runs.delete(run)) this.teams.adjust(run, -1)
     this.vms.get(run.vmId)?.removeRun(run)
   }
 
@@ -187,11 +186,18 @@
     }
   }
 
+  private trackRun (run: TrackedRun, vm: TrackedVm): void {
+    run.task.runs.add(run)
+    vm.addRun(run)
+    this.teams.adjust(run, 1)
+  }
+
   private applyDone (vm: TrackedVm, run: TrackedRun | undefined, task: TrackedTask, nowMs: number): void {
     const { job } = task.step.occurrence
     this.failuresByVm.delete(vm.id)
     if (run?.confirmedAtMs !== undefined) this.learnDuration(task, nowMs - run.confirmedAtMs)
     job.markDone(task)
+    this.teams.markDone(task)
     for (const other of task.runs) this.stopRun(other, StopReason.Unwanted, nowMs)
   }
 
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -79,6 +79,8 @@
   /** Indexes of the occurrences that have ended. They are not restored if the stored state of the job is final. */
   readonly finishedOccurrences = new Set<number>()
   cancelled = false
+  /** True if its team submitted the job beyond its weight; see `WeightMeter`. */
+  isBeyondWeight = false
   /** True once a finite task has failed as often as the job allows. */
   failed = false
   private hasChanged = false
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -38,14 +38,14 @@
   }
 }
 
-/** Returns the tasks of a pool that need a trial and can be started now, by step. */
+/** Returns the tasks of a pool that need a trial and can be started now, by step. No VM is reserved for those that a cap forbids. */
 function groupWaiting (state: SchedulerState, pool: string, context: PlacementContext): Map<TrackedStep, TrackedTask[]> {
   const waiting = new Map<TrackedStep, TrackedTask[]>()
   for (const task of state.suspects) {
     const { step } = task
     const { job } = step.occurrence
     if (task.done || job.isOver) state.suspects.delete(task)
-    else if (job.accepted.pool === pool && task.needsTrial && task.isWaiting && step.isReady && !step.spec.gang && context.mayStart(job)) waiting.set(step, [...waiting.get(step) ?? [], task])
+    else if (job.accepted.pool === pool && task.needsTrial && task.isWaiting && step.isReady && !step.spec.gang && context.mayStart(job) && state.teams.mayStartTask(task)) waiting.set(step, [...waiting.get(step) ?? [], task])
   }
   return waiting
 }
@@ -58,7 +58,7 @@
   if (vm === undefined) return false
   const runs: TrackedRun[] = []
   for (const task of tasks) {
-    if (canTakeTask(vm, step)) runs.push(startTask(state, task, vm, task.lastRun + 1, tickets, context))
+    if (canTakeTask(vm, step) && state.teams.mayStartTask(task)) runs.push(startTask(state, task, vm, task.lastRun + 1, tickets, context))
   }
   vm.trialRuns = runs
   vm.reservedForTrial = false
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -3,7 +3,7 @@
  */
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { placeSuspects } from './placeSuspects.js'
-import { compareRanks, rankJob, type JobRank } from './rankJobs.js'
+import { rankJob, type JobRank } from './rankJobs.js'
 import type { SchedulerState } from './SchedulerState.js'
 import { getTicketsIfRequired, isAllowed, startTask, type PlacementContext } from './startTask.js'
 import type { TrackedJob, TrackedStep } from './TrackedJob.js'
@@ -17,7 +17,7 @@
   placeSuspects(state, pool, usableVms, context)
   const vms = usableVms.filter((vm) => !vm.reservedForTrial && !vm.isOnTrial)
   if (vms.length === 0) return
-  for (const { job } of rankJobs(state, jobs, context)) {
+  for (const { job } of state.teams.order(rankJobs(state, jobs, context))) {
     for (const step of listReadySteps(job, context.wallClockMs)) {
       if (step.spec.gang) placeGang(state, step, vms, context)
       else placeStep(state, step, vms, context)
@@ -30,7 +30,7 @@
   for (const job of jobs) {
     if (context.mayStart(job) && hasWaitingTasks(job, context.wallClockMs)) ranks.push(rankJob(job, state.estimates, context.storeNowMs))
   }
-  return ranks.sort(compareRanks)
+  return ranks
 }
 
 function hasWaitingTasks (job: TrackedJob, wallClockMs: number): boolean {
@@ -56,9 +56,13 @@
   if (tickets === undefined) return
   for (const task of step.tasks) {
     if (!task.isWaiting || task.needsTrial) continue
+    if (!state.teams.mayStartTask(task)) return
     const vm = chooseVm(step, task, vms, tickets)
     // All tasks of a step have the same needs, so the next one does not fit either.
-    if (vm === undefined) return
+    if (vm === undefined) {
+      state.teams.recordNoRoom(step.occurrence.job)
+      return
+    }
     startTask(state, task, vm, task.lastRun + 1, tickets, context)
   }
 }
@@ -66,7 +70,7 @@
 /** Starts all tasks of a gang under one run number, or none. With `sameRack`, a single rack is tried first. */
 function placeGang (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
   const tickets = getTicketsIfRequired(step, context)
-  if (tickets === undefined || step.tasks.some((task) => task.runs.size > 0)) return
+  if (tickets === undefined || step.tasks.some((task) => task.runs.size > 0) || !state.teams.mayStart(step.tasks)) return
   const racks = step.spec.sameRack ? new Set(vms.map((vm) => vm.rack)) : new Set<string>()
   for (const rack of [...racks, undefined]) {
     const candidates = rack === undefined ? vms : vms.filter((vm) => vm.rack === rack)
@@ -79,6 +83,7 @@
     })
     return
   }
+  state.teams.recordNoRoom(step.occurrence.job)
 }
 
 /** Returns a VM for each task of a gang, or undefined if they do not all fit. */
--- a/packages/policy/src/lib/machines/PoolCapacityDemand.ts
+++ b/packages/policy/src/lib/machines/PoolCapacityDemand.ts
@@ -4,6 +4,7 @@
 import { rankJob, Urgency } from '../jobs/rankJobs.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
 import type { TrackedJob, TrackedStep } from '../jobs/TrackedJob.js'
+import { TeamDemand } from '../teams/TeamDemand.js'
 
 /** Demand of one pool. @public */
 export interface PoolCapacityDemand {
@@ -88,11 +89,12 @@
 /** Returns a pool's demand: the summed needs of the ready steps of its open jobs that are not done, and the arrival rate. */
 export function measureDemand (state: SchedulerState, pool: string, arrivals: ArrivalMeter, clocks: { readonly nowMs: number, readonly storeNowMs: number }): PoolCapacityDemand {
   const sum = { busyCpuMillis: 0, lateCpuMillis: 0, longRunningCpuMillis: 0, memoryMb: 0, lateMemoryMb: 0, minVms: 0 }
+  const teamDemand = TeamDemand.create(state.teams)
   for (const job of state.openJobs.get(pool) ?? []) {
     const isLate = rankJob(job, state.estimates, clocks.storeNowMs).urgency > Urgency.InTime
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps) {
-        if (!step.isDone && step.isReady) addStep(sum, step, isLate)
+        if (!step.isDone && step.isReady) addStep(sum, step, teamDemand.countOpen(step), isLate)
       }
     }
   }
@@ -109,9 +111,9 @@
   minVms: number
 }
 
-function addStep (sum: DemandSum, step: TrackedStep, isLate: boolean): void {
+/** @param open - number of the step's tasks that occupy or need capacity. */
+function addStep (sum: DemandSum, step: TrackedStep, open: number, isLate: boolean): void {
   const { need, fills, longRunning, maxTasksPerVm } = step.spec
-  const open = step.tasks.length - step.doneCount
   if (!fills && longRunning) sum.longRunningCpuMillis += open * need.cpuMillis
   else if (!fills) sum[isLate ? 'lateCpuMillis' : 'busyCpuMillis'] += open * need.cpuMillis
   sum[isLate ? 'lateMemoryMb' : 'memoryMb'] += open * need.memoryMb
--- a/packages/policy/src/lib/vms/VmRegistry.test.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.test.ts
@@ -4,10 +4,12 @@
 import { assert, describe } from '@vanillathread/testing'
 import { createVmEntry } from '../jobs/testSupport.js'
 import { SchedulerState } from '../jobs/SchedulerState.js'
+import { TeamScheduling } from '../teams/TeamScheduling.js'
 import { VmRegistry } from './VmRegistry.js'
 
 function createRegistry (): VmRegistry {
-  return VmRegistry.create({ state: SchedulerState.create(() => {}, 900), leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, onForget: () => {} })
+  const teams = TeamScheduling.create({ previousOwnerUntilMs: 0, endedJobRunMs: 0, startedAtMs: 0, logDecision: () => {} })
+  return VmRegistry.create({ state: SchedulerState.create(() => {}, 900, teams), leaseMs: 5_000, previousOwnerRenewalMs: 0, startedAtMs: 0, onForget: () => {} })
 }
 
 describe('VmRegistry', ({ it }) => {
