Order teams' jobs by weighted dominant share, and those beyond a team's weight last

Cause: one team at 7.5 times its usual load makes the jobs of all teams late alike, as the order knows only urgency and slack. LoadDay has teams and a surge.

--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -2,7 +2,7 @@
  * Plays a day of load through the scheduler and the capacity planner on a simulated clock, without processes or a network.
  * It answers what callers get: jobs in time, late and missed, by queue and by window.
  */
-import { RunEnd, type Capacity, type EndEntry, type VmEntry } from '@vanillathread/model'
+import { RunEnd, type Capacity, type EndEntry, type TeamRules, type VmEntry } from '@vanillathread/model'
 import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type TrackedRun } from '@vanillathread/policy'
 import { EventQueue } from './EventQueue.js'
 import { createLongRunningJobs, generateJobs, type LoadJob, type LoadSite } from './LoadSite.js'
@@ -27,6 +27,8 @@
   readonly planner: MovePlanner
   /** Periods in which machines are evacuated and then away, as for maintenance. */
   readonly absences?: readonly Absence[]
+  /** The operator's rules for the teams of the site; without them, teams make no difference. */
+  readonly teams?: readonly TeamRules[]
 }
 
 /** Times of the platform and of the owner's calls, in milliseconds. */
@@ -82,6 +84,7 @@
   private constructor (private readonly options: LoadDayOptions) {
     this.random = RandomSource.create(options.seed)
     this.scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: LEASE_MS, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
+    this.scheduler.setTeams(options.teams ?? [])
   }
 
   static create (options: LoadDayOptions): LoadDay {
--- a/packages/integration/src/lib/load/LoadSite.ts
+++ b/packages/integration/src/lib/load/LoadSite.ts
@@ -60,6 +60,17 @@
   /** Cost of a machine outside of the standby pool for a second, in the unit of `LoadQueue.worth`. */
   readonly machineSecondCost: number
   readonly moveCost: number
+  /** Teams that submit the finite jobs; none without teams. */
+  readonly teams?: readonly LoadTeam[]
+}
+
+/** A team that submits jobs to all queues. */
+export interface LoadTeam {
+  readonly name: string
+  /** Share of each queue's jobs, in proportion to the other teams. */
+  readonly weight: number
+  /** A period in which the team submits a multiple of its usual jobs. */
+  readonly surge?: { readonly fromMs: number, readonly toMs: number, readonly factor: number }
 }
 
 /** A job with the durations that its tasks take. */
@@ -92,16 +103,37 @@
 export function generateJobs (site: LoadSite, random: RandomSource): LoadJob[] {
   const jobs: LoadJob[] = []
   for (const [index, queue] of site.queues.entries()) {
-    const peakPerSecond = queue.jobsPerSecond * PEAK_FACTOR
-    for (let atMs = 0; ;) {
-      atMs += -Math.log(1 - random.nextFloat()) * 1_000 / peakPerSecond
-      if (atMs >= site.lengthMs) break
-      if (random.nextFloat() < getDemandShare(site, queue, atMs)) jobs.push(generateJob(formatJobId(index + 1, jobs.length), queue, atMs, random))
+    const add = (atMs: number, team?: string): unknown => jobs.push(generateJob(formatJobId(index + 1, jobs.length), queue, atMs, random, team))
+    for (const atMs of drawArrivals(site, queue, 1, 0, site.lengthMs, random)) add(atMs, drawTeam(site, random))
+    for (const { name, weight, surge } of site.teams ?? []) {
+      if (surge === undefined) continue
+      const share = weight / sumWeights(site)
+      for (const atMs of drawArrivals(site, queue, share * (surge.factor - 1), surge.fromMs, surge.toMs, random)) add(atMs, name)
     }
   }
   return jobs.sort((a, b) => a.accepted.acceptedAtMs - b.accepted.acceptedAtMs)
 }
 
+/** Draws times of arrival for a multiple of a queue's demand. */
+function * drawArrivals (site: LoadSite, queue: LoadQueue, factor: number, fromMs: number, toMs: number, random: RandomSource): Generator<number, void> {
+  const peakPerSecond = queue.jobsPerSecond * PEAK_FACTOR * factor
+  for (let atMs = fromMs; ;) {
+    atMs += -Math.log(1 - random.nextFloat()) * 1_000 / peakPerSecond
+    if (atMs >= toMs) return
+    if (random.nextFloat() < getDemandShare(site, queue, atMs)) yield atMs
+  }
+}
+
+function sumWeights ({ teams = [] }: LoadSite): number {
+  return teams.reduce((sum, { weight }) => sum + weight, 0)
+}
+
+function drawTeam (site: LoadSite, random: RandomSource): string | undefined {
+  if (site.teams === undefined) return undefined
+  let rest = random.nextFloat() * sumWeights(site)
+  return site.teams.find(({ weight }) => (rest -= weight) < 0)?.name
+}
+
 /** Generates the long-running job of each pool, accepted at time 0. */
 export function createLongRunningJobs (site: LoadSite): AcceptedJob[] {
   return site.pools.filter((pool) => pool.longRunning !== undefined).map((pool, index) => {
@@ -119,7 +151,7 @@
   return position >= 1 ? rest : Math.max(rest, Math.sin(Math.PI * position))
 }
 
-function generateJob (id: string, queue: LoadQueue, atMs: number, random: RandomSource): LoadJob {
+function generateJob (id: string, queue: LoadQueue, atMs: number, random: RandomSource, team?: string): LoadJob {
   const steps: StepSpec[] = []
   const durationsMs: number[][] = []
   let chainMs = 0
@@ -144,7 +176,7 @@
   }
   const meanWork = queue.steps.mean * queue.tasksPerStep.mean * queue.durationMs.mean * queue.cpuMillis.mean
   return {
-    accepted: createAcceptedJob({ id, queue: queue.name, pool: queue.pool, priority: queue.priority, acceptedAtMs: atMs, steps }),
+    accepted: createAcceptedJob({ id, queue: queue.name, pool: queue.pool, priority: queue.priority, acceptedAtMs: atMs, steps, ...(team !== undefined && { team }) }),
     queue,
     durationsMs,
     chainMs,
@@ -157,7 +189,7 @@
   return group.toString(16).padStart(4, '0') + index.toString(16).padStart(12, '0')
 }
 
-function createAcceptedJob (job: Pick<AcceptedJob, 'id' | 'queue' | 'pool' | 'priority' | 'acceptedAtMs'> & { steps: readonly StepSpec[] }): AcceptedJob {
+function createAcceptedJob (job: Pick<AcceptedJob, 'id' | 'queue' | 'pool' | 'priority' | 'acceptedAtMs' | 'team'> & { steps: readonly StepSpec[] }): AcceptedJob {
   const { steps, ...rest } = job
   const spec: JobSpec = { payload: '', steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 }
   return { ...rest, spec, maxAttempts: 4, deadlineFactor: DEADLINE_FACTOR, targetLatencyMs: TARGET_LATENCY_MS, configurationVersion: 1 }
--- a/packages/integration/src/lib/load/summarizeLoadDay.ts
+++ b/packages/integration/src/lib/load/summarizeLoadDay.ts
@@ -3,8 +3,8 @@
  */
 import { getObjectiveMs, type LoadJob, type LoadSite } from './LoadSite.js'
 
-/** What the callers of one queue got. */
-export interface QueueOutcome {
+/** What the callers of one queue or team got. */
+export interface CallerOutcome {
   jobs: number
   inTime: number
   late: number
@@ -14,7 +14,9 @@
 
 /** Result of a day. */
 export interface LoadDayResult {
-  readonly byQueue: ReadonlyMap<string, QueueOutcome>
+  readonly byQueue: ReadonlyMap<string, CallerOutcome>
+  /** Jobs without a team count for the team with an empty name. */
+  readonly byTeam: ReadonlyMap<string, CallerOutcome>
   /** Earned share of the worth of the jobs that arrived in each window, in order. */
   readonly windows: readonly number[]
   /** Earned share of the worth of all jobs. */
@@ -48,18 +50,20 @@
 
 /** Sums up a day by queue, by window and in whole. */
 export function summarizeLoadDay ({ site, startedAtMs, jobs, completedAtMs, machineSeconds, moves }: EndedLoadDay): LoadDayResult {
-  const byQueue = new Map<string, QueueOutcome>()
+  const byQueue = new Map<string, CallerOutcome>()
+  const byTeam = new Map<string, CallerOutcome>()
   const windows: Array<{ worth: number, earned: number }> = []
   const day = { worth: 0, earned: 0 }
   for (const job of jobs) {
     const share = getEarnedShare(job, completedAtMs.get(job.accepted.id))
-    const outcome = byQueue.get(job.queue.name) ?? { jobs: 0, inTime: 0, late: 0, worth: 0, earned: 0 }
-    byQueue.set(job.queue.name, outcome)
+    const outcomes = [getOutcome(byQueue, job.queue.name), getOutcome(byTeam, job.accepted.team ?? '')]
     const window = windows[Math.floor((job.accepted.acceptedAtMs - startedAtMs) / WINDOW_MS)] ??= { worth: 0, earned: 0 }
-    outcome.jobs += 1
-    if (share === 1) outcome.inTime += 1
-    else if (share > 0) outcome.late += 1
-    for (const sum of [outcome, window, day]) {
+    for (const outcome of outcomes) {
+      outcome.jobs += 1
+      if (share === 1) outcome.inTime += 1
+      else if (share > 0) outcome.late += 1
+    }
+    for (const sum of [...outcomes, window, day]) {
       sum.worth += job.worth
       sum.earned += share * job.worth
     }
@@ -70,7 +74,13 @@
   const served = day.earned / day.worth
   const gross = GOAL.day * served + GOAL.windows * worst.reduce((sum, share) => sum + share, 0) / worst.length + GOAL.queue * worstQueue
   const cost = machineSeconds * site.machineSecondCost + moves * site.moveCost
-  return { byQueue, windows: shares, served, machineSeconds, moves, net: gross - cost / day.worth }
+  return { byQueue, byTeam, windows: shares, served, machineSeconds, moves, net: gross - cost / day.worth }
+}
+
+function getOutcome (outcomes: Map<string, CallerOutcome>, name: string): CallerOutcome {
+  const outcome = outcomes.get(name) ?? { jobs: 0, inTime: 0, late: 0, worth: 0, earned: 0 }
+  outcomes.set(name, outcome)
+  return outcome
 }
 
 function getEarnedShare (job: LoadJob, endMs: number | undefined): number {
--- a/packages/policy/src/lib/teams/TeamScheduling.ts
+++ b/packages/policy/src/lib/teams/TeamScheduling.ts
@@ -52,8 +52,6 @@
   /** Reasons for which a job has waited so far. */
   private readonly loggedWaits = new WeakMap<TrackedJob, Set<TeamWait>>()
   private teams: readonly TeamRules[] | undefined
-  /** Weighted share of each team if all teams want more than their weight gives them. */
-  private evenShare = Infinity
   private totalReadAtMs = -Infinity
   private nowMs = -Infinity
   private storeNowMs = -Infinity
@@ -73,7 +71,7 @@
     if (teams === undefined || teams === this.teams) return
     this.teams = teams
     this.ledger.setTeams(teams)
-    this.evenShare = 1 / teams.reduce((sum, { weight }) => sum + weight, 0)
+    this.shares.setTeams(teams)
   }
 
   addJob (job: TrackedJob, nowMs: number): void {
@@ -138,7 +136,7 @@
     if (job.accepted.team === undefined || this.teams === undefined || this.teams.length === 0) return
     const account = this.ledger.getAccount(job.accepted.team)
     if (job.isBeyondWeight) this.logWait(job, account, TeamWait.BeyondWeight)
-    else if (this.shares.getShare(account) >= this.evenShare) this.logWait(job, account, TeamWait.Share)
+    else if (this.shares.getLevel(account) > 0) this.logWait(job, account, TeamWait.Share)
   }
 
   /** Returns true if the cap of a job's team forbids the start of the job's first task at present. */
--- a/packages/policy/src/lib/teams/TeamShares.ts
+++ b/packages/policy/src/lib/teams/TeamShares.ts
@@ -1,6 +1,7 @@
 /**
  * The order in which the jobs of several teams get free capacity: weighted dominant resource fairness.
  */
+import type { TeamRules } from '@vanillathread/model'
 import { compareRanks, type JobRank } from '../jobs/rankJobs.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { addCapacity, createCapacity, DIMENSIONS, type MutableCapacity } from './capacity.js'
@@ -15,10 +16,19 @@
 /** Weight of a team whose configured weight is 0, and of one that no configuration held, so that others go first. */
 const LEAST_WEIGHT = 0.01
 
+/** A team with its jobs of one class, the next one last. */
+interface Turn {
+  readonly account: TeamAccount
+  readonly jobs: JobRank[]
+  level: number
+}
+
 /** Keeps the average usage of teams, and orders jobs by it. @public */
 export class TeamShares {
   private total: MutableCapacity = createCapacity()
   private advancedAtMs: number | undefined
+  /** Sum of the weights of all configured teams. */
+  private weights = 0
 
   private constructor (private readonly ledger: TeamLedger) {}
 
@@ -26,6 +36,10 @@
     return new TeamShares(ledger)
   }
 
+  setTeams (teams: readonly TeamRules[]): void {
+    this.weights = teams.reduce((sum, { weight }) => sum + weight, 0)
+  }
+
   /** Brings the averages up to date. */
   advance (nowMs: number): void {
     const kept = this.advancedAtMs === undefined ? 1 : Math.exp((this.advancedAtMs - nowMs) / DECAY_MS)
@@ -56,10 +70,19 @@
     return dominant / Math.max(LEAST_WEIGHT, rules?.weight ?? 0)
   }
 
+  /**
+   * Returns a team's share in whole multiples of the share that it is due if all teams want more than their weight gives them. The
+   * order compares these levels, so that teams below what they are due take turns by the slack of their jobs. Comparing the
+   * shares themselves put jobs with much slack before jobs with little, and fewer jobs of the worst tenth of the teams ended in time.
+   */
+  getLevel (account: TeamAccount): number {
+    return Math.floor(this.getShare(account) * Math.max(LEAST_WEIGHT, this.weights))
+  }
+
   /**
    * Yields jobs in the order in which they get capacity. Jobs within their team's weight and jobs without a team come first, those
-   * beyond the weight after them. Among jobs of equal urgency and priority, the team with the lowest share at that moment goes
-   * first; inside a team, and for jobs without one, the order is that of {@link compareRanks}.
+   * beyond the weight after them. Among jobs of equal urgency and priority, the teams with the lowest level at that moment go
+   * first; among these, inside a team, and for jobs without one, the order is that of {@link compareRanks}.
    *
    * Tasks of a job are to be placed before the next job is requested.
    */
@@ -83,11 +106,11 @@
       jobs.push(rank)
       if (team !== undefined) jobsByTeam.set(team, jobs)
     }
-    const turns = [...jobsByTeam].map(([team, jobs]) => ({ account: this.ledger.getAccount(team), jobs, share: this.getShare(this.ledger.getAccount(team)) }))
+    const turns: Turn[] = [...jobsByTeam].map(([team, jobs]) => ({ account: this.ledger.getAccount(team), jobs, level: this.getLevel(this.ledger.getAccount(team)) }))
     for (;;) {
-      let lowest: typeof turns[number] | undefined
+      let lowest: Turn | undefined
       for (const turn of turns) {
-        if (turn.jobs.length > 0 && (lowest === undefined || turn.share < lowest.share)) lowest = turn
+        if (turn.jobs.length > 0 && (lowest === undefined || compareTurns(turn, lowest) < 0)) lowest = turn
       }
       const teamJob = lowest?.jobs.at(-1)
       const otherJob = withoutTeam.at(-1)
@@ -97,12 +120,18 @@
       } else if (lowest !== undefined && teamJob !== undefined) {
         lowest.jobs.pop()
         yield teamJob
-        lowest.share = this.getShare(lowest.account)
+        lowest.level = this.getLevel(lowest.account)
       } else return
     }
   }
 }
 
+/** Compares two teams by level, and then by their next jobs. */
+function compareTurns (a: Turn, b: Turn): number {
+  const [jobA, jobB] = [a.jobs.at(-1), b.jobs.at(-1)]
+  return a.level - b.level || (jobA === undefined || jobB === undefined ? 0 : compareRanks(jobA, jobB))
+}
+
 function compareBeyondWeight (a: JobRank, b: JobRank): number {
   return Number(a.job.isBeyondWeight) - Number(b.job.isBeyondWeight)
 }
