--- a/packages/cli/src/lib/jobs/explainLogs.test.ts
+++ b/packages/cli/src/lib/jobs/explainLogs.test.ts
@@ -46,6 +46,8 @@
     assert.is(explainLogs(LoggedKind.Job, JOB, owner)?.cause, 'the shard changed its owner: owner process is gone')
     const full = createEntries(accepted, started(5, 'v1', 4_000), ended(6, 'complete'))
     assert.is(explainLogs(LoggedKind.Job, JOB, full)?.cause, 'waited 4000 ms for room in its pool')
+    const capped = createEntries(accepted, [3, 'a', EventCode.JobWaits, { job: JOB, team: 't', reason: 'cap', waitedMs: 500, cpuMillis: 4_000, capCpuMillis: 4_500, memoryMb: 9, capMemoryMb: 0 }], started(5, 'v1', 4_000))
+    assert.match(explainLogs(LoggedKind.Job, JOB, capped)?.cause ?? '', 'team t was at its cap: 4000 of 4500')
     assert.is(explainLogs(LoggedKind.Job, JOB, createEntries(accepted, started(1, 'v1', 20), ended(2, 'complete')))?.cause, undefined)
   })
 
--- a/packages/cli/src/lib/jobs/explainLogs.ts
+++ b/packages/cli/src/lib/jobs/explainLogs.ts
@@ -54,11 +54,13 @@
   const crashes = filterByEvent(all, EventCode.VmCrashed).filter(({ fields }) => String(fields['suspects']).includes(id))
   const untilTime = ended?.time ?? related.at(-1)?.time ?? ''
   const takeovers = filterByEvent(all, EventCode.ShardTaken).filter(({ time }) => accepted !== undefined && time >= accepted.time && time <= untilTime)
+  const waits = filterByEvent(related, EventCode.JobWaits)
   const firstWaitMs = Number(starts[0]?.fields['waitedMs'] ?? 0)
   const outcome = findOutcome(related)
   const facts = [
     ...(accepted === undefined ? [] : [`accepted at ${formatClockTime(accepted)} by ${accepted.daemon}`]),
     ...(starts.length === 0 ? [] : [`first start after ${firstWaitMs} ms, ${starts.length} starts`]),
+    ...waits.map((entry) => `waited after ${String(entry.fields['waitedMs'])} ms: ${describeTeamWait(entry)}`),
     ...formatCounts('ends', filterByEvent(related, EventCode.TaskEnded), 'end'),
     ...formatCounts('stops', stops, 'reason'),
     ...formatCounts('runs lost', lost, 'reason'),
@@ -66,7 +68,7 @@
     ...takeovers.map((entry) => `shard taken at ${formatClockTime(entry)} by ${entry.daemon}: ${String(entry.fields['reason'])}`),
     ...(ended === undefined ? [] : [`${String(ended.fields['state'])} at ${formatClockTime(ended)}`]),
   ]
-  return { kind: LoggedKind.Job, id, outcome, cause: findCause({ outcome, refused, givenUp: find(EventCode.JobGivenUp), failures, lost, takeovers, stops, firstWaitMs }), facts }
+  return { kind: LoggedKind.Job, id, outcome, cause: findCause({ outcome, refused, givenUp: find(EventCode.JobGivenUp), failures, lost, takeovers, stops, waits, firstWaitMs }), facts }
 }
 
 /** Facts from which the cause of a job's outcome is derived. */
@@ -79,12 +81,14 @@
   readonly lost: readonly TimelineEntry[]
   readonly takeovers: readonly TimelineEntry[]
   readonly stops: readonly TimelineEntry[]
+  /** Lines that say that rules for the job's team made it wait. */
+  readonly waits: readonly TimelineEntry[]
   readonly firstWaitMs: number
 }
 
 /** Returns the most significant cause that the evidence supports, or undefined if it supports none. */
 function findCause (evidence: JobEvidence): string | undefined {
-  const { outcome, refused, givenUp, failures, lost, takeovers, stops, firstWaitMs } = evidence
+  const { outcome, refused, givenUp, failures, lost, takeovers, stops, waits, firstWaitMs } = evidence
   if (outcome === 'refused') return String(refused?.fields['reason'])
   if (outcome === 'outcome unknown') return 'the store did not answer the write in time'
   if (outcome === 'failed' && givenUp !== undefined) return `VMs crashed under its tasks: ${String(givenUp.fields['vms'])}`
@@ -95,11 +99,20 @@
   if (lost.length > 0) return `VM ${String(lost[0]?.fields['vm'])}: ${String(lost[0]?.fields['reason'])}`
   if (takeovers.length > 0) return `the shard changed its owner: ${String(takeovers[0]?.fields['reason'])}`
   if (failures.length > 0) return `runs failed on VM ${[...new Set(failures.map(({ fields }) => fields['vm']))].join(', ')}`
+  const [wait] = waits
+  if (wait !== undefined) return describeTeamWait(wait)
   if (firstWaitMs >= LONG_WAIT_MS) return `waited ${firstWaitMs} ms for room in its pool`
   const stop = stops.find(({ fields }) => fields['reason'] !== 'unwanted')
   return stop === undefined ? undefined : `a run was stopped: ${String(stop.fields['reason'])}`
 }
 
+function describeTeamWait ({ fields }: TimelineEntry): string {
+  const team = `team ${String(fields['team'])}`
+  if (fields['reason'] === 'share') return `${team} had the share of its weight while others waited for room`
+  if (fields['reason'] === 'beyond weight') return `${team} submitted more jobs a second than its weight, and there was no room`
+  return `${team} was at its cap: ${String(fields['cpuMillis'])} of ${String(fields['capCpuMillis'])} thousandths of a core, ${String(fields['memoryMb'])} of ${String(fields['capMemoryMb'])} MB (0: no limit)`
+}
+
 function findOutcome (related: readonly TimelineEntry[]): string {
   const has = (code: EventCode): boolean => related.some(({ event }) => event === code)
   const [ended] = filterByEvent(related, EventCode.JobEnded)
--- a/packages/daemon/src/lib/jobs/MetricsServer.ts
+++ b/packages/daemon/src/lib/jobs/MetricsServer.ts
@@ -4,6 +4,7 @@
 import fastify, { type FastifyInstance } from 'fastify'
 import { LoopLagMonitor, type EventLog, type Metrics, type Subscription, type TimerService } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
+import { summarizeTeams } from '@vanillathread/policy'
 import type { RowStore } from '@vanillathread/ports'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import type { ShardOwnership } from './ShardOwnership.js'
@@ -76,5 +77,13 @@
       metrics.gauge('pool_open_jobs', state.openJobs.get(pool.name)?.size ?? 0, { pool: pool.name })
       metrics.gauge('pool_runs', vms.reduce((sum, vm) => sum + vm.runs.size, 0), { pool: pool.name })
     }
+    for (const { team, ...summary } of summarizeTeams(state)) {
+      metrics.gauge('team_running_cpu_millis', summary.cpuMillis, { team })
+      metrics.gauge('team_cap_cpu_millis', summary.capCpuMillis, { team })
+      metrics.gauge('team_running_memory_mb', summary.memoryMb, { team })
+      metrics.gauge('team_cap_memory_mb', summary.capMemoryMb, { team })
+      metrics.gauge('team_share', summary.share, { team })
+      metrics.gauge('team_waiting_jobs', summary.waitingJobs, { team })
+    }
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -47,6 +47,7 @@
 export { TrackedTask, type TaskCrash } from './lib/jobs/TrackedTask.js'
 export { RunPhase, StopReason, TrackedRun } from './lib/jobs/TrackedRun.js'
 export { TeamScheduling, TeamWait } from './lib/teams/TeamScheduling.js'
+export { summarizeTeams, type TeamSummary } from './lib/teams/summarizeTeams.js'
 export type { TeamAccount, TeamLedger } from './lib/teams/TeamLedger.js'
 export { canInterruptTask, evacuateVm } from './lib/jobs/evacuateVm.js'
 export { PaceController } from './lib/jobs/PaceController.js'
--- a/packages/policy/src/lib/teams/TeamShares.test.ts
+++ b/packages/policy/src/lib/teams/TeamShares.test.ts
@@ -8,6 +8,7 @@
 import { compareRanks, rankJob } from '../jobs/rankJobs.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from '../jobs/testSupport.js'
 import { RandomSource } from '../random/RandomSource.js'
+import { summarizeTeams } from './summarizeTeams.js'
 import { createTeam } from './testSupport.js'
 
 function add (scheduler: JobScheduler, id: number, team: string | undefined, acceptedAtMs: number, nowMs = 0): void {
@@ -92,3 +93,14 @@
     assert.ok(share > 0.04 && later > 0.01 && later < share / 2, `${share} after the burst, ${later} three seconds later`)
   })
 })
+
+describe('summarizeTeams', ({ it }) => {
+  it('names 32 teams at most, so that the number of metrics is bounded, and sums up the rest', () => {
+    const scheduler = createScheduler()
+    scheduler.setTeams(Array.from({ length: 40 }, (_unused, index) => createTeam(`t${index}`, 1, { cpuMillis: 10 })))
+    for (let index = 0; index < 40; index++) add(scheduler, index, `t${index}`, 0)
+    const summaries = summarizeTeams(scheduler.state)
+    assert.equal([summaries.length, summaries[0]?.team, summaries[0]?.waitingJobs], [33, 't0', 1])
+    assert.equal([summaries[32]?.team, summaries[32]?.waitingJobs, summaries[32]?.capCpuMillis], ['other', 8, 80])
+  })
+})
