--- a/packages/policy/src/lib/teams/TeamScheduling.ts
+++ b/packages/policy/src/lib/teams/TeamScheduling.ts
@@ -153,6 +153,7 @@
     if (logged.has(reason)) return
     this.loggedWaits.set(job, logged.add(reason))
     const { running, rules } = account
+    const possible = this.possibleRuns.getBound(account.name)
     this.options.logDecision(EventCode.JobWaits, {
       job: job.id,
       team: account.name,
@@ -162,6 +163,8 @@
       capCpuMillis: rules?.cap.cpuMillis,
       memoryMb: running.memoryMb,
       capMemoryMb: rules?.cap.memoryMb,
+      possibleCpuMillis: possible?.cpuMillis,
+      possibleMemoryMb: possible?.memoryMb,
       share: Number(this.shares.getShare(account).toFixed(4)),
     })
   }
