--- a/packages/policy/src/lib/jobs/placeSuspects.test.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.test.ts
@@ -3,6 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import type { JobScheduler } from './JobScheduler.js'
+import { createTeam } from '../teams/testSupport.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from './testSupport.js'
 
 const SUSPECT = '00000000000000aa'
@@ -41,6 +42,21 @@
     assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 20).length, 2)
   })
 
+  it('starts no more suspects than the cap of their team allows, and reserves no VM for the others', () => {
+    const scheduler = createScheduler()
+    scheduler.setTeams([createTeam('a', 9, { cpuMillis: 2_000 })])
+    reportRunning(scheduler, createVmEntry('a'), 0)
+    scheduler.addJob({ ...createTestJob({ id: SUSPECT, steps: [createTestStep({ taskCount: 2 })] }), team: 'a' }, 1, 0)
+    planAndAccept(scheduler, 10)
+    crash(scheduler, 'a', CRASH_FOUND_MS)
+    store(scheduler)
+    scheduler.setTeams([createTeam('a', 9, { cpuMillis: 1_000 })])
+    assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 10).length, 1)
+    reportRunning(scheduler, createVmEntry('b'), CRASH_FOUND_MS + 500)
+    planAndAccept(scheduler, CRASH_FOUND_MS + 500)
+    assert.is([...scheduler.state.vms.values()].some((vm) => vm.reservedForTrial), false)
+  })
+
   it('starts no other task on the VM of a trial until the VM has answered after it', () => {
     const scheduler = start()
     store(scheduler)
