Answer requests early while the store is silent, and refuse further ones until it answers

While the store was silent, a write with an unknown outcome was retried until 150 ms before the client's deadline, and its last attempt could outlast the deadline. Requests now go through StoreGate. Once requests have waited for 1.2 s (three times as long as recent ones took, at most 2.4 s) without an answer from the store, from a daemon that writes for this one, or to the owner, writes that wait in JobRowBatcher are withdrawn and refused (503, StoreSilent), and 0.1 s later what was sent gets 504. Further requests are refused at once except for one probe at a time, with a Retry-After spread over a second by a hash of the job's id. A cancellation with an unknown outcome gets 504 where it got 503, because it may still be carried out.

--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -3,6 +3,7 @@
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
+import { spreadRetryAfter } from '@vanillathread/policy'
 import { IngressAnswerKind, readRow, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
@@ -14,6 +15,7 @@
 import { OwnerQueries } from './OwnerQueries.js'
 import { decodeProgressRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
 import type { ShardOwnership } from './ShardOwnership.js'
+import { GateResultKind, StoreGate } from './StoreGate.js'
 
 /** Options of {@link JobGateway.create}. */
 export interface JobGatewayOptions {
@@ -40,10 +42,12 @@
   private readonly finalStates = new Map<string, JobState>()
   private readonly queries: OwnerQueries
   private readonly writer: JobWriter
+  private readonly gate: StoreGate
 
   private constructor (private readonly options: JobGatewayOptions) {
     this.queries = OwnerQueries.create(options)
-    this.writer = JobWriter.create(options)
+    this.gate = StoreGate.create({ ...options, getOwnerAnswerAtMs: () => options.shard.ownerStoreAnswerAtMs })
+    this.writer = JobWriter.create({ ...options, gate: this.gate })
   }
 
   static create (options: JobGatewayOptions): JobGateway {
@@ -103,7 +107,7 @@
     if (rest === '') return this.countPending(queue)
     if (!JOB_ID.test(rest)) return { kind: IngressAnswerKind.UnknownJob }
     const state = await this.findState(rest)
-    if (state === 'unavailable') return this.refuse(rest, ResultCode.JobStateUnavailable, 'store does not answer')
+    if (state === 'unavailable') return this.refuse(rest, this.gate.isClosed() ? ResultCode.StoreSilent : ResultCode.JobStateUnavailable, 'store does not answer')
     return state === undefined ? { kind: IngressAnswerKind.UnknownJob } : { kind: IngressAnswerKind.State, state }
   }
 
@@ -112,7 +116,7 @@
     if (target.answer !== undefined) return target.answer
     const { rest: id } = target
     if (!JOB_ID.test(id)) return { kind: IngressAnswerKind.UnknownJob }
-    const { outcome } = await this.retryUnknown(req, () => this.writer.writeCancel(id))
+    const { outcome } = await this.retryUnknown(req, (unsent) => this.writer.writeCancel(id, unsent))
     switch (outcome) {
       case WriteOutcome.Stored:
       case WriteOutcome.Exists:
@@ -120,9 +124,8 @@
         this.sendToOwner({ kind: PeerMessageKind.CancelHint, shard: this.options.shardName, job: id })
         return { kind: IngressAnswerKind.Cancelled }
       case WriteOutcome.Absent: return { kind: IngressAnswerKind.UnknownJob }
-      case WriteOutcome.NotDone:
-      case WriteOutcome.Unknown:
-        return this.refuse(id, ResultCode.JobNotStored, 'cancel could not be stored')
+      case WriteOutcome.NotDone: return this.refuseUnsent(id, 'cancel could not be stored')
+      case WriteOutcome.Unknown: return { kind: IngressAnswerKind.OutcomeUnknown }
       default: throw exhaustiveSwitchError(outcome)
     }
   }
@@ -160,7 +163,7 @@
     const { timers, log } = this.options
     const startedAtMs = timers.now()
     const value = encodeRow(job)
-    const { outcome, version } = await this.retryUnknown(req, () => this.writer.writeJob(job.id, value))
+    const { outcome, version } = await this.retryUnknown(req, (unsent) => this.writer.writeJob(job.id, value, unsent))
     const storeMs = Math.round(timers.now() - startedAtMs)
     switch (outcome) {
       case WriteOutcome.Stored:
@@ -170,7 +173,7 @@
         return { kind: IngressAnswerKind.Accepted }
       case WriteOutcome.NotDone:
       case WriteOutcome.Absent:
-        return this.refuse(job.id, ResultCode.JobNotStored, 'store took no write')
+        return this.refuseUnsent(job.id, 'store took no write')
       case WriteOutcome.Unknown:
         log.write(EventCode.JobOutcomeUnknown, { job: job.id, storeMs, storeSilentMs: Math.round(this.options.rows.getTimeSinceAnswerMs()) })
         return { kind: IngressAnswerKind.OutcomeUnknown }
@@ -179,20 +182,28 @@
   }
 
   /**
-   * Retries a write while its outcome is unknown, until shortly before the request's deadline. A definite outcome is returned
-   * at once, so that a refused client can try another daemon. `NotDone` is definite only if no earlier attempt had an unknown
-   * outcome.
+   * Retries a write while its outcome is unknown, until shortly before the request's deadline or until the store counts as
+   * silent. A definite outcome is returned at once, so that a refused client can try another daemon. `NotDone` is definite only
+   * if no earlier attempt had an unknown outcome.
    */
-  private async retryUnknown (req: ClientRequest, write: () => Promise<WriteResult>): Promise<WriteResult> {
+  private async retryUnknown (req: ClientRequest, write: (unsent: AbortSignal) => Promise<WriteResult>): Promise<WriteResult> {
     const { timers } = this.options
     const untilMs = timers.now() + req.deadlineMs - clientOptions.deadlineReserveMs
-    let mayBeStored = false
-    for (;;) {
-      const result = await write()
-      mayBeStored ||= result.outcome === WriteOutcome.Unknown
-      if (result.outcome !== WriteOutcome.Unknown && (result.outcome !== WriteOutcome.NotDone || !mayBeStored)) return result
-      if (timers.now() + clientOptions.submitRetryMs >= untilMs) return { outcome: WriteOutcome.Unknown }
-      await delay(timers, clientOptions.submitRetryMs)
+    const result = await this.gate.run<WriteResult>(async (unsent) => {
+      let mayBeStored = false
+      for (;;) {
+        const attempt = await write(unsent)
+        mayBeStored ||= attempt.outcome === WriteOutcome.Unknown
+        if (attempt.outcome !== WriteOutcome.Unknown && (attempt.outcome !== WriteOutcome.NotDone || !mayBeStored)) return attempt
+        if (unsent.aborted || timers.now() + clientOptions.submitRetryMs >= untilMs) return { outcome: WriteOutcome.Unknown }
+        await delay(timers, clientOptions.submitRetryMs)
+        if (unsent.aborted) return { outcome: WriteOutcome.Unknown }
+      }
+    })
+    switch (result.kind) {
+      case GateResultKind.Done: return result.value
+      case GateResultKind.Refused: return { outcome: WriteOutcome.NotDone }
+      case GateResultKind.GaveUp: return { outcome: WriteOutcome.Unknown }
     }
   }
 
@@ -221,7 +232,7 @@
   private async findState (id: string): Promise<JobState | 'unavailable' | undefined> {
     const cached = this.finalStates.get(id)
     if (cached !== undefined) return cached
-    const state = await this.queries.findState(id) ?? await this.readState(id)
+    const state = await this.queries.findState(id) ?? await this.readStateUnlessSilent(id)
     if (state !== undefined && state !== 'unavailable' && isFinalState(state)) this.cacheFinalState(id, state)
     return state
   }
@@ -234,6 +245,12 @@
     this.finalStates.set(id, state)
   }
 
+  /** Reads a job's state from the store, without waiting for a store that is silent. */
+  private async readStateUnlessSilent (id: string): Promise<JobState | 'unavailable' | undefined> {
+    const result = await this.gate.run(() => this.readState(id))
+    return result.kind === GateResultKind.Done ? result.value : 'unavailable'
+  }
+
   /** Reads a job's state from the store. Returns 'unavailable' if the store does not answer, undefined if it has no such job. */
   private async readState (id: string): Promise<JobState | 'unavailable' | undefined> {
     const { rows, shardName } = this.options
@@ -246,8 +263,15 @@
     return job.value === undefined ? undefined : JobState.Queued
   }
 
+  /** Refuses a write that was not sent or that the store refused. */
+  private refuseUnsent (job: string, reason: string): IngressAnswer {
+    return this.gate.isClosed() ? this.refuse(job, ResultCode.StoreSilent, 'store is silent') : this.refuse(job, ResultCode.JobNotStored, reason)
+  }
+
   private refuse (job: string | undefined, code: ResultCode, reason: string): IngressAnswer {
     this.options.log.write(EventCode.JobRefused, { job, code, reason, configuration: this.options.configuration.current?.version, storeSilentMs: Math.round(this.options.rows.getTimeSinceAnswerMs()) })
-    return { kind: IngressAnswerKind.Refused, code, retryAfterMs: clientOptions.retryAfterMs }
+    this.options.metrics.increment('refusals', { code: String(code) })
+    const { retryAfterMs } = clientOptions
+    return { kind: IngressAnswerKind.Refused, code, retryAfterMs: code === ResultCode.StoreSilent && job !== undefined ? spreadRetryAfter(job, retryAfterMs) : retryAfterMs }
   }
 }
--- a/packages/daemon/src/lib/jobs/JobRowBatcher.test.ts
+++ b/packages/daemon/src/lib/jobs/JobRowBatcher.test.ts
@@ -2,13 +2,14 @@
  * What clients get while the store is slow, and that the jobs of one transaction do not share each other's conflicts.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { delay, FakeTimerService } from '@vanillathread/kernel'
+import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { Result, type AcceptedJob, type Address, type Result as ResultType } from '@vanillathread/model'
 import { StoreFailureKind, type RowCommit, type RowStore, type RowTransaction, type StoredRow, type StoreFailure } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import { JobRowBatcher } from './JobRowBatcher.js'
 import { JobWriter, type JobWriterOptions } from './JobWriter.js'
 import { encodeRow } from './rows.js'
+import { GateResultKind, StoreGate } from './StoreGate.js'
 
 /** Duration of a transaction of a store that is 50 times slower than usual, which carries out one after another. */
 const SLOW_TRANSACTION_MS = 150
@@ -17,7 +18,7 @@
 const MAX_WAITING_MS = 1_000
 
 const DAEMONS = 7
-const JOBS_PER_SECOND = 20
+const LOAD = { transactionMs: SLOW_TRANSACTION_MS, jobsPerSecond: 20 }
 const LOAD_MS = 5_000
 
 /** Time for which a client waits for an answer. */
@@ -74,27 +75,43 @@
   return { outcome: res.ok ? WriteOutcome.Stored : WriteOutcome.NotDone }
 }
 
+/** Returns one daemon's client, which counts no refusal of a busy store as an answer. */
+function connect (store: SlowStore): RowStore {
+  let answeredAtMs = 0
+  const transact = async (transaction: RowTransaction): Promise<ResultType<RowCommit, StoreFailure>> => {
+    const res = await store.transact(transaction)
+    if (res.ok || res.error.kind === StoreFailureKind.Conflict) answeredAtMs = store.timers.now()
+    return res
+  }
+  return { transact, getTimeSinceAnswerMs: () => store.timers.now() - answeredAtMs } as unknown as RowStore
+}
+
 type Write = (id: string) => Promise<{ readonly outcome: WriteOutcome }>
 
 /** Creates the writers of all daemons, the first of which is the owner. */
-function createWriters (store: SlowStore): Write[] {
+function createWriters (store: SlowStore, ownerAnswerAtMs = -Infinity): Write[] {
   const networks: TestNetwork[] = []
   const owner = { address: { host: 'h', port: 0 } }
   return Array.from({ length: DAEMONS }, (_unused, index) => {
     const network = new TestNetwork(store.timers, networks)
     networks.push(network)
     const shard = { remoteOwner: index === 0 ? undefined : owner }
-    const options = { timers: store.timers, rows: store, network, shard, shardName: 's', members: { others: [] } }
+    const rows = connect(store)
+    const gate = StoreGate.create({ timers: store.timers, log: MemoryEventLog.create(), rows, getOwnerAnswerAtMs: () => ownerAnswerAtMs })
+    const options = { timers: store.timers, rows, network, shard, shardName: 's', members: { others: [] }, gate }
     const writer = JobWriter.create(options as unknown as JobWriterOptions)
-    return (id) => writer.writeJob(id, encodeRow({ id, spec: { steps: [] } } as unknown as AcceptedJob))
+    return async (id) => {
+      const result = await gate.run((unsent) => writer.writeJob(id, encodeRow({ id, spec: { steps: [] } } as unknown as AcceptedJob), unsent))
+      return result.kind === GateResultKind.Done ? result.value : { outcome: WriteOutcome.NotDone }
+    }
   })
 }
 
 /** Plays the load, and returns the share of jobs that were stored before their clients' deadlines. */
-async function playLoad (createWrites: (store: SlowStore) => readonly Write[]): Promise<number> {
-  const store = new SlowStore(FakeTimerService.create(), SLOW_TRANSACTION_MS)
+async function playLoad (createWrites: (store: SlowStore) => readonly Write[], { transactionMs, jobsPerSecond } = LOAD): Promise<number> {
+  const store = new SlowStore(FakeTimerService.create(), transactionMs)
   const daemons = createWrites(store)
-  const count = LOAD_MS / 1_000 * JOBS_PER_SECOND
+  const count = LOAD_MS / 1_000 * jobsPerSecond
   let stored = 0
   for (let job = 0; job < count; job++) {
     const sentAtMs = store.timers.now()
@@ -102,7 +119,7 @@
       const isInTime = store.timers.now() - sentAtMs < CLIENT_DEADLINE_MS
       if (isInTime && (outcome === WriteOutcome.Stored || outcome === WriteOutcome.Exists)) stored += 1
     })
-    await store.timers.advance(1_000 / JOBS_PER_SECOND)
+    await store.timers.advance(1_000 / jobsPerSecond)
   }
   await store.timers.advance(CLIENT_DEADLINE_MS)
   return stored / count
@@ -110,11 +127,18 @@
 
 describe('JobRowBatcher', ({ it }) => {
   it('leaves at most half as many jobs without a place in the store in time while it is slow as a transaction for each job does', async () => {
-    const shared = await playLoad(createWriters)
+    const shared = await playLoad((store) => createWriters(store))
     const single = await playLoad((store) => Array.from({ length: DAEMONS }, () => (id: string) => writeAlone(store, id)))
     assert.ok(1 - shared <= (1 - single) / 2, `${shared} of the jobs were stored in time, ${single} without shared transactions`)
   })
 
+  it('is not taken for silent while it answers each daemon every 1.3 s', async () => {
+    const load = { transactionMs: 180, jobsPerSecond: 40 }
+    const gated = await playLoad((store) => createWriters(store), load)
+    const ungated = await playLoad((store) => createWriters(store, Infinity), load)
+    assert.is(gated, ungated, 'share of jobs that were stored in time')
+  })
+
   it('writes at once, each in a transaction of its own, while the store answers soon', async () => {
     const store = new SlowStore(FakeTimerService.create(), 3)
     const batcher = createBatcher(store)
--- a/packages/daemon/src/lib/jobs/JobRowBatcher.ts
+++ b/packages/daemon/src/lib/jobs/JobRowBatcher.ts
@@ -31,6 +31,8 @@
   readonly timers: TimerService
   readonly rows: RowStore
   readonly shardName: string
+  /** Called if the store refuses a transaction as it is busy, which proves that it answers. */
+  onBusy? (): void
 }
 
 interface PendingJob {
@@ -38,6 +40,8 @@
   readonly value: Uint8Array
   /** Time at which a busy store first refused the job, if it did. */
   refusedAtMs?: number
+  /** Aborted once the job must not be sent any more. */
+  readonly unsent?: AbortSignal
   settle (result: WriteResult): void
 }
 
@@ -53,14 +57,34 @@
     return new JobRowBatcher(options)
   }
 
-  /** Writes one row. A row that exists is the same job, submitted before. */
-  write (id: string, value: Uint8Array): Promise<WriteResult> {
+  /**
+   * Writes one row. A row that exists is the same job, submitted before.
+   *
+   * @param unsent - if it is aborted while the job is not in a transaction in flight, the job is taken out of the queue.
+   */
+  write (id: string, value: Uint8Array, unsent?: AbortSignal): Promise<WriteResult> {
     return new Promise((resolve) => {
-      this.pending.push({ id, value, settle: resolve })
+      const job = { id, value, unsent, settle: resolve }
+      unsent?.addEventListener('abort', () => this.withdraw(job), { once: true })
+      this.enqueue([job])
       this.sendNext()
     })
   }
 
+  /** Takes a job out of the queue, if it is there. */
+  private withdraw (job: PendingJob): void {
+    if (!this.pending.includes(job)) return
+    this.pending = this.pending.filter((other) => other !== job)
+    job.settle({ outcome: WriteOutcome.NotDone })
+  }
+
+  /** Puts jobs that are not stored into the queue, except for those that must not be sent any more. */
+  private enqueue (jobs: readonly PendingJob[], atHead = false): void {
+    settleAll(jobs.filter(({ unsent }) => unsent?.aborted), { outcome: WriteOutcome.NotDone })
+    const others = jobs.filter(({ unsent }) => unsent?.aborted !== true)
+    this.pending = atHead ? [...others, ...this.pending] : [...this.pending, ...others]
+  }
+
   private sendNext (): void {
     while (this.pending.length > 0 && decideWriteStart([...this.inFlight].map(({ sentAtMs }) => sentAtMs), this.options.timers.now())) this.send(this.takeBatch())
   }
@@ -101,14 +125,15 @@
 
   /** Puts the jobs that were not refused for long into the queue again after a pause, and fails the others. */
   private retryLater (batch: readonly PendingJob[]): void {
-    const { timers } = this.options
+    const { timers, onBusy } = this.options
     const nowMs = timers.now()
+    onBusy?.()
     for (const job of batch) job.refusedAtMs ??= nowMs
     const isOverdue = ({ refusedAtMs = nowMs }: PendingJob): boolean => nowMs - refusedAtMs >= BUSY_RETRY_LIMIT_MS
     settleAll(batch.filter(isOverdue), { outcome: WriteOutcome.NotDone })
     const others = batch.filter((job) => !isOverdue(job))
     timers.after(BUSY_RETRY_MS, () => {
-      this.pending.unshift(...others)
+      this.enqueue(others, true)
       this.sendNext()
     })
   }
@@ -122,7 +147,7 @@
       return
     }
     for (const job of batch) if (!others.includes(job)) job.settle({ outcome: WriteOutcome.Exists })
-    this.pending.unshift(...others)
+    this.enqueue(others, true)
   }
 }
 
--- a/packages/daemon/src/lib/jobs/JobWriter.test.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.test.ts
@@ -26,7 +26,7 @@
   } as unknown as RowStore
   const network = { on: () => {} } as unknown as PeerTransport
   const writer = JobWriter.create({ timers: FakeTimerService.create(), rows, network, shardName: 's' } as unknown as JobWriterOptions)
-  return { result: await writer.writeCancel('a'), stored }
+  return { result: await writer.writeCancel('a', new AbortController().signal), stored }
 }
 
 describe('JobWriter', ({ it }) => {
--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -11,6 +11,7 @@
 import { PendingRequests } from './PendingRequests.js'
 import { CANCEL_PREFIX, decodeJobRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
 import type { ShardOwnership } from './ShardOwnership.js'
+import { GateResultKind, type StoreGate } from './StoreGate.js'
 
 /** Options of {@link JobWriter.create}. */
 export interface JobWriterOptions {
@@ -20,6 +21,7 @@
   readonly shard: ShardOwnership
   readonly shardName: string
   readonly members: MemberDirectory
+  readonly gate: StoreGate
 }
 
 /** The write that another daemon is asked to carry out: an encoded job, or the id of a job to cancel. */
@@ -35,31 +37,37 @@
   private readonly pendingRequests: PendingRequests<WriteResult>
 
   private constructor (private readonly options: JobWriterOptions) {
-    this.jobRows = JobRowBatcher.create(options)
+    this.jobRows = JobRowBatcher.create({ ...options, onBusy: () => options.gate.recordAnswer() })
     this.pendingRequests = PendingRequests.create(options.timers)
     options.network.on(PeerMessageKind.WriteRequest, ({ seq, job, cancel }, reply) => {
       this.writeForPeer({ job, cancel }).then((result) => reply({ kind: PeerMessageKind.WriteAnswer, seq, ...result }))
     })
-    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => { this.pendingRequests.settle(seq, { outcome, version }) })
+    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => {
+      if (isDefinite({ outcome })) options.gate.recordAnswer()
+      this.pendingRequests.settle(seq, { outcome, version })
+    })
   }
 
   static create (options: JobWriterOptions): JobWriter {
     return new JobWriter(options)
   }
 
-  writeJob (id: string, value: Uint8Array<ArrayBuffer>): Promise<WriteResult> {
-    return this.hedge(() => this.jobRows.write(id, value), () => this.relay({ job: value }), clientOptions.hedgeAfterMs)
+  /** Writes a job's row. Nothing is sent any more once `unsent` is aborted. */
+  writeJob (id: string, value: Uint8Array<ArrayBuffer>, unsent: AbortSignal): Promise<WriteResult> {
+    return this.hedge(() => this.jobRows.write(id, value, unsent), () => this.relay({ job: value }), unsent)
   }
 
-  writeCancel (id: string): Promise<WriteResult> {
-    return this.hedge(() => this.writeCancelDirectly(id), () => this.relay({ cancel: id }), clientOptions.hedgeAfterMs)
+  /** Writes the cancellation of a job. Nothing is sent any more once `unsent` is aborted. */
+  writeCancel (id: string, unsent: AbortSignal): Promise<WriteResult> {
+    return this.hedge(() => this.writeCancelDirectly(id, unsent), () => this.relay({ cancel: id }), unsent)
   }
 
   /** Returns the first definite outcome of one way to write, and of a second one if the first is slow or has no definite outcome. */
-  private async hedge (writeFirst: () => Promise<WriteResult>, writeSecond: () => Promise<WriteResult>, afterMs: number): Promise<WriteResult> {
+  private async hedge (writeFirst: () => Promise<WriteResult>, writeSecond: () => Promise<WriteResult>, unsent: AbortSignal): Promise<WriteResult> {
     const first = writeFirst()
-    const early = await Promise.race([first, delay(this.options.timers, afterMs)])
+    const early = await Promise.race([first, delay(this.options.timers, clientOptions.hedgeAfterMs)])
     if (early !== undefined && isDefinite(early)) return early
+    if (unsent.aborted) return first
     const second = writeSecond()
     const winner = await Promise.race([first, second])
     if (isDefinite(winner)) return winner
@@ -67,17 +75,23 @@
   }
 
   private async writeForPeer ({ job, cancel }: RelayedWrite): Promise<WriteResult> {
-    if (cancel !== undefined) return this.writeCancelDirectly(cancel)
     const id = job === undefined ? undefined : decodeJobRow(job)?.id
-    if (job === undefined || id === undefined) return { outcome: WriteOutcome.NotDone }
-    return this.jobRows.write(id, job)
+    const result = await this.options.gate.run<WriteResult>(async (unsent) => {
+      if (cancel !== undefined) return this.writeCancelDirectly(cancel, unsent)
+      return job === undefined || id === undefined ? { outcome: WriteOutcome.NotDone } : this.jobRows.write(id, job, unsent)
+    })
+    switch (result.kind) {
+      case GateResultKind.Done: return result.value
+      case GateResultKind.Refused: return { outcome: WriteOutcome.NotDone }
+      case GateResultKind.GaveUp: return { outcome: WriteOutcome.Unknown }
+    }
   }
 
-  private async writeCancelDirectly (id: string): Promise<WriteResult> {
+  private async writeCancelDirectly (id: string, unsent: AbortSignal): Promise<WriteResult> {
     const { rows, shardName } = this.options
     const jobKey = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` }
     const job = await readRow(rows, jobKey)
-    if (!job.ok) return { outcome: WriteOutcome.NotDone }
+    if (!job.ok || unsent.aborted) return { outcome: WriteOutcome.NotDone }
     if (job.value === undefined) return { outcome: WriteOutcome.Absent }
     const key = { table: Table.Jobs, part: shardName, key: `${CANCEL_PREFIX}${id}` }
     const res = await rows.transact({
--- a/packages/daemon/src/lib/jobs/OwnerWatch.ts
+++ b/packages/daemon/src/lib/jobs/OwnerWatch.ts
@@ -15,6 +15,8 @@
   private heartbeatAtMs: number
   /** Time for which the store had not answered the owner, as of its last heartbeat. */
   private storeSilentMs = 0
+  /** Time at which the store last answered the owner, by the owner's heartbeats. */
+  private storeAnswerAtMs = -Infinity
   /** Time at which this daemon learned of the current owner. */
   private knownSinceMs = -Infinity
   /** Time since which this daemon knows that the shard has no owner. */
@@ -62,6 +64,16 @@
     this.storeSilentMs = storeSilentMs
   }
 
+  /** Records the time for which the store has not answered the owner, as the owner reports it. */
+  recordStoreReport (storeSilentMs: number): void {
+    this.storeAnswerAtMs = Math.max(this.storeAnswerAtMs, this.timers.now() - storeSilentMs)
+  }
+
+  /** Time at which the store last answered the owner, or an earlier one; -Infinity if no owner has reported any. */
+  get ownerStoreAnswerAtMs (): number {
+    return this.storeAnswerAtMs
+  }
+
   /** Records that this daemon was the owner until now, so that it gives the next owner the time until its first heartbeat. */
   recordStepDown (): void {
     this.heartbeatAtMs = this.timers.now()
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -97,6 +97,11 @@
     return owner === this.name ? undefined : { name: owner, address: { host, port }, fencingToken: this.row.version }
   }
 
+  /** Time at which the store last answered the owner, if that is another daemon, as its heartbeats report; -Infinity if none has. */
+  get ownerStoreAnswerAtMs (): number {
+    return this.watch.ownerStoreAnswerAtMs
+  }
+
   /** Hands the shard over if this daemon owns it, and prevents further takeovers. */
   async stop (limitMs: number): Promise<void> {
     this.stopping = true
@@ -266,6 +271,7 @@
       this.rowCurrent = false
     }
     this.watch.recordHeartbeat(message.storeSilentMs)
+    this.watch.recordStoreReport(message.storeSilentMs)
   }
 
   private setKnownOwner (value: OwnerRow, version: number): void {
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -189,6 +189,8 @@
    * as lost.
    */
   storeSilentMs: 2_000,
+  /** Period of checking whether requests that wait for the store are given up. */
+  giveUpCheckPeriodMs: 25,
   /** Period of checking whether the store answers. */
   storeCheckPeriodMs: 100,
   /** Time for which a count of pending jobs is cached. */
--- a/packages/integration/src/lab.ts
+++ b/packages/integration/src/lab.ts
@@ -1,9 +1,12 @@
 /**
  * Command that simulates days of random load and faults: `npm run lab -- --days N --seed S`.
  * With `--take-overs` it loses the owner of a shard in several ways instead, and prints the times to the steps of the takeover.
+ * With `--silence` the store fails for 7 s in the middle of a burst, and it prints what clients got.
  */
 import { Command } from 'commander'
+import { StoreFault } from '@vanillathread/stand-ins'
 import { LOSSES, measureTakeover, type TakeoverTimes } from './lib/jobs/measureTakeover.js'
+import { playSilence, summarizeSilence } from './lib/jobs/playSilence.js'
 import { simulateRandomDay } from './lib/jobs/simulateRandomDay.js'
 
 const command = new Command('lab')
@@ -11,12 +14,17 @@
   .option('--days <count>', 'number of days to simulate', '20')
   .option('--seed <number>', 'seed of the first day; each further day uses the next number', '1')
   .option('--take-overs', 'measure the times from each kind of loss of the owner to the steps of the takeover, with --days as the number of seeds')
+  .option('--silence', 'measure what clients get while the store is silent, slow or loses answers for 7 s, with --days as the number of seeds')
 command.parse()
-const { days, seed, takeOvers } = command.opts<{ days: string, seed: string, takeOvers?: boolean }>()
+const { days, seed, takeOvers, silence } = command.opts<{ days: string, seed: string, takeOvers?: boolean, silence?: boolean }>()
 if (takeOvers === true) {
   await printTakeoverTimes()
   process.exit(0)
 }
+if (silence === true) {
+  await printSilences()
+  process.exit(0)
+}
 let brokenDays = 0
 for (let index = 0; index < Number(days); index++) {
   const day = await simulateRandomDay(Number(seed) + index)
@@ -43,3 +51,16 @@
     console.log(`| ${loss} | ${cells.join(' | ')} |`)
   }
 }
+
+/** Prints what clients got during and after faults of the store, for each fault and seed. */
+async function printSilences (): Promise<void> {
+  console.log('| fault | seed | attempts | answers | mean held ms | longest held ms | open at the end | accepted within 2 s | lost |\n|---|---|---|---|---|---|---|---|---|')
+  for (const fault of [StoreFault.Unresponsive, StoreFault.Slow, StoreFault.LosingAnswers]) {
+    for (let index = 0; index < Number(days); index++) {
+      const options = { seed: Number(seed) + index, fault, faultFromMs: 2_000, faultToMs: 9_000, burstMs: 11_000, jobsPerSecond: 40 }
+      const summary = summarizeSilence(options, await playSilence(options))
+      const answers = [...summary.byAnswer].map(([answer, count]) => `${answer} ${count}`).sort().join(', ')
+      console.log(`| ${fault} | ${options.seed} | ${summary.attempts} | ${answers} | ${Math.round(summary.meanHeldMs)} | ${Math.round(summary.maxHeldMs)} | ${summary.openAtEnd} | ${summary.acceptedSoon} | ${summary.lost} |`)
+    }
+  }
+}
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -165,6 +165,11 @@
   StoreCallFailed = 742,
   /** The store no longer keeps the changes after the version that was read last, so the whole table is read again. */
   HistoryGone = 743,
+  /**
+   * The daemon began to refuse requests that need the store, as the store is silent on all paths (`closed`), or ceased to do
+   * so after `closedForMs` and `refused` requests.
+   */
+  StoreGateChanged = 744,
   /** The owner orders the maintenance of a machine whose VM it has evacuated. */
   MaintenanceOrdered = 750,
   /** The order for maintenance of a machine was carried out, was refused or got no answer; see `outcome`. */
@@ -271,6 +276,7 @@
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
   [EventCode.HistoryGone]: { level: EventLevel.Warn, message: 'changes since the last read are gone from the store, so the whole table is read again' },
+  [EventCode.StoreGateChanged]: { level: EventLevel.Warn, message: 'requests that need the store are refused, or are not refused any more' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
--- a/packages/model/src/lib/result/ResultCode.ts
+++ b/packages/model/src/lib/result/ResultCode.ts
@@ -67,6 +67,8 @@
   JobOutcomeUnknown = 2105,
   /** Neither the owner nor the store returned the state of the job or the count of pending jobs. */
   JobStateUnavailable = 2106,
+  /** The store is silent, so nothing of the request was sent to it. */
+  StoreSilent = 2109,
   /** The version that an edit is based on is not the accepted one. */
   VersionConflict = 3001,
   NothingToApply = 3002,
@@ -126,8 +128,9 @@
   [ResultCode.UnknownJob]: { title: 'Job is not known', status: 410, execution: Execution.NotRun },
   [ResultCode.InvalidJob]: { title: 'Job is not valid', status: 400, execution: Execution.NotRun },
   [ResultCode.JobNotStored]: { title: 'Job or cancel was not stored', status: 503, execution: Execution.NotRun },
-  [ResultCode.JobOutcomeUnknown]: { title: 'Whether the job was stored is not known', status: 504, execution: Execution.Unknown },
+  [ResultCode.JobOutcomeUnknown]: { title: 'Whether the job or cancel was stored is not known', status: 504, execution: Execution.Unknown },
   [ResultCode.JobStateUnavailable]: { title: 'State of the job or queue cannot be read now', status: 503, execution: Execution.NotRun },
+  [ResultCode.StoreSilent]: { title: 'Store does not answer', status: 503, execution: Execution.NotRun },
   [ResultCode.VersionConflict]: { title: 'Configuration changed since the version that the edit was based on' },
   [ResultCode.NothingToApply]: { title: 'Declarations equal the configuration in force' },
   [ResultCode.RolloutIncomplete]: { title: 'Configuration was accepted and is not yet in force everywhere' },
