--- a/packages/daemon/src/lib/jobs/StoreGate.ts
+++ b/packages/daemon/src/lib/jobs/StoreGate.ts
@@ -151,7 +151,7 @@
     for (const request of [...this.waiting]) {
       const action = decideGiveUp({ silentMs, recentMs: this.recentMs, waitedMs: nowMs - request.startedAtMs, isProbe: request.isProbe && this.isClosed() })
       if (action === GiveUpAction.Wait) continue
-      if (!request.isProbe) this.close(silentMs)
+      this.close(silentMs)
       request.unsent.abort()
       if (action === GiveUpAction.GiveUp) request.giveUp()
     }
--- a/packages/integration/src/lab.ts
+++ b/packages/integration/src/lab.ts
@@ -14,7 +14,7 @@
   .option('--days <count>', 'number of days to simulate', '20')
   .option('--seed <number>', 'seed of the first day; each further day uses the next number', '1')
   .option('--take-overs', 'measure the times from each kind of loss of the owner to the steps of the takeover, with --days as the number of seeds')
-  .option('--silence', 'measure what clients get while the store is silent, slow or loses answers for 7 s, with --days as the number of seeds')
+  .option('--silence', 'measure what clients get while the store is silent, stalled, slow or loses answers for 7 s, with --days as the number of seeds')
 command.parse()
 const { days, seed, takeOvers, silence } = command.opts<{ days: string, seed: string, takeOvers?: boolean, silence?: boolean }>()
 if (takeOvers === true) {
@@ -55,7 +55,7 @@
 /** Prints what clients got during and after faults of the store, for each fault and seed. */
 async function printSilences (): Promise<void> {
   console.log('| fault | seed | attempts | answers | mean held ms | longest held ms | open at the end | accepted within 2 s | lost |\n|---|---|---|---|---|---|---|---|---|')
-  for (const fault of [StoreFault.Unresponsive, StoreFault.Slow, StoreFault.LosingAnswers]) {
+  for (const fault of [StoreFault.Unresponsive, StoreFault.Stalled, StoreFault.Slow, StoreFault.LosingAnswers]) {
     for (let index = 0; index < Number(days); index++) {
       const options = { seed: Number(seed) + index, fault, faultFromMs: 2_000, faultToMs: 9_000, burstMs: 11_000, jobsPerSecond: 40 }
       const summary = summarizeSilence(options, await playSilence(options))
--- a/packages/integration/src/silentStore.test.ts
+++ b/packages/integration/src/silentStore.test.ts
@@ -15,14 +15,17 @@
 
 describe('store that fails in the middle of a burst', ({ it }) => {
   it('holds no request until its deadline while it is silent, and refuses no job that is stored', async () => {
-    for (const seed of SEEDS) {
-      const options = { ...BURST, seed, fault: StoreFault.Unresponsive }
-      const result = await playSilence(options)
-      const summary = summarizeSilence(options, result)
-      assert.is(summary.byAnswer.get('none') ?? 0, 0, `seed ${seed}: requests without an answer`)
-      assert.ok(summary.maxHeldMs <= MAX_HELD_MS, `seed ${seed}: held for ${summary.maxHeldMs} ms`)
-      assert.ok(summary.acceptedSoon >= 0.9 * summary.openAtEnd, `seed ${seed}: ${summary.acceptedSoon} of ${summary.openAtEnd} accepted soon`)
-      assert.equal({ lost: summary.lost, falseRefusals: result.falseRefusals }, { lost: 0, falseRefusals: [] }, `seed ${seed}`)
+    for (const fault of [StoreFault.Unresponsive, StoreFault.Stalled]) {
+      for (const seed of SEEDS) {
+        const options = { ...BURST, seed, fault }
+        const result = await playSilence(options)
+        const summary = summarizeSilence(options, result)
+        const name = `fault ${fault}, seed ${seed}`
+        assert.is(summary.byAnswer.get('none') ?? 0, 0, `${name}: requests without an answer`)
+        assert.ok(summary.maxHeldMs <= MAX_HELD_MS, `${name}: held for ${summary.maxHeldMs} ms`)
+        assert.ok(summary.acceptedSoon >= 0.9 * summary.openAtEnd, `${name}: ${summary.acceptedSoon} of ${summary.openAtEnd} accepted soon`)
+        assert.equal({ lost: summary.lost, falseRefusals: result.falseRefusals }, { lost: 0, falseRefusals: [] }, name)
+      }
     }
   })
 
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -19,12 +19,17 @@
   Refusing = 'refusing',
   /** Neither carries out nor answers any call. */
   Unresponsive = 'silent',
+  /** Answers no call, but carries out some writes late. */
+  Stalled = 'stalled',
   /** Carries out some writes late and does not answer them. */
   LosingAnswers = 'losing-answers',
   /** Answers late, like a store under load. */
   Slow = 'slow',
 }
 
+/** Share of the writes of a stalled store that it carries out. */
+const STALLED_WRITE_SHARE = 0.5
+
 /** Share of writes whose answer is lost, and the longest delay of such a write. */
 const LOST_ANSWER_SHARE = 0.35
 const MAX_WRITE_DELAY_MS = 5_000
@@ -180,6 +185,7 @@
   async transact (transaction: RowTransaction): Promise<Result<RowCommit, StoreFailure>> {
     const { timers, random } = this.store
     const sentAtMs = timers.now()
+    if (this.effectiveFault === StoreFault.Stalled && random.nextFloat() < STALLED_WRITE_SHARE) timers.after(random.nextBelow(MAX_WRITE_DELAY_MS), () => { this.store.transact(transaction) })
     const failure = await this.applyFault(true)
     if (failure !== undefined) return failure
     if (this.refusesWrites) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 429' })
@@ -225,6 +231,7 @@
         await delay(timers, CALL_LATENCY_MS)
         return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 503' })
       case StoreFault.Unresponsive:
+      case StoreFault.Stalled:
         await delay(timers, CALL_TIMEOUT_MS)
         return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'no answer' })
       case StoreFault.Slow:
