--- a/packages/daemon/src/lib/jobs/JobWriter.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.ts
@@ -12,6 +12,7 @@
 import { PendingRequests } from './PendingRequests.js'
 import { CANCEL_PREFIX, decodeJobRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
 import type { ShardOwnership } from './ShardOwnership.js'
+import { GateResultKind, type StoreGate } from './StoreGate.js'
 
 /** Options of {@link JobWriter.create}. */
 export interface JobWriterOptions {
@@ -21,6 +22,7 @@
   readonly shard: ShardOwnership
   readonly shardName: string
   readonly members: MemberDirectory
+  readonly gate: StoreGate
   /** Returns true if this daemon's configuration is current enough to write for calls with keys that another daemon checked. */
   canServe (): boolean
 }
@@ -41,33 +43,37 @@
   private readonly pendingRequests: PendingRequests<WriteResult>
 
   private constructor (private readonly options: JobWriterOptions) {
-    this.jobRows = JobRowBatcher.create(options)
+    this.jobRows = JobRowBatcher.create({ ...options, onBusy: () => options.gate.recordAnswer() })
     this.pendingRequests = PendingRequests.create(options.timers)
     options.network.on(PeerMessageKind.WriteRequest, ({ kind, seq, ...write }, reply) => {
       this.writeForPeer(write).then((result) => reply({ kind: PeerMessageKind.WriteAnswer, seq, ...result }))
     })
-    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => { this.pendingRequests.settle(seq, { outcome, version }) })
+    options.network.on(PeerMessageKind.WriteAnswer, ({ seq, outcome, version }) => {
+      if (isDefinite({ outcome })) options.gate.recordAnswer()
+      this.pendingRequests.settle(seq, { outcome, version })
+    })
   }
 
   static create (options: JobWriterOptions): JobWriter {
     return new JobWriter(options)
   }
 
-  /** Writes a job. Without a permit the call needs no key. */
-  writeJob (id: string, value: Uint8Array<ArrayBuffer>, permit?: WritePermit): Promise<WriteResult> {
-    return this.hedge(() => this.jobRows.write(id, value, permit), () => this.relay({ job: value }, permit), clientOptions.hedgeAfterMs)
+  /** Writes a job's row. Without a permit the call needs no key. Nothing is sent any more once `unsent` is aborted. */
+  writeJob (id: string, value: Uint8Array<ArrayBuffer>, unsent: AbortSignal, permit?: WritePermit): Promise<WriteResult> {
+    return this.hedge(() => this.jobRows.write(id, value, unsent, permit), () => this.relay({ job: value }, permit), unsent)
   }
 
-  /** Writes the cancellation of a job, which is absent for callers of other teams. */
-  writeCancel (id: string, permit?: WritePermit): Promise<WriteResult> {
-    return this.hedge(() => this.writeCancelDirectly(id, permit), () => this.relay({ cancel: id }, permit), clientOptions.hedgeAfterMs)
+  /** Writes the cancellation of a job, which is absent for callers of other teams. Nothing is sent any more once `unsent` is aborted. */
+  writeCancel (id: string, unsent: AbortSignal, permit?: WritePermit): Promise<WriteResult> {
+    return this.hedge(() => this.writeCancelDirectly(id, permit, unsent), () => this.relay({ cancel: id }, permit), unsent)
   }
 
   /** Returns the first definite outcome of one way to write, and of a second one if the first is slow or has no definite outcome. */
-  private async hedge (writeFirst: () => Promise<WriteResult>, writeSecond: () => Promise<WriteResult>, afterMs: number): Promise<WriteResult> {
+  private async hedge (writeFirst: () => Promise<WriteResult>, writeSecond: () => Promise<WriteResult>, unsent: AbortSignal): Promise<WriteResult> {
     const first = writeFirst()
-    const early = await Promise.race([first, delay(this.options.timers, afterMs)])
+    const early = await Promise.race([first, delay(this.options.timers, clientOptions.hedgeAfterMs)])
     if (early !== undefined && isDefinite(early)) return early
+    if (unsent.aborted) return first
     const second = writeSecond()
     const winner = await Promise.race([first, second])
     if (isDefinite(winner)) return winner
@@ -79,19 +85,25 @@
    * clock; as this daemon's reading of that clock is wrong just after a suspension, its configuration must be current too.
    */
   private async writeForPeer ({ job, cancel, team, untilMs }: RelayedWrite): Promise<WriteResult> {
-    const { rows, canServe } = this.options
+    const { rows, canServe, gate } = this.options
     const permit = untilMs === undefined ? undefined : { team, isValid: () => rows.getStoreClockMs() < untilMs && canServe() }
-    if (cancel !== undefined) return this.writeCancelDirectly(cancel, permit)
     const id = job === undefined ? undefined : decodeJobRow(job)?.id
-    if (job === undefined || id === undefined) return { outcome: WriteOutcome.NotDone }
-    return this.jobRows.write(id, job, permit)
+    const result = await gate.run<WriteResult>(async (unsent) => {
+      if (cancel !== undefined) return this.writeCancelDirectly(cancel, permit, unsent)
+      return job === undefined || id === undefined ? { outcome: WriteOutcome.NotDone } : this.jobRows.write(id, job, unsent, permit)
+    })
+    switch (result.kind) {
+      case GateResultKind.Done: return result.value
+      case GateResultKind.Refused: return { outcome: WriteOutcome.NotDone }
+      case GateResultKind.GaveUp: return { outcome: WriteOutcome.Unknown }
+    }
   }
 
-  private async writeCancelDirectly (id: string, permit: WritePermit | undefined): Promise<WriteResult> {
+  private async writeCancelDirectly (id: string, permit: WritePermit | undefined, unsent: AbortSignal): Promise<WriteResult> {
     const { rows, shardName } = this.options
     const jobKey = { table: Table.Jobs, part: shardName, key: `${JOB_PREFIX}${id}` }
     const job = await readRow(rows, jobKey)
-    if (!job.ok) return { outcome: WriteOutcome.NotDone }
+    if (!job.ok || unsent.aborted) return { outcome: WriteOutcome.NotDone }
     if (job.value === undefined) return { outcome: WriteOutcome.Absent }
     const team = decodeJobRow(job.value.value)?.team
     if (team !== undefined && team !== permit?.team) return { outcome: WriteOutcome.Absent }
