Count every cap in force since a start was ordered in the property test of team caps

The trace shows a start ordered under a cap of 14,341, carried out late after the cap had been 18,439 for half a second and was then 10,415: the runs that it met had been allowed.

--- a/packages/policy/src/lib/teams/testSupport.ts
+++ b/packages/policy/src/lib/teams/testSupport.ts
@@ -41,6 +41,8 @@
   readonly vms: FakeVm[] = []
   owners: Owner[] = []
   teams: TeamRules[] = []
+  /** Configurations so far, with the times from which they were in force. */
+  private readonly configurations: Array<{ readonly atMs: number, readonly teams: readonly TeamRules[] }> = []
   /** Largest excess of a team over its cap, after a start that raised it, in thousandths of a core, less one task. */
   worstExcess = -Infinity
   starts = 0
@@ -87,6 +89,7 @@
   /** Sets new caps. At times a team is removed or has no cap. */
   private configure (): void {
     this.teams = ['a', 'b', 'c'].filter(() => !this.chance(0.15)).map((name) => createTeam(name, 2, { cpuMillis: this.chance(0.2) ? 0 : 5_000 + this.random.nextBelow(15_000) }))
+    this.configurations.push({ atMs: this.nowMs, teams: this.teams })
   }
 
   private addJob (): void {
@@ -205,12 +208,14 @@
     vm.runs.set(run.key, run)
     this.starts += 1
     const { team } = run.task.step.occurrence.job.accepted
-    const caps = [...teamsAtOrder, ...this.teams].filter(({ name }) => name === team).map(({ cap }) => cap.cpuMillis)
-    if (caps.length < 2 || caps.includes(0)) return
+    // A start that is carried out late may find runs that a higher cap allowed after its order, and a lower cap since then.
+    const configurations = [teamsAtOrder, this.teams, ...this.configurations.filter(({ atMs }) => atMs >= run.orderedAtMs).map(({ teams }) => teams)]
+    const caps = configurations.map((teams) => teams.find(({ name }) => name === team)?.cap.cpuMillis)
+    if (caps.includes(undefined) || caps.includes(0)) return
     let running = 0
     for (const each of this.vms.flatMap(({ runs }) => [...runs.values()])) {
       if (each.task.step.occurrence.job.accepted.team === team) running += each.task.step.spec.need.cpuMillis
     }
-    this.worstExcess = Math.max(this.worstExcess, running - Math.max(...caps) - run.task.step.spec.need.cpuMillis)
+    this.worstExcess = Math.max(this.worstExcess, running - Math.max(...caps.filter((cap) => cap !== undefined)) - run.task.step.spec.need.cpuMillis)
   }
 }
