Tell successors when all leases end while the store cannot record it

An owner that released its shard while the store was frozen could not record the time from which all leases have expired, and sent no notice at all if the release was not answered. The next owner therefore waited for the longest lease from its own takeover. The owner now sends all daemons the remaining time of all leases every 0.4 s until the release is answered. A notice counts only for the owner whose predecessor sent it, by the generation of the owner row.

--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -2,9 +2,10 @@
  * Heartbeats of a shard's owner: to other daemons, which suspect it without them, and to the store, which prove that it reaches the store.
  */
 import type { Subscription } from '@vanillathread/kernel'
-import { PeerMessageKind } from '../peer/messages.js'
+import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { shardOptions } from './jobOptions.js'
+import type { MemberDirectory } from './MemberDirectory.js'
 import type { OwnerRecord } from './OwnerRecord.js'
 import type { ShardOwner } from './ShardOwner.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
@@ -15,13 +16,14 @@
   readonly shard: string
   readonly context: ShardOwnerContext
   readonly network: PeerTransport
+  readonly members: MemberDirectory
   readonly record: OwnerRecord
   readonly succession: Succession
   /** Returns this daemon's ownership, or undefined if it does not own the shard. */
   getOwner (): ShardOwner | undefined
   getOwnerTerm (): OwnerTerm
-  /** Called if the store shows another owner than the given one. */
-  onSuperseded (owner: ShardOwner): void
+  /** Called if the store or another daemon shows another owner than this daemon. */
+  onSuperseded (reason: string): void
 }
 
 /** Sends heartbeats while this daemon owns the shard. */
@@ -29,7 +31,8 @@
   private readonly subscriptions: readonly Subscription[]
 
   private constructor (private readonly options: OwnerHeartbeatsOptions) {
-    const { timers } = options.context
+    const { context: { timers }, network } = options
+    network.on(PeerMessageKind.ShardHeartbeatAck, (message) => this.applyAnswer(message))
     this.subscriptions = [
       timers.every(shardOptions.heartbeatPeriodMs, () => this.send()),
       timers.every(shardOptions.storeHeartbeatPeriodMs, () => { this.writeToStore() }),
@@ -61,10 +64,17 @@
     succession.updateRelays(owner.scheduler.state.vms.size)
   }
 
+  private applyAnswer ({ name, fencingToken, storeSilentMs }: PeerMessageOf<PeerMessageKind.ShardHeartbeatAck>): void {
+    const { members, succession, getOwner, onSuperseded } = this.options
+    members.recordAnswer(name)
+    if (storeSilentMs < shardOptions.ownerStoreSilentMs) succession.recordAnswer(name)
+    if (fencingToken > (getOwner()?.fencingToken ?? Infinity)) onSuperseded('a peer knows a newer owner')
+  }
+
   private async writeToStore (): Promise<void> {
     const { record, getOwner, onSuperseded } = this.options
     const owner = getOwner()
     if (owner === undefined) return
-    if (!await record.writeHeartbeat(owner.fencingToken) && getOwner() === owner) onSuperseded(owner)
+    if (!await record.writeHeartbeat(owner.fencingToken) && getOwner() === owner) onSuperseded('the store names another owner')
   }
 }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -28,8 +28,8 @@
   readonly previousOwnerRenewalMs: number
   /** Store version since which the previous owners kept the ends of leases in the roster up to date, if the last one did. */
   readonly leaseEndsKeptSince: number | undefined
-  /** Time on the store's clock from which every lease of previous owners has expired, if the last one recorded it at its release. */
-  readonly previousLeasesEndMs: number | undefined
+  /** Time on this daemon's clock from which every lease of previous owners has expired, if the last one recorded or announced it at its release. */
+  readonly previousLeasesEndAtMs: number | undefined
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
@@ -61,7 +61,7 @@
       stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
-      previousLeasesEndAtMs: options.previousLeasesEndMs === undefined ? undefined : this.startedAtMs + options.previousLeasesEndMs - options.rows.getStoreClockMs(),
+      previousLeasesEndAtMs: options.previousLeasesEndAtMs,
       logDecision: (code, fields) => log.write(code, fields),
     })
     this.sessions = VmSessions.create({
@@ -82,6 +82,11 @@
     return this.options.ownerRow.version
   }
 
+  /** Number of takeovers of the shard before this one. */
+  get generation (): number {
+    return this.options.generation
+  }
+
   get shard (): string {
     return this.options.shard
   }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -12,6 +12,7 @@
 import { OwnerRecord, type KnownOwner, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
+import { ReleaseNotices, type FinishedOwner } from './ReleaseNotices.js'
 import type { OwnerRow } from './rows.js'
 import { ShardOwner } from './ShardOwner.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
@@ -37,6 +38,7 @@
   private readonly watch: OwnerWatch
   private readonly record: OwnerRecord
   private readonly succession: Succession
+  private readonly notices: ReleaseNotices
   /** Clients through which this daemon calls VMs while it owns the shard. */
   private readonly vmClients: RelayedVmClients
   /** True while a check of the ownership is in progress. */
@@ -50,6 +52,7 @@
     this.watch = OwnerWatch.create(context.timers)
     this.record = OwnerRecord.create({ rows: context.rows, shard: options.shard })
     this.succession = Succession.create({ shard: options.shard, settings: context.settings, timers: context.timers, members: options.members })
+    this.notices = ReleaseNotices.create({ ...options, timers: context.timers, log: context.log })
     this.vmClients = RelayedVmClients.create({
       owner: context.settings.name, direct: context.vms, network, timers: context.timers, log: context.log, getRelays: () => this.succession.relays,
     })
@@ -59,21 +62,14 @@
       if (this.stopping) return
       reply({ kind: PeerMessageKind.ShardHeartbeatAck, name: this.name, shard: options.shard, fencingToken: this.knownFencingToken, storeSilentMs: Math.round(context.rows.getTimeSinceAnswerMs()) })
     })
-    network.on(PeerMessageKind.ShardHeartbeatAck, ({ name, fencingToken, storeSilentMs }) => {
-      options.members.recordAnswer(name)
-      if (storeSilentMs < shardOptions.ownerStoreSilentMs) this.succession.recordAnswer(name)
-      if (this.localOwner !== undefined && fencingToken > this.localOwner.fencingToken) this.stepDown('a peer knows a newer owner')
-    })
-    network.on(PeerMessageKind.ShardReleased, ({ fencingToken, successor }) => {
-      if (fencingToken >= this.knownFencingToken) this.applyRelease(successor)
-    })
+    network.on(PeerMessageKind.ShardReleased, (message) => this.applyNotice(message))
     this.heartbeats = OwnerHeartbeats.create({
       ...options,
       record: this.record,
       succession: this.succession,
       getOwner: () => this.localOwner,
       getOwnerTerm: () => this.ownerTerm,
-      onSuperseded: () => this.stepDown('the store names another owner'),
+      onSuperseded: (reason) => this.stepDown(reason),
     })
     this.subscriptions = [
       context.timers.every(shardOptions.ownershipCheckPeriodMs, () => { this.checkOwnership() }),
@@ -203,7 +199,7 @@
       ownerRow: { ...this.record.key, version: res.value.version },
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
       leaseEndsKeptSince: former?.leaseEndsKeptSince,
-      previousLeasesEndMs: former?.owner === '' ? former.leasesEndMs : undefined,
+      previousLeasesEndAtMs: this.notices.getLeasesEndAtMs(former, context.rows.getStoreClockMs()),
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
@@ -222,14 +218,25 @@
   }
 
   /** Writes an owner row without an owner, so that other daemons can take over without suspecting this one first. */
-  private async release (fencingToken: number, leasesEndMs?: number): Promise<void> {
-    const { context, shard, network, members } = this.options
+  private async release (fencingToken: number, finished?: FinishedOwner): Promise<void> {
+    const { context, shard } = this.options
+    const leasesEndMs = finished === undefined ? undefined : await this.record.toStoreTime(finished.leasesEndMs, context.timers)
     const res = await this.record.release(this.row?.value, fencingToken, leasesEndMs)
     this.rowCurrent = false
     context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
     if (!res.ok) return
-    const successor = this.succession.chooseSuccessor(this.knownFencingToken)
-    for (const { address } of members.others) network.send(address, { kind: PeerMessageKind.ShardReleased, shard, fencingToken: res.value.version, successor })
+    this.notices.send(finished, res.value.version, this.succession.chooseSuccessor(this.knownFencingToken))
+  }
+
+  /** Applies a notice of an owner that gives the shard up, which may come before the release is stored or after the next takeover. */
+  private applyNotice (message: PeerMessageOf<PeerMessageKind.ShardReleased>): void {
+    const { notices, localOwner } = this
+    const { fencingToken, successor } = message
+    notices.receive(message)
+    // A takeover writes the generation after that of the former owner.
+    localOwner?.scheduler.learnPreviousLeasesEnd(notices.getAnnouncedEndAtMs(localOwner.generation - 1))
+    // A notice under the known token is about a release that is not stored yet, unless it names a successor.
+    if (fencingToken > this.knownFencingToken || (fencingToken === this.knownFencingToken && successor !== undefined)) this.applyRelease(successor)
   }
 
   /** Takes a released shard over at once if its former owner named this daemon; others do so after their delay. */
@@ -263,6 +270,7 @@
       const generation = this.row?.value.generation ?? 0
       // A heartbeat lacks the generation, so the row is read from the store before this daemon takes over.
       this.setKnownOwner({ owner: message.owner, host: message.address.host, port: message.address.port, generation }, message.fencingToken)
+      this.notices.forward(message.address)
       this.rowCurrent = false
     }
     this.watch.recordHeartbeat(message.storeSilentMs)
@@ -288,6 +296,9 @@
     await localOwner.finish(limitMs)
     if (this.localOwner !== localOwner) return
     this.localOwner = undefined
-    await this.release(localOwner.fencingToken, await this.record.toStoreTime(localOwner.getLeasesEndMs(), this.options.context.timers))
+    const finished = { fencingToken: localOwner.fencingToken, generation: localOwner.generation, leasesEndMs: localOwner.getLeasesEndMs() }
+    const notice = this.notices.repeat(finished)
+    await this.release(localOwner.fencingToken, finished)
+    notice.dispose()
   }
 }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -36,6 +36,8 @@
   handOverAfterMs: 1_000,
   /** Time limit for an owner that hands over to commit its remaining changes. */
   handOverLimitMs: 500,
+  /** Period of an owner's notices that it has given up the shard while the store does not answer the release: a daemon that starts meanwhile gets one. */
+  releaseNoticePeriodMs: 400,
   /** Period of checking the shard's ownership. */
   ownershipCheckPeriodMs: 100,
   /** Shortest time between two checks of a suspected owner. */
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -27,7 +27,7 @@
   ShardHeartbeat = 'shard-beat',
   /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender. */
   ShardHeartbeatAck = 'shard-beat-ack',
-  /** Sent by an owner that has given up its shard. */
+  /** Sent by an owner that has given up its shard, also before the store has recorded that. */
   ShardReleased = 'shard-released',
   /** A job that was just stored, sent to the owner of its shard. */
   JobHint = 'job-hint',
@@ -110,7 +110,15 @@
     storeSilentMs: z.number(),
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: nonNegativeInt, successor: z.string().optional() }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.ShardReleased),
+    shard: z.string(),
+    fencingToken: nonNegativeInt,
+    successor: z.string().optional(),
+    /** Generation of the owner that gave the shard up, and the time until all leases given until then have expired. */
+    generation: nonNegativeInt.optional(),
+    leasesLeftMs: nonNegativeInt.optional(),
+  }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobHint), shard: z.string(), row: z.instanceof(Uint8Array), version: nonNegativeInt }),
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: nonNegativeInt, job: z.string().optional(), queue: z.string().optional() }),
--- a/packages/integration/src/lostAfterHandOver.test.ts
+++ b/packages/integration/src/lostAfterHandOver.test.ts
@@ -1,7 +1,7 @@
 /**
  * Long-running tasks of a VM that is gone start again in time, although owners change while its lease runs out.
  */
-import { VmFault } from '@vanillathread/stand-ins'
+import { StoreFault, VmFault } from '@vanillathread/stand-ins'
 import { assert, describe } from '@vanillathread/testing'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
 
@@ -154,6 +154,76 @@
   })
 })
 
+describe('long-running tasks of a VM that leaves while its owner releases the shard and the store is frozen', ({ it }) => {
+  /** Stops the owner shortly after a VM has left and the store was frozen for 4 s, and returns the time until all tasks run again. */
+  async function measureFrozenRelease (seed: number, prepare: (lab: JobLab) => void): Promise<number> {
+    const lab = JobLab.create({ seed, daemons: 3 })
+    await lab.start()
+    lab.submit(createJob(createStep({ taskCount: TASKS, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+    await lab.run(4_000)
+    prepare(lab)
+    lab.store.fault = StoreFault.Unresponsive
+    lab.timers.after(4_500, () => { lab.store.fault = StoreFault.None })
+    lab.fleet.leave(lab.fleet.vms.find((vm) => vm.runs.size === 2)?.entry.machine ?? '')
+    const leftAtMs = lab.timers.now()
+    await lab.run(200)
+    lab.daemons[lab.findOwner()]?.daemon?.stop()
+    while (countRunningTasks(lab) < TASKS && lab.timers.now() - leftAtMs < 30_000) await lab.timers.advance(10)
+    const downMs = lab.timers.now() - leftAtMs
+    await lab.finish(8_000)
+    assert.equal(lab.history.violations, [], `seed ${seed}`)
+    return downMs
+  }
+
+  it('are not lost: the successor knows when the leases end although the store could not record it', async () => {
+    for (const seed of SEEDS) {
+      const downMs = await measureFrozenRelease(seed, () => {})
+      assert.ok(downMs <= MAX_DOWN_MS, `seed ${seed}: down for ${downMs} ms`)
+    }
+  })
+
+  it('are not lost either if the successor restarts while the store is frozen', async () => {
+    for (const seed of SEEDS) {
+      const downMs = await measureFrozenRelease(seed, (lab) => {
+        lab.daemons.forEach((_daemon, index) => { if (index !== lab.findOwner()) lab.timers.after(300, () => { lab.crashDaemon(index, 1_500) }) })
+      })
+      assert.ok(downMs <= MAX_DOWN_MS, `seed ${seed}: down for ${downMs} ms`)
+    }
+  })
+
+  it('are not lost either if the successor starts again just as the store answers, and another daemon has got the notice', async () => {
+    for (const seed of SEEDS) {
+      const downMs = await measureFrozenRelease(seed, (lab) => {
+        const [successor, witness] = [0, 1, 2].filter((index) => index !== lab.findOwner())
+        lab.timers.after(300, () => { lab.crashDaemon(successor ?? 0, 4_190) })
+        // A daemon that stops does not take over, but still passes the notice on.
+        lab.timers.after(4_000, () => { lab.daemons[witness ?? 0]?.daemon?.stop() })
+      })
+      assert.ok(downMs <= MAX_DOWN_MS, `seed ${seed}: down for ${downMs} ms`)
+    }
+  })
+
+  it('do not run twice: a notice of an earlier owner does not count once another daemon has owned the shard', async () => {
+    for (const seed of SEEDS) {
+      const lab = JobLab.create({ seed, daemons: 3 })
+      await lab.start()
+      lab.submit(createJob(createStep({ taskCount: TASKS, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+      await lab.run(4_000)
+      const first = lab.findOwner()
+      lab.daemons[first]?.daemon?.stop()
+      await lab.run(6_000)
+      const vm = lab.fleet.vms.find((each) => each.runs.size === 2)
+      if (vm === undefined) throw new Error('tasks were not spread')
+      vm.fault = VmFault.Partitioned
+      lab.crashDaemon(lab.findOwner())
+      await lab.run(9_000)
+      vm.fault = VmFault.None
+      await lab.finish(8_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+    }
+  })
+})
+
 describe('long-running tasks of a VM that is cut off while the shard is released', ({ it }) => {
   it('do not run twice, although its clock runs slow and the next owner knows when its lease ends', async () => {
     for (const seed of SEEDS) {
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -157,6 +157,8 @@
   StartsResumed = 737,
   /** The owner of a shard removed the row of the daemon `member`, which has not answered for `silentMs`. */
   MemberRemoved = 738,
+  /** An owner that gave up a shard announced that all leases expire within `leasesLeftMs`. */
+  LeaseEndAnnounced = 739,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
   /** The store answers again after `awayMs`. */
@@ -267,6 +269,7 @@
   [EventCode.ShardHandedOver]: { level: EventLevel.Info, message: 'owner hands its shard over to a faster daemon' },
   [EventCode.StartsResumed]: { level: EventLevel.Info, message: 'starts in a pool do not wait for VMs any more' },
   [EventCode.MemberRemoved]: { level: EventLevel.Info, message: 'row of a daemon that does not answer was removed' },
+  [EventCode.LeaseEndAnnounced]: { level: EventLevel.Info, message: 'owner that gave up a shard announced when all leases expire' },
   [EventCode.StoreLost]: { level: EventLevel.Warn, message: 'platform store does not answer' },
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -106,6 +106,11 @@
     return this.registry.getLeasesEndMs(nowMs)
   }
 
+  /** Applies a time from which every lease of previous owners has expired, which became known after the takeover. */
+  learnPreviousLeasesEnd (atMs: number): void {
+    this.registry.learnPreviousLeasesEnd(atMs)
+  }
+
   /** Adds a VM that the store's roster lists at the takeover. */
   restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
     if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuate(record.entry.id, clocks.nowMs + DRAINING_TASK_GRACE_MS)
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -36,7 +36,11 @@
   /** Start times (`bornMs`) of retired VMs that are still registered, by id. Their registrations are ignored. */
   private readonly retired = new Map<string, number>()
 
-  private constructor (private readonly options: VmRegistryOptions) {}
+  private previousLeasesEndAtMs: number
+
+  private constructor (private readonly options: VmRegistryOptions) {
+    this.previousLeasesEndAtMs = options.previousLeasesEndAtMs ?? Infinity
+  }
 
   static create (options: VmRegistryOptions): VmRegistry {
     return new VmRegistry(options)
@@ -167,6 +171,11 @@
     return [...this.options.state.vms.values()].some((vm) => vm.entry.machine === entry.machine && vm.id !== entry.id && vm.entry.bornMs > entry.bornMs)
   }
 
+  /** Applies a time from which every lease of previous owners has expired. The earliest one that is known counts. */
+  learnPreviousLeasesEnd (atMs: number): void {
+    this.previousLeasesEndAtMs = Math.min(this.previousLeasesEndAtMs, atMs)
+  }
+
   /** Returns the time from which every lease given until now, by this owner or a previous one, has certainly expired. */
   getLeasesEndMs (nowMs: number): number {
     return Math.max(nowMs + this.options.leaseMs * SLOW_CLOCK_FACTOR, this.getPreviousLeaseExpiryMs())
@@ -184,7 +193,7 @@
 
   /** Returns the time from which no VM has runs under a previous owner's lease, whatever is recorded. */
   private getPreviousLeaseExpiryMs (): number {
-    const { startedAtMs, previousOwnerRenewalMs, leaseMs, previousLeasesEndAtMs = Infinity } = this.options
-    return Math.min(previousLeasesEndAtMs, startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR)
+    const { startedAtMs, previousOwnerRenewalMs, leaseMs } = this.options
+    return Math.min(this.previousLeasesEndAtMs, startedAtMs + previousOwnerRenewalMs + leaseMs * SLOW_CLOCK_FACTOR)
   }
 }
