Send an owner's store calls through other daemons while its own connections fail

An owner whose own connections to the store were reset or silent, while other daemons reached the store, could neither commit progress nor show final states, and was replaced after some 2.4 s. Its transactions, store heartbeat and reads now go through a daemon that the store answers: the second attempt at once, first attempts once the direct path is lost. `chooseStorePath` (policy) decides, by the answers of the direct path and by `storeSilentMs` in the heartbeat answers; `RelayedRowStore` and `HedgedRowStore` carry it out, and `StoreRelay` makes the calls on its own connections only. Nothing goes through peers while the direct path answers, or unless the daemon owns the shard. Feeds become plain reads through the peer; reads go directly every 250 ms, so that the owner notices when its path works.

--- a/packages/daemon/src/lib/jobs/HedgedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/HedgedRowStore.ts
@@ -1,5 +1,5 @@
 /**
- * Row store client that sends a transaction again if its answer is overdue.
+ * Row store client that sends a call again if its answer is overdue: a transaction on any path to the store, a read on another path only.
  */
 import { delay, type TimerService } from '@vanillathread/kernel'
 import { Result } from '@vanillathread/model'
@@ -10,6 +10,25 @@
 export interface HedgedRowStoreOptions {
   readonly rows: RowStore
   readonly timers: TimerService
+  /** Chooses the paths of attempts. Without it, all attempts go through `rows`. */
+  readonly paths?: StorePathChooser
+}
+
+/** A path to the store: `name` is the daemon that makes the calls, or undefined if this one does. */
+export interface StorePath {
+  readonly name: string | undefined
+  readonly rows: Pick<RowStore, 'transact' | 'readRange' | 'readFeed'>
+}
+
+/** Chooses paths to the store. */
+export interface StorePathChooser {
+  /**
+   * Returns the path of the next attempt.
+   *
+   * @param earlier - names of the paths of the same call's earlier attempts.
+   * @param overdueAfterMs - time after which an answer is overdue, in milliseconds.
+   */
+  choosePath (earlier: ReadonlyArray<string | undefined>, overdueAfterMs: number): StorePath
 }
 
 /** Weights of a new sample in the smoothed latency and its deviation, as TCP uses for its retransmission timeout. */
@@ -43,21 +62,16 @@
 
   /** Returns the first definite outcome of up to `maxAttempts` attempts, each sent when the answer to the one before is overdue. */
   async transact (transaction: RowTransaction): Promise<CommitResult> {
-    const attempts: Array<Promise<CommitResult>> = []
-    for (;;) {
-      attempts.push(this.attempt(transaction))
-      const isLast = attempts.length >= storeOptions.maxAttempts || this.answeredShare < MIN_ANSWERED_SHARE
-      const first = await Promise.race([getFirstDefinite(attempts), ...(isLast ? [] : [delay(this.options.timers, this.hedgeAfterMs)])])
-      if (first !== undefined) return attempts.length === 1 ? first : resolveConflict(transaction, first)
-    }
+    const { res, attempts } = await this.send((path) => this.attempt(transaction, path), 0, true)
+    return attempts === 1 ? res : resolveConflict(transaction, res)
   }
 
-  readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>> {
-    return this.options.rows.readRange(range)
+  async readRange (range: RowRange): Promise<Result<RowPage, StoreFailure>> {
+    return (await this.send(({ rows }) => rows.readRange(range), range.bulk === true ? storeOptions.bulkReadMs : 0, false)).res
   }
 
-  readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>> {
-    return this.options.rows.readFeed(table, afterVersion, waitMs)
+  async readFeed (table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreFailure>> {
+    return (await this.send(({ rows }) => rows.readFeed(table, afterVersion, waitMs), waitMs, false)).res
   }
 
   getStoreClockMs (): number {
@@ -76,10 +90,41 @@
     return Math.min(storeOptions.maxHedgeMs, Math.max(storeOptions.minHedgeMs, this.latencyMs + DEVIATION_FACTOR * this.deviationMs))
   }
 
-  private async attempt (transaction: RowTransaction): Promise<CommitResult> {
-    const { rows, timers } = this.options
+  /**
+   * Sends up to `maxAttempts` attempts of a call, each when the answer to the one before is overdue or failed to come, and returns the
+   * first definite outcome.
+   *
+   * @param waitMs - time that an answer may take beside the usual latency, in milliseconds.
+   * @param mayRepeat - True if an overdue attempt on the direct path may be repeated on it, while the store answers enough attempts.
+   */
+  private async send<T> (call: (path: StorePath) => Promise<Result<T, StoreFailure>>, waitMs: number, mayRepeat: boolean): Promise<{ res: Result<T, StoreFailure>, attempts: number }> {
+    const attempts: Array<Promise<Result<T, StoreFailure>>> = []
+    const earlier: Array<string | undefined> = []
+    for (let path = this.choosePath(earlier); ;) {
+      attempts.push(call(path))
+      earlier.push(path.name)
+      const repeatsOnPath = mayRepeat && this.answeredShare >= MIN_ANSWERED_SHARE
+      const isLast = attempts.length >= storeOptions.maxAttempts || (this.options.paths === undefined && !repeatsOnPath)
+      const outcome = getFirstDefinite(attempts)
+      const first = await Promise.race([outcome, ...(isLast ? [] : [delay(this.options.timers, waitMs + this.hedgeAfterMs)])])
+      if (first !== undefined && (isLast || first.ok || !isUnanswered(first.error))) return { res: first, attempts: attempts.length }
+      path = this.choosePath(earlier)
+      // A failed attempt is repeated on another path only.
+      if (path.name === undefined && (first !== undefined || !repeatsOnPath)) return { res: first ?? await outcome, attempts: attempts.length }
+    }
+  }
+
+  private choosePath (earlier: ReadonlyArray<string | undefined>): StorePath {
+    const { paths, rows } = this.options
+    return paths?.choosePath(earlier, this.hedgeAfterMs) ?? { name: undefined, rows }
+  }
+
+  /** Sends a transaction, and observes the latency and the loss of answers on the direct path. */
+  private async attempt (transaction: RowTransaction, { name, rows }: StorePath): Promise<CommitResult> {
+    const { timers } = this.options
     const sentAtMs = timers.now()
     const res = await rows.transact(transaction)
+    if (name !== undefined) return res
     if (isDefinite(res)) this.observeLatency(timers.now() - sentAtMs)
     const isAnswered = res.ok || res.error.kind !== StoreFailureKind.Unknown
     this.answeredShare += ANSWER_WEIGHT * ((isAnswered ? 1 : 0) - this.answeredShare)
@@ -96,7 +141,7 @@
  * Returns the first outcome that is certain for all attempts: executed, or a conflict. If there is none, the transaction is not
  * done only if no attempt was, and its outcome is unknown otherwise.
  */
-function getFirstDefinite (attempts: ReadonlyArray<Promise<CommitResult>>): Promise<CommitResult> {
+function getFirstDefinite<T> (attempts: ReadonlyArray<Promise<Result<T, StoreFailure>>>): Promise<Result<T, StoreFailure>> {
   return new Promise((resolve) => {
     for (const attempt of attempts) attempt.then((res) => { if (isDefinite(res)) resolve(res) })
     Promise.all(attempts).then((all) => {
@@ -107,10 +152,15 @@
   })
 }
 
-function isDefinite (res: CommitResult): boolean {
+function isDefinite (res: Result<unknown, StoreFailure>): boolean {
   return res.ok || res.error.kind === StoreFailureKind.Conflict
 }
 
+/** Returns true if the store gave no answer to a call, so that another path may reach it. */
+export function isUnanswered (failure: StoreFailure): boolean {
+  return failure.kind === StoreFailureKind.Unknown || (failure.kind === StoreFailureKind.NotDone && failure.unanswered === true)
+}
+
 /**
  * A conflict of a transaction that was sent more than once may be with itself. It was executed if all rows that it writes have
  * its values and one version, and its conditions on other rows hold.
--- a/packages/daemon/src/lib/jobs/JobsDaemon.ts
+++ b/packages/daemon/src/lib/jobs/JobsDaemon.ts
@@ -16,6 +16,8 @@
 export interface JobsPlatform {
   readonly rows: RowStore
   readonly feeds: FleetFeeds
+  /** Opens the feeds on another store client. Without it, they are read through `feeds` only. */
+  openFeeds? (rows: RowStore): FleetFeeds
   readonly vms: VmClients
   readonly machines?: MachineService
   /** Admission service, if the platform has one. */
@@ -39,6 +41,8 @@
 
 export const JOBS_SETTINGS = ServiceKey.create<JobsSettings>('jobs-settings')
 export const METRICS_TEXT = ServiceKey.create<(() => Promise<string>) | undefined>('metrics-text')
+/** Client on this daemon's own connections to the store that sends each call once. */
+export const DIRECT_ROWS = ServiceKey.create<RowStore>('jobs-direct-rows')
 export const JOBS_PLATFORM = ServiceKey.create<JobsPlatform>('jobs-platform')
 
 /** A daemon that accepts jobs and runs them on VMs. @public */
@@ -62,7 +66,8 @@
       tracing: Tracing.create({ sampleRatio: 0 }),
     })
     this.kernel.provide(JOBS_SETTINGS, options.settings)
-    this.kernel.provide(JOBS_PLATFORM, { ...options.platform, openIngress: (api) => options.platform.openIngress(api), rows: HedgedRowStore.create({ rows: options.platform.rows, timers }) })
+    this.kernel.provide(JOBS_PLATFORM, { ...options.platform, openIngress: (api) => options.platform.openIngress(api), openFeeds: options.platform.openFeeds?.bind(options.platform), rows: HedgedRowStore.create({ rows: options.platform.rows, timers }) })
+    this.kernel.provide(DIRECT_ROWS, options.platform.rows)
     this.kernel.provide(METRICS_TEXT, options.renderMetrics?.bind(options))
   }
 
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -11,11 +11,13 @@
 import { OwnerHeartbeats } from './OwnerHeartbeats.js'
 import { OwnerRecord, type KnownOwner, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
+import type { ReportedPeer } from './RelayedRowStore.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
 import { ReleaseNotices, type FinishedOwner } from './ReleaseNotices.js'
 import type { OwnerRow } from './rows.js'
 import { ShardOwner } from './ShardOwner.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
+import { ShardReleaser } from './ShardReleaser.js'
 import { Succession, type OwnerTerm } from './Succession.js'
 import { TakeoverReason } from './TakeoverReason.js'
 
@@ -39,6 +41,7 @@
   private readonly record: OwnerRecord
   private readonly succession: Succession
   private readonly notices: ReleaseNotices
+  private readonly releaser: ShardReleaser
   /** Clients through which this daemon calls VMs while it owns the shard. */
   private readonly vmClients: RelayedVmClients
   /** True while a check of the ownership is in progress. */
@@ -53,6 +56,7 @@
     this.record = OwnerRecord.create({ rows: context.rows, shard: options.shard })
     this.succession = Succession.create({ shard: options.shard, settings: context.settings, timers: context.timers, members: options.members })
     this.notices = ReleaseNotices.create({ ...options, timers: context.timers, log: context.log })
+    this.releaser = ShardReleaser.create({ ...options, record: this.record, notices: this.notices, chooseSuccessor: () => this.succession.chooseSuccessor(this.knownFencingToken) })
     this.vmClients = RelayedVmClients.create({
       owner: context.settings.name, direct: context.vms, network, timers: context.timers, log: context.log, getRelays: () => this.succession.relays,
     })
@@ -93,6 +97,11 @@
     return owner === this.name ? undefined : { name: owner, address: { host, port }, fencingToken: this.row.version }
   }
 
+  /** Returns the daemons that may make calls to the store for this one, or undefined unless it owns the shard or is releasing it. */
+  listStorePeers (): readonly ReportedPeer[] | undefined {
+    return this.localOwner === undefined && !this.releaser.isActive ? undefined : this.succession.listStorePeers()
+  }
+
   /** Hands the shard over if this daemon owns it, and prevents further takeovers. */
   async stop (limitMs: number): Promise<void> {
     this.stopping = true
@@ -217,15 +226,10 @@
     this.options.context.log.write(EventCode.ShardLost, { shard: this.options.shard, fencingToken: localOwner.fencingToken, reason })
   }
 
-  /** Writes an owner row without an owner, so that other daemons can take over without suspecting this one first. */
+  /** Releases the shard, after which the owner row is read again. */
   private async release (fencingToken: number, finished?: FinishedOwner): Promise<void> {
-    const { context, shard } = this.options
-    const leasesEndMs = finished === undefined ? undefined : await this.record.toStoreTime(finished.leasesEndMs, context.timers)
-    const res = await this.record.release(this.row?.value, fencingToken, leasesEndMs)
+    await this.releaser.release(this.row?.value, fencingToken, finished)
     this.rowCurrent = false
-    context.log.write(EventCode.ShardReleased, { shard, fencingToken, outcome: res.ok ? 'done' : res.error.kind })
-    if (!res.ok) return
-    this.notices.send(finished, res.value.version, this.succession.chooseSuccessor(this.knownFencingToken))
   }
 
   /** Applies a notice of an owner that gives the shard up, which may come before the release is stored or after the next takeover. */
@@ -296,9 +300,7 @@
     await localOwner.finish(limitMs)
     if (this.localOwner !== localOwner) return
     this.localOwner = undefined
-    const finished = { fencingToken: localOwner.fencingToken, generation: localOwner.generation, leasesEndMs: localOwner.getLeasesEndMs() }
-    const notice = this.notices.repeat(finished)
-    await this.release(localOwner.fencingToken, finished)
-    notice.dispose()
+    const { fencingToken, generation } = localOwner
+    await this.release(fencingToken, { fencingToken, generation, leasesEndMs: localOwner.getLeasesEndMs() })
   }
 }
--- a/packages/daemon/src/lib/jobs/Succession.ts
+++ b/packages/daemon/src/lib/jobs/Succession.ts
@@ -7,6 +7,7 @@
 import { relayOptions, shardOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import type { MemberDirectory } from './MemberDirectory.js'
+import type { ReportedPeer } from './RelayedRowStore.js'
 import type { Relay } from './RelayedVmClients.js'
 
 /** Options of {@link Succession.create}. */
@@ -28,6 +29,8 @@
 export class Succession {
   /** Times at which peers that reach the store last answered a heartbeat of this daemon, by name. */
   private readonly answeredAtMs = new Map<string, number>()
+  /** Times at which the store last answered the peers by their reports, and of these reports, by name. */
+  private readonly storeReports = new Map<string, { readonly answeredAtMs: number, readonly reportedAtMs: number }>()
   /** Number of times at which this daemon, as the owner, sent heartbeats. */
   private heartbeatCount = 0
   private chosenRelays: readonly Relay[] = []
@@ -43,6 +46,21 @@
     this.answeredAtMs.set(name, this.options.timers.now())
   }
 
+  /** Records the time since the store last answered a peer, from its answer to a heartbeat. */
+  recordStoreReport (name: string, storeSilentMs: number): void {
+    const reportedAtMs = this.options.timers.now()
+    this.storeReports.set(name, { answeredAtMs: reportedAtMs - storeSilentMs, reportedAtMs })
+  }
+
+  /** Returns the daemons that have just answered a heartbeat, with the times since the store answered them. */
+  listStorePeers (): ReportedPeer[] {
+    const nowMs = this.options.timers.now()
+    return this.options.members.others.flatMap(({ name, address }) => {
+      const report = this.storeReports.get(name)
+      return report === undefined || nowMs - report.reportedAtMs >= shardOptions.suspectAfterMs ? [] : [{ name, address, answerAgoMs: nowMs - report.answeredAtMs }]
+    })
+  }
+
   /** Daemons that make calls to VMs for this daemon as the owner of many VMs, as of the last heartbeat. */
   get relays (): readonly Relay[] {
     return this.chosenRelays
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -42,6 +42,8 @@
   ownershipCheckPeriodMs: 100,
   /** Shortest time between two checks of a suspected owner. */
   suspectCheckPeriodMs: 350,
+  /** Time without an answer from the store from which a daemon makes no calls for an owner: above the long poll of an idle daemon. */
+  relayStoreSilentMs: 1_500,
   /** Timeout for opening a connection to a suspected owner. */
   probeTimeoutMs: 400,
   /** Time after a takeover for which a superseded owner that no other daemon can reach may still extend VM leases. */
@@ -167,6 +169,14 @@
   maxHedgeMs: 600,
   /** Limit on the attempts; three are lost together in one case out of 23 if the platform loses a third of its answers. */
   maxAttempts: 3,
+  /** Time that a page of a whole table may take beside the usual latency: half a megabyte takes 0.4 s on a link of 10 Mbit/s, which several pages share. */
+  bulkReadMs: 1_500,
+  /** Longest wait for an answer through another daemon: some attempts on a store that loses answers. */
+  relayAnswerMs: 700,
+  /** Period of reads that show an owner whose calls go through other daemons whether its own connections work again. */
+  probePeriodMs: 250,
+  /** Pause between reads of a feed through another daemon, which do not wait there. */
+  relayedFeedPeriodMs: 200,
 } as const
 
 /** Constants for serving clients. */
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -2,17 +2,20 @@
  * Plug-ins of a daemon that serves jobs.
  */
 import { delay, ServiceKey, type Kernel, type Plugin, type PluginCatalogue } from '@vanillathread/kernel'
-import type { Ingress } from '@vanillathread/ports'
+import type { FleetFeeds, Ingress, RowStore } from '@vanillathread/ports'
 import { PeerNetwork } from '../peer/PeerNetwork.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { ConfigurationWatcher } from './ConfigurationWatcher.js'
+import { HedgedRowStore } from './HedgedRowStore.js'
 import { JobGateway } from './JobGateway.js'
-import { JOBS_PLATFORM, JOBS_SETTINGS, METRICS_TEXT } from './JobsDaemon.js'
+import { DIRECT_ROWS, JOBS_PLATFORM, JOBS_SETTINGS, METRICS_TEXT } from './JobsDaemon.js'
 import { stopServingAfterMs } from './jobOptions.js'
 import { MetricsServer } from './MetricsServer.js'
 import { MemberDirectory } from './MemberDirectory.js'
+import { RelayedRowStore } from './RelayedRowStore.js'
 import { ShardOwnership } from './ShardOwnership.js'
 import { StoreOutageMonitor } from './StoreOutageMonitor.js'
+import { StoreRelay } from './StoreRelay.js'
 import { VmCallRelay } from './VmCallRelay.js'
 
 enum JobPluginId {
@@ -26,6 +29,11 @@
 const NETWORK = ServiceKey.create<PeerTransport>('jobs-network')
 const MEMBERS = ServiceKey.create<MemberDirectory>('jobs-members')
 const CONFIGURATION = ServiceKey.create<ConfigurationWatcher>('jobs-configuration')
+/** Paths to the store of the daemon as an owner. */
+const OWNER_PATHS = ServiceKey.create<RelayedRowStore>('jobs-owner-paths')
+/** Store client of the daemon as an owner, and the feeds that are read through it. */
+const OWNER_ROWS = ServiceKey.create<RowStore>('jobs-owner-rows')
+const OWNER_FEEDS = ServiceKey.create<FleetFeeds>('jobs-owner-feeds')
 const SHARD = ServiceKey.create<ShardOwnership>('jobs-shard')
 
 /** The only shard; its name is also the part of its rows in the store. */
@@ -42,6 +50,15 @@
     const settings = kernel.get(JOBS_SETTINGS)
     this.network = kernel.get(JOBS_PLATFORM).network ?? PeerNetwork.create({ listen: settings.peer, timers: kernel.timers, log: kernel.log })
     this.members = MemberDirectory.create({ settings, timers: kernel.timers, log: kernel.log, rows: kernel.get(JOBS_PLATFORM).rows, network: this.network })
+    const { timers, log } = kernel
+    const direct = kernel.get(DIRECT_ROWS)
+    StoreRelay.create({ network: this.network, rows: direct, timers, log })
+    const paths = RelayedRowStore.create({ direct, network: this.network, timers, log })
+    const ownerRows = HedgedRowStore.create({ rows: paths, timers, paths })
+    const { feeds, openFeeds } = kernel.get(JOBS_PLATFORM)
+    kernel.provide(OWNER_PATHS, paths)
+    kernel.provide(OWNER_ROWS, ownerRows)
+    kernel.provide(OWNER_FEEDS, openFeeds?.(ownerRows) ?? feeds)
     kernel.provide(NETWORK, this.network)
     kernel.provide(MEMBERS, this.members)
   }
@@ -63,7 +80,7 @@
 
   constructor (kernel: Kernel) {
     this.store = StoreOutageMonitor.create({ rows: kernel.get(JOBS_PLATFORM).rows, timers: kernel.timers, log: kernel.log, metrics: kernel.metrics })
-    this.watcher = ConfigurationWatcher.create({ feeds: kernel.get(JOBS_PLATFORM).feeds, timers: kernel.timers, log: kernel.log })
+    this.watcher = ConfigurationWatcher.create({ feeds: kernel.get(OWNER_FEEDS), timers: kernel.timers, log: kernel.log })
     kernel.provide(CONFIGURATION, this.watcher)
   }
 
@@ -82,13 +99,16 @@
   private readonly relay: VmCallRelay
 
   constructor (private readonly kernel: Kernel) {
-    const { rows, feeds, vms, admissionService, machines } = kernel.get(JOBS_PLATFORM)
+    const { vms, admissionService, machines } = kernel.get(JOBS_PLATFORM)
+    const rows = kernel.get(OWNER_ROWS)
+    const feeds = kernel.get(OWNER_FEEDS)
     this.ownership = ShardOwnership.create({
       shard: SHARD_NAME,
       context: { settings: kernel.get(JOBS_SETTINGS), timers: kernel.timers, log: kernel.log, rows, feeds, vms, admissionService, machines, configuration: kernel.get(CONFIGURATION) },
       network: kernel.get(NETWORK),
       members: kernel.get(MEMBERS),
     })
+    kernel.get(OWNER_PATHS).listPeers = () => this.ownership.listStorePeers()
     this.relay = VmCallRelay.create({ network: kernel.get(NETWORK), vms, timers: kernel.timers, log: kernel.log })
     kernel.provide(SHARD, this.ownership)
   }
@@ -168,7 +188,7 @@
 /** Registers every plug-in. */
 export function registerJobPlugins (catalogue: PluginCatalogue): void {
   catalogue.register({ id: JobPluginId.Peers, requires: [], create: (kernel) => new PeersPlugin(kernel) })
-  catalogue.register({ id: JobPluginId.Configuration, requires: [], create: (kernel) => new ConfigurationPlugin(kernel) })
+  catalogue.register({ id: JobPluginId.Configuration, requires: [JobPluginId.Peers], create: (kernel) => new ConfigurationPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Shard, requires: [JobPluginId.Peers, JobPluginId.Configuration], create: (kernel) => new ShardPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Clients, requires: [JobPluginId.Shard], create: (kernel) => new ClientsPlugin(kernel) })
   catalogue.register({ id: JobPluginId.Metrics, requires: [JobPluginId.Shard], create: (kernel) => new MetricsPlugin(kernel) })
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -42,6 +42,9 @@
   /** Request to write a job or a cancellation to the store, from a daemon that the store answers late or not at all. */
   WriteRequest = 'write-request',
   WriteAnswer = 'write-answer',
+  /** Call to the store that a daemon makes for an owner whose own connections to the store fail, and the store's answer. */
+  StoreCall = 'store-call',
+  StoreAnswer = 'store-answer',
 }
 
 const nonNegativeInt = z.int().min(0)
@@ -126,6 +129,8 @@
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: nonNegativeInt, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmCalls), owner: z.string(), batch: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmAnswers), owner: z.string(), batch: z.instanceof(Uint8Array) }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.StoreCall), seq: nonNegativeInt, call: z.instanceof(Uint8Array) }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.StoreAnswer), seq: nonNegativeInt, answer: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteAnswer), seq: nonNegativeInt, outcome: z.enum(WriteOutcome), version: nonNegativeInt.optional() }),
 ] as const
 
--- a/packages/integration/src/lab.ts
+++ b/packages/integration/src/lab.ts
@@ -1,8 +1,11 @@
 /**
  * Command that simulates days of random load and faults: `npm run lab -- --days N --seed S`.
+ * With `--owner-cuts` it cuts the owner's own connections to the store, and prints what callers notice.
  * With `--take-overs` it loses the owner of a shard in several ways instead, and prints the times to the steps of the takeover.
  */
 import { Command } from 'commander'
+import { StoreFault } from '@vanillathread/stand-ins'
+import { measureOwnerCut } from './lib/jobs/measureOwnerCut.js'
 import { LOSSES, measureTakeover, type TakeoverTimes } from './lib/jobs/measureTakeover.js'
 import { simulateRandomDay } from './lib/jobs/simulateRandomDay.js'
 
@@ -11,8 +14,13 @@
   .option('--days <count>', 'number of days to simulate', '20')
   .option('--seed <number>', 'seed of the first day; each further day uses the next number', '1')
   .option('--take-overs', 'measure the times from each kind of loss of the owner to the steps of the takeover, with --days as the number of seeds')
+  .option('--owner-cuts', 'measure the times from the end of a job to its shown final state, and to first starts, while the owner alone is cut off from the store for 7 s')
 command.parse()
-const { days, seed, takeOvers } = command.opts<{ days: string, seed: string, takeOvers?: boolean }>()
+const { days, seed, takeOvers, ownerCuts } = command.opts<{ days: string, seed: string, takeOvers?: boolean, ownerCuts?: boolean }>()
+if (ownerCuts === true) {
+  await printOwnerCutTimes()
+  process.exit(0)
+}
 if (takeOvers === true) {
   await printTakeoverTimes()
   process.exit(0)
@@ -29,6 +37,21 @@
 console.log(`${Number(days) - brokenDays} days passed, ${brokenDays} did not`)
 process.exit(brokenDays === 0 ? 0 : 1)
 
+/** Prints the median, the 99th percentile and the maximum of the times of all seeds, in milliseconds. */
+async function printOwnerCutTimes (): Promise<void> {
+  console.log('| owner\'s connections | shown | first start | takeovers | violations |\n|---|---|---|---|---|')
+  for (const fault of [StoreFault.Resetting, StoreFault.Unresponsive]) {
+    const measured = []
+    for (let index = 0; index < Number(days); index++) measured.push(await measureOwnerCut(fault, Number(seed) + index))
+    const summarize = (times: number[]): string => {
+      const inOrder = times.sort((a, b) => a - b)
+      return [0.5, 0.99, 1].map((share) => Math.round(inOrder[Math.ceil(share * inOrder.length) - 1] ?? NaN)).join(', ')
+    }
+    const sum = (values: number[]): number => values.reduce((a, b) => a + b, 0)
+    console.log(`| ${fault} | ${summarize(measured.flatMap(({ shown }) => shown))} | ${summarize(measured.flatMap(({ firstStarts }) => firstStarts))} | ${sum(measured.map(({ takeovers }) => takeovers))} | ${sum(measured.map(({ violations }) => violations))} |`)
+  }
+}
+
 /** Prints a table with the median and the maximum time after each kind of loss, in milliseconds. */
 async function printTakeoverTimes (): Promise<void> {
   const columns = ['taken', 'ready', 'firstStart', 'lastAccounted'] as const satisfies ReadonlyArray<keyof TakeoverTimes>
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -114,6 +114,7 @@
       platform: {
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
+        openFeeds: (rows) => FleetFeedsStandIn.create(rows, history),
         vms: countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)),
         machines: fleet,
         network: peers.connect(entry.address),
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -167,6 +167,8 @@
   StoreCallFailed = 742,
   /** The store no longer keeps the changes after the version that was read last, so the whole table is read again. */
   HistoryGone = 743,
+  /** The owner's calls to the store take another path: through the daemon `path`, or its own connections. */
+  StorePathChanged = 745,
   /** The owner orders the maintenance of a machine whose VM it has evacuated. */
   MaintenanceOrdered = 750,
   /** The order for maintenance of a machine was carried out, was refused or got no answer; see `outcome`. */
@@ -274,6 +276,7 @@
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
   [EventCode.HistoryGone]: { level: EventLevel.Warn, message: 'changes since the last read are gone from the store, so the whole table is read again' },
+  [EventCode.StorePathChanged]: { level: EventLevel.Info, message: 'calls of an owner to the store take another path' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -22,6 +22,7 @@
 export { decideWriteStart } from './lib/admission/decideWriteStart.js'
 export { AttemptOutcomeKind, UnknownReason, type AttemptOutcome } from './lib/retry/AttemptOutcome.js'
 export { RetryBudget, type RetryBudgetOptions } from './lib/retry/RetryBudget.js'
+export { chooseStorePath, type StorePathState, type StorePeer } from './lib/retry/chooseStorePath.js'
 export { decideRetry, isServerError, RetryAction, type RetryDecision, type RetryState } from './lib/retry/decideRetry.js'
 export { EndpointHealth, HealthChange, HealthState, type EndpointHealthOptions } from './lib/health/EndpointHealth.js'
 export { VersionGate } from './lib/configuration/VersionGate.js'
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -19,6 +19,8 @@
   Refusing = 'refusing',
   /** Neither carries out nor answers any call. */
   Unresponsive = 'silent',
+  /** Carries out no call, and resets its connection. */
+  Resetting = 'resetting',
   /** Carries out some writes late and does not answer them. */
   LosingAnswers = 'losing-answers',
   /** Answers late, like a store under load. */
@@ -226,7 +228,10 @@
         return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 503' })
       case StoreFault.Unresponsive:
         await delay(timers, CALL_TIMEOUT_MS)
-        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'no answer' })
+        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'no answer', unanswered: true })
+      case StoreFault.Resetting:
+        await delay(timers, CALL_LATENCY_MS)
+        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'connection reset', unanswered: true })
       case StoreFault.Slow:
         await delay(timers, SLOW_CALL_LATENCY_MS)
         return undefined
