--- a/packages/daemon/src/lib/jobs/RelayedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/RelayedRowStore.ts
@@ -115,7 +115,7 @@
     this.pending.delete(number)
     if (!res.ok && isUnanswered(res.error)) {
       const sinceMs = Math.min(awaitedFromMs, timers.now())
-      if (sinceMs > this.answeredAtMs && (this.failedSinceMs ?? -Infinity) <= this.answeredAtMs) this.failedSinceMs = sinceMs
+      if (sinceMs >= this.answeredAtMs && (this.failedSinceMs ?? -Infinity) < this.answeredAtMs) this.failedSinceMs = sinceMs
     }
     return res
   }
@@ -123,8 +123,8 @@
   private getDirectState (): { readonly directUnansweredMs: number | undefined, readonly directFailed: boolean } {
     const { answeredAtMs, failedSinceMs = -Infinity } = this
     const nowMs = this.options.timers.now()
-    const directFailed = failedSinceMs > answeredAtMs
-    const sinceMs = Math.min(directFailed ? failedSinceMs : Infinity, ...[...this.pending.values()].filter((atMs) => atMs > answeredAtMs))
+    const directFailed = failedSinceMs >= answeredAtMs
+    const sinceMs = Math.min(directFailed ? failedSinceMs : Infinity, ...[...this.pending.values()].filter((atMs) => atMs >= answeredAtMs))
     return { directUnansweredMs: sinceMs <= nowMs ? nowMs - sinceMs : undefined, directFailed }
   }
 
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -133,12 +133,8 @@
   private async checkOwnership (): Promise<void> {
     if (this.busy || this.stopping) return
     this.busy = true
-    try {
-      if (this.localOwner === undefined) await this.checkKnownOwner()
-      else await this.handOverIfSlow(this.localOwner)
-    } finally {
-      this.busy = false
-    }
+    const check = this.localOwner === undefined ? this.checkKnownOwner() : this.handOverIfSlow(this.localOwner)
+    await check.finally(() => { this.busy = false })
   }
 
   /**
@@ -247,11 +243,7 @@
   private async applyRelease (successor: string | undefined): Promise<void> {
     if (!await this.readRow() || successor !== this.name || this.busy || this.row?.value.owner !== '') return
     this.busy = true
-    try {
-      await this.takeOver(TakeoverReason.HandedOver)
-    } finally {
-      this.busy = false
-    }
+    await this.takeOver(TakeoverReason.HandedOver).finally(() => { this.busy = false })
   }
 
   /** Reads the owner row from the store. Returns false if the store did not answer, or a newer owner is known meanwhile. */
--- a/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
+++ b/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
@@ -15,7 +15,7 @@
   /** Time until a connection to a closed address is known to be refused. */
   refusalMs = 0
   private readonly openPeers = new Map<string, MemoryPeerTransport>()
-  /** Numbers of messages by the address that they were sent to. */
+  /** Numbers of messages by the address that they were sent to, and by address and kind. */
   private readonly sentCounts = new Map<string, number>()
 
   private constructor (readonly timers: TimerService) {}
@@ -41,13 +41,14 @@
     return this.openPeers.has(formatAddress(address))
   }
 
-  /** Returns the number of messages that were sent to an address, delivered or not. */
-  countSentTo (address: Address): number {
-    return this.sentCounts.get(formatAddress(address)) ?? 0
+  /** Returns the number of messages, of one kind if that is given, that were sent to an address, delivered or not. */
+  countSentTo (address: Address, kind?: `${PeerMessageKind}`): number {
+    return this.sentCounts.get(kind === undefined ? formatAddress(address) : `${formatAddress(address)} ${kind}`) ?? 0
   }
 
   deliver (from: Address, to: Address, message: PeerMessage): void {
     this.sentCounts.set(formatAddress(to), this.countSentTo(to) + 1)
+    this.sentCounts.set(`${formatAddress(to)} ${message.kind}`, this.countSentTo(to, message.kind) + 1)
     this.timers.after(MESSAGE_MS, () => {
       if (this.cutAddresses.has(formatAddress(from)) || this.cutAddresses.has(formatAddress(to))) return
       this.openPeers.get(formatAddress(to))?.receive(message, from)
