Do not take an owner that was busy for one whose path to the store is lost; describe relayed store calls

After a long plan, an owner finds calls unanswered whose answers it has merely not read yet, and sent its next call through a peer although its own path worked. The lack of an answer must now have been noticed 50 ms earlier.

--- a/packages/daemon/src/lib/jobs/RelayedRowStore.ts
+++ b/packages/daemon/src/lib/jobs/RelayedRowStore.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode, Result, type Address } from '@vanillathread/model'
-import { chooseStorePath, type StorePeer } from '@vanillathread/policy'
+import { chooseStorePath, type StorePathState, type StorePeer } from '@vanillathread/policy'
 import { StoreFailureKind, type RowCommit, type RowPage, type RowRange, type RowStore, type RowTransaction, type StoreClockReading, type StoreFailure } from '@vanillathread/ports'
 import { PeerMessageKind } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
@@ -51,6 +51,8 @@
   /** The store's clock in such an answer, with the times of the request and of the answer. */
   private clock: { readonly clockMs: number, readonly sentAtMs: number, readonly receivedAtMs: number } | undefined
   private probedAtMs = -Infinity
+  /** Send time of the earliest direct call without an answer, and the time at which an attempt first found it so. */
+  private noticed: { readonly sinceMs: number, readonly atMs: number } | undefined
   /** True while first attempts go through peers. */
   private isRelaying = false
 
@@ -120,12 +122,14 @@
     return res
   }
 
-  private getDirectState (): { readonly directUnansweredMs: number | undefined, readonly directFailed: boolean } {
+  private getDirectState (): Pick<StorePathState, 'directUnansweredMs' | 'noticedAgoMs' | 'directFailed'> {
     const { answeredAtMs, failedSinceMs = -Infinity } = this
     const nowMs = this.options.timers.now()
     const directFailed = failedSinceMs >= answeredAtMs
     const sinceMs = Math.min(directFailed ? failedSinceMs : Infinity, ...[...this.pending.values()].filter((atMs) => atMs >= answeredAtMs))
-    return { directUnansweredMs: sinceMs <= nowMs ? nowMs - sinceMs : undefined, directFailed }
+    if (sinceMs > nowMs) return { directUnansweredMs: undefined, noticedAgoMs: 0, directFailed }
+    if (this.noticed?.sinceMs !== sinceMs) this.noticed = { sinceMs, atMs: nowMs }
+    return { directUnansweredMs: nowMs - sinceMs, noticedAgoMs: nowMs - this.noticed.atMs, directFailed }
   }
 
   /** Time at which the store last answered a direct call. */
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -25,7 +25,7 @@
   Hello = 'hello',
   /** Heartbeat of a shard's owner. */
   ShardHeartbeat = 'shard-beat',
-  /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender. */
+  /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender on its own connections. */
   ShardHeartbeatAck = 'shard-beat-ack',
   /** Sent by an owner that has given up its shard, also before the store has recorded that. */
   ShardReleased = 'shard-released',
@@ -109,7 +109,7 @@
     owner: z.string(),
     address: addressSchema,
     fencingToken: nonNegativeInt,
-    /** Time since the store last answered the owner. */
+    /** Time since the store last answered the owner, on its own connections or through another daemon. */
     storeSilentMs: z.number(),
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
--- a/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
+++ b/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
@@ -12,6 +12,8 @@
 export class MemoryPeerNetwork {
   /** Addresses, as `host:port`, of the daemons that are cut off from all others. */
   readonly cutAddresses = new Set<string>()
+  /** Kinds of messages that are lost. */
+  readonly lostKinds = new Set<`${PeerMessageKind}`>()
   /** Time until a connection to a closed address is known to be refused. */
   refusalMs = 0
   private readonly openPeers = new Map<string, MemoryPeerTransport>()
@@ -50,7 +52,7 @@
     this.sentCounts.set(formatAddress(to), this.countSentTo(to) + 1)
     this.sentCounts.set(`${formatAddress(to)} ${message.kind}`, this.countSentTo(to, message.kind) + 1)
     this.timers.after(MESSAGE_MS, () => {
-      if (this.cutAddresses.has(formatAddress(from)) || this.cutAddresses.has(formatAddress(to))) return
+      if (this.lostKinds.has(message.kind) || this.cutAddresses.has(formatAddress(from)) || this.cutAddresses.has(formatAddress(to))) return
       this.openPeers.get(formatAddress(to))?.receive(message, from)
     })
   }
--- a/packages/integration/src/lib/jobs/measureTakeover.ts
+++ b/packages/integration/src/lib/jobs/measureTakeover.ts
@@ -21,6 +21,10 @@
     lab.peers.cutAddresses.add(`${owner.address.host}:${owner.address.port}`)
   },
   'owner without the store': (_lab, owner) => { owner.store.fault = StoreFault.Unresponsive },
+  'owner without the store on any path': (lab, owner) => {
+    owner.store.fault = StoreFault.Unresponsive
+    lab.peers.lostKinds.add('store-call')
+  },
   'owner stopped': (_lab, owner) => { owner.daemon?.stop() },
   'all killed, back after 1 s': (lab) => Promise.all(lab.daemons.map((_daemon, index) => lab.crashDaemon(index, 1_000))),
   'owner killed, two VMs silent': (lab) => {
--- a/packages/policy/src/lib/retry/chooseStorePath.test.ts
+++ b/packages/policy/src/lib/retry/chooseStorePath.test.ts
@@ -7,7 +7,7 @@
 const peer = (name: string, answerAgoMs = 50, failedAgoMs = Infinity) => ({ name, answerAgoMs, failedAgoMs })
 
 function choose (state: Partial<StorePathState>): string | undefined {
-  return chooseStorePath({ directUnansweredMs: undefined, directFailed: false, overdueAfterMs: 100, peers: [peer('a', 80), peer('b', 20)], earlier: [], ...state })
+  return chooseStorePath({ directUnansweredMs: undefined, noticedAgoMs: 100, directFailed: false, overdueAfterMs: 100, peers: [peer('a', 80), peer('b', 20)], earlier: [], ...state })
 }
 
 describe('chooseStorePath', ({ it }) => {
@@ -23,6 +23,11 @@
     assert.is(choose({ directUnansweredMs: 5, directFailed: true }), 'b')
   })
 
+  it('does not take a busy process, which has not read the answers yet, for a lost path', () => {
+    assert.is(choose({ directUnansweredMs: 700, noticedAgoMs: 0 }), undefined)
+    assert.is(choose({ directUnansweredMs: 760, noticedAgoMs: 60 }), 'b')
+  })
+
   it('does not take a slow store for a lost path', () => {
     assert.is(choose({ directUnansweredMs: 900, overdueAfterMs: 600 }), undefined)
     assert.is(choose({ directUnansweredMs: 1_250, overdueAfterMs: 600 }), 'b')
--- a/packages/policy/src/lib/retry/chooseStorePath.ts
+++ b/packages/policy/src/lib/retry/chooseStorePath.ts
@@ -21,6 +21,11 @@
    * them since, in milliseconds; undefined if there is no such call.
    */
   readonly directUnansweredMs: number | undefined
+  /**
+   * Time since an earlier attempt first found that call without an answer, in milliseconds. A process that was busy finds calls long
+   * unanswered, and reads their answers only afterwards.
+   */
+  readonly noticedAgoMs: number
   /** True if such a call has failed, as its connection was reset, could not be opened or was silent until the timeout. */
   readonly directFailed: boolean
   /** Time after which an answer is overdue, in milliseconds. */
@@ -33,6 +38,9 @@
 /** Shortest time without any answer after which the direct path counts as lost: more than a slow answer takes, 240 ms. */
 const MIN_LOST_MS = 250
 
+/** Shortest time for which the lack of an answer must be known: a process that was busy reads the waiting answers in less. */
+const MIN_NOTICED_MS = 50
+
 /** Number of times for which an answer must be overdue until the direct path counts as lost. */
 const OVERDUE_FACTOR = 2
 
@@ -47,10 +55,11 @@
 
 /** Returns the name of the peer through which the next attempt goes, or undefined for the owner's own connections. @public */
 export function chooseStorePath (state: StorePathState): string | undefined {
-  const { directUnansweredMs, directFailed, overdueAfterMs, earlier } = state
+  const { directUnansweredMs, noticedAgoMs, directFailed, overdueAfterMs, earlier } = state
   // An answer to any other direct call since then shows that the path works, and that only this answer is lost or slow.
   if (directUnansweredMs === undefined) return undefined
-  const isLost = directFailed || directUnansweredMs >= Math.max(MIN_LOST_MS, OVERDUE_FACTOR * overdueAfterMs)
+  const isOverdue = noticedAgoMs >= MIN_NOTICED_MS && directUnansweredMs >= Math.max(MIN_LOST_MS, OVERDUE_FACTOR * overdueAfterMs)
+  const isLost = directFailed || isOverdue
   return isLost || earlier.length > 0 ? findPeer(state) : undefined
 }
 
