--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -25,9 +25,9 @@
   Hello = 'hello',
   /** Heartbeat of a shard's owner. */
   ShardHeartbeat = 'shard-beat',
-  /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender. */
+  /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender on its own connections. */
   ShardHeartbeatAck = 'shard-beat-ack',
-  /** Sent by an owner that has given up its shard. */
+  /** Sent by an owner that has given up its shard, also before the store has recorded that. */
   ShardReleased = 'shard-released',
   /** A job that was just stored, sent to the owner of its shard. */
   JobHint = 'job-hint',
@@ -42,6 +42,9 @@
   /** Request to write a job or a cancellation to the store, from a daemon that the store answers late or not at all. */
   WriteRequest = 'write-request',
   WriteAnswer = 'write-answer',
+  /** Call to the store that a daemon makes for an owner whose own connections to the store fail, and the store's answer. */
+  StoreCall = 'store-call',
+  StoreAnswer = 'store-answer',
 }
 
 const nonNegativeInt = z.int().min(0)
@@ -106,11 +109,19 @@
     owner: z.string(),
     address: addressSchema,
     fencingToken: nonNegativeInt,
-    /** Time since the store last answered the owner. */
+    /** Time since the store last answered the owner, on its own connections or through another daemon. */
     storeSilentMs: z.number(),
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.ShardReleased), shard: z.string(), fencingToken: nonNegativeInt, successor: z.string().optional() }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.ShardReleased),
+    shard: z.string(),
+    fencingToken: nonNegativeInt,
+    successor: z.string().optional(),
+    /** Generation of the owner that gave the shard up, and the time until all leases given until then have expired. */
+    generation: nonNegativeInt.optional(),
+    leasesLeftMs: nonNegativeInt.optional(),
+  }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobHint), shard: z.string(), row: z.instanceof(Uint8Array), version: nonNegativeInt }),
   z.strictObject({ kind: z.literal(PeerMessageKind.CancelHint), shard: z.string(), job: z.string() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.JobQuery), shard: z.string(), seq: nonNegativeInt, job: z.string().optional(), queue: z.string().optional() }),
@@ -118,6 +129,8 @@
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteRequest), seq: nonNegativeInt, job: z.instanceof(Uint8Array).optional(), cancel: z.string().optional(), team: z.string().optional(), untilMs: nonNegativeInt.optional() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmCalls), owner: z.string(), batch: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.VmAnswers), owner: z.string(), batch: z.instanceof(Uint8Array) }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.StoreCall), seq: nonNegativeInt, call: z.instanceof(Uint8Array) }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.StoreAnswer), seq: nonNegativeInt, answer: z.instanceof(Uint8Array) }),
   z.strictObject({ kind: z.literal(PeerMessageKind.WriteAnswer), seq: nonNegativeInt, outcome: z.enum(WriteOutcome), version: nonNegativeInt.optional() }),
 ] as const
 
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -161,6 +161,8 @@
   StartsResumed = 737,
   /** The owner of a shard removed the row of the daemon `member`, which has not answered for `silentMs`. */
   MemberRemoved = 738,
+  /** An owner that gave up a shard announced that all leases expire within `leasesLeftMs`. */
+  LeaseEndAnnounced = 739,
   /** The store has not answered any call for `silentMs`. */
   StoreLost = 740,
   /** The store answers again after `awayMs`. */
@@ -174,6 +176,8 @@
    * so after `closedForMs` and `refused` requests.
    */
   StoreGateChanged = 744,
+  /** The owner's calls to the store take another path: through the daemon `path`, or its own connections. */
+  StorePathChanged = 745,
   /** The owner orders the maintenance of a machine whose VM it has evacuated. */
   MaintenanceOrdered = 750,
   /** The order for maintenance of a machine was carried out, was refused or got no answer; see `outcome`. */
@@ -278,11 +282,13 @@
   [EventCode.ShardHandedOver]: { level: EventLevel.Info, message: 'owner hands its shard over to a faster daemon' },
   [EventCode.StartsResumed]: { level: EventLevel.Info, message: 'starts in a pool do not wait for VMs any more' },
   [EventCode.MemberRemoved]: { level: EventLevel.Info, message: 'row of a daemon that does not answer was removed' },
+  [EventCode.LeaseEndAnnounced]: { level: EventLevel.Info, message: 'owner that gave up a shard announced when all leases expire' },
   [EventCode.StoreLost]: { level: EventLevel.Warn, message: 'platform store does not answer' },
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
   [EventCode.HistoryGone]: { level: EventLevel.Warn, message: 'changes since the last read are gone from the store, so the whole table is read again' },
   [EventCode.StoreGateChanged]: { level: EventLevel.Warn, message: 'requests that need the store are refused, or are not refused any more' },
+  [EventCode.StorePathChanged]: { level: EventLevel.Info, message: 'calls of an owner to the store take another path' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
--- a/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
+++ b/packages/stand-ins/src/lib/jobs/StoreStandIn.ts
@@ -21,6 +21,8 @@
   Unresponsive = 'silent',
   /** Answers no call, but carries out some writes late. */
   Stalled = 'stalled',
+  /** Carries out no call, and resets its connection. */
+  Resetting = 'resetting',
   /** Carries out some writes late and does not answer them. */
   LosingAnswers = 'losing-answers',
   /** Answers late, like a store under load. */
@@ -233,7 +235,10 @@
       case StoreFault.Unresponsive:
       case StoreFault.Stalled:
         await delay(timers, CALL_TIMEOUT_MS)
-        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'no answer' })
+        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'no answer', unanswered: true })
+      case StoreFault.Resetting:
+        await delay(timers, CALL_LATENCY_MS)
+        return Result.err({ kind: isWrite ? StoreFailureKind.Unknown : StoreFailureKind.NotDone, reason: 'connection reset', unanswered: true })
       case StoreFault.Slow:
         await delay(timers, SLOW_CALL_LATENCY_MS)
         return undefined
