--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -2,11 +2,12 @@
  * Plays a day of load through the scheduler and the capacity planner on a simulated clock, without processes or a network.
  * It answers what callers get: jobs in time, late and missed, by queue and by window.
  */
-import { RunEnd, type Capacity, type EndEntry, type VmEntry } from '@vanillathread/model'
-import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type TrackedRun } from '@vanillathread/policy'
+import { RunEnd } from '@vanillathread/model'
+import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type StopReason, type TrackedRun } from '@vanillathread/policy'
 import { EventQueue } from './EventQueue.js'
 import { createLongRunningJobs, generateJobs, type LoadJob, type LoadSite } from './LoadSite.js'
-import { summarizeLoadDay, type LoadDayResult } from './summarizeLoadDay.js'
+import { createEntry, isStandby, type SimulatedMachine, type SimulatedVm } from './SimulatedMachine.js'
+import { summarizeLoadDay, type LoadDayResult, type StoppedWork } from './summarizeLoadDay.js'
 
 /** Decides on moves of machines. */
 export interface MovePlanner {
@@ -40,30 +41,11 @@
 const VM_READY_MS = 150
 const FINITE_TASK_GRACE_MS = 4_000
 const STOP_MS = 200
-const WARM_UP_MS = 8_000
+/** Time at which the long-running jobs arrive. */
+const LONG_RUNNING_AT_MS = 1_000
 const DRAIN_MS = 16_000
 const LEASE_MS = 5_000
 
-interface SimulatedMachine {
-  readonly id: string
-  pool: string
-  vmId: string | undefined
-  /** Pool of a move in progress. */
-  toPool: string | undefined
-  /** True from the order of a move until its VM is up. */
-  down: boolean
-  bootNumber: number
-  /** Time until which the machine is away; 0 if it is not. */
-  awayUntilMs: number
-}
-
-interface SimulatedVm {
-  readonly runs: Map<TrackedRun, number>
-  readonly ends: EndEntry[]
-  nextEnd: number
-  reportDue: boolean
-}
-
 /** A day in progress. */
 export class LoadDay {
   private nowMs = 0
@@ -77,6 +59,9 @@
   private commitScheduled = false
   private machineSeconds = 0
   private moves = 0
+  private readonly stops = new Map<StopReason | undefined, StoppedWork>()
+  /** Orders that the platform still accepts in this period. */
+  private ordersLeft = 0
   private readonly random: RandomSource
 
   private constructor (private readonly options: LoadDayOptions) {
@@ -94,21 +79,22 @@
     for (const pool of site.pools) {
       for (let index = 0; index < pool.machines; index++) this.addMachine(`${pool.name}-${index}`, pool.name)
     }
-    for (const accepted of createLongRunningJobs(site)) this.at(1_000, () => this.accept(accepted))
+    for (const accepted of createLongRunningJobs(site)) this.at(LONG_RUNNING_AT_MS, () => this.accept(accepted))
     for (const job of generateJobs(site, this.random)) {
-      const accepted = { ...job.accepted, acceptedAtMs: job.accepted.acceptedAtMs + WARM_UP_MS }
+      const accepted = { ...job.accepted, acceptedAtMs: job.accepted.acceptedAtMs + site.warmUpMs }
       this.jobs.set(accepted.id, { ...job, accepted })
       this.at(accepted.acceptedAtMs, () => this.accept(accepted))
     }
-    for (const absence of this.options.absences ?? []) this.at(WARM_UP_MS + absence.fromMs, () => this.beginAbsence(absence))
-    const endMs = WARM_UP_MS + site.lengthMs + DRAIN_MS
+    for (const absence of this.options.absences ?? []) this.at(site.warmUpMs + absence.fromMs, () => this.beginAbsence(absence))
+    const endMs = site.warmUpMs + site.lengthMs + DRAIN_MS
     for (let atMs = 100; atMs < endMs; atMs += MACHINE_PERIOD_MS) this.at(atMs, () => this.planMachines())
     for (let atMs = 100; atMs < endMs; atMs += 100) this.at(atMs, () => this.requestPlan())
     for (let event = this.events.takeNext(); event !== undefined && event.atMs < endMs; event = this.events.takeNext()) {
       this.nowMs = event.atMs
       event.run()
     }
-    return summarizeLoadDay({ site, startedAtMs: WARM_UP_MS, jobs: this.jobs.values(), completedAtMs: this.completedAtMs, machineSeconds: this.machineSeconds, moves: this.moves })
+    const { completedAtMs, machineSeconds, moves, stops } = this
+    return summarizeLoadDay({ site, startedAtMs: site.warmUpMs, jobs: this.jobs.values(), completedAtMs, machineSeconds, moves, stops })
   }
 
   private accept (accepted: LoadJob['accepted']): void {
@@ -136,7 +122,8 @@
     if (vm === undefined) return
     this.scheduler.applyStart(run, StartOutcome.Accepted, this.nowMs)
     const { step } = run.task
-    const durationMs = this.jobs.get(step.occurrence.job.id)?.durationsMs[step.index]?.[run.task.index]
+    const job = this.jobs.get(step.occurrence.job.id)
+    const durationMs = (run.number === 1 ? job?.durationsMs : job?.restartedMs)?.[step.index]?.[run.task.index]
     vm.runs.set(run, this.nowMs)
     if (durationMs === undefined) this.report(run.vmId, 300)
     else this.at(this.nowMs + durationMs, () => this.end(run, RunEnd.Done))
@@ -149,7 +136,13 @@
 
   private end (run: TrackedRun, end: RunEnd): void {
     const vm = this.vms.get(run.vmId)
-    if (vm === undefined || !vm.runs.delete(run)) return
+    const startedAtMs = vm?.runs.get(run)
+    if (vm === undefined || startedAtMs === undefined) return
+    vm.runs.delete(run)
+    if (end === RunEnd.Stopped) {
+      const sum = this.stops.get(run.stopReason) ?? { runs: 0, coreSeconds: 0 }
+      this.stops.set(run.stopReason, { runs: sum.runs + 1, coreSeconds: sum.coreSeconds + (this.nowMs - startedAtMs) * run.task.step.spec.need.cpuMillis / 1e6 })
+    }
     vm.ends.push({ number: vm.nextEnd++, task: run.name, run: run.number, end, checkpoint: '' })
     this.report(run.vmId, REPORT_MS)
   }
@@ -214,7 +207,7 @@
     const free = this.machines.filter((machine) => machine.awayUntilMs === 0 && machine.toPool === undefined && !machine.down)
     const chosen = this.random.sample(free, free.length).filter((machine) => !this.hasLongRunningTask(machine)).slice(0, machines)
     for (const machine of chosen) {
-      machine.awayUntilMs = WARM_UP_MS + toMs
+      machine.awayUntilMs = this.options.site.warmUpMs + toMs
       if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, this.nowMs + FINITE_TASK_GRACE_MS)
       this.at(machine.awayUntilMs, () => {
         machine.awayUntilMs = 0
@@ -239,7 +232,7 @@
 
   private planMachines (): void {
     const { site, planner } = this.options
-    if (this.nowMs >= WARM_UP_MS) this.machineSeconds += this.machines.filter((machine) => !isStandby(site, machine.toPool ?? machine.pool)).length * MACHINE_PERIOD_MS / 1_000
+    if (this.nowMs >= site.warmUpMs) this.machineSeconds += this.machines.filter((machine) => !isStandby(site, machine.toPool ?? machine.pool)).length * MACHINE_PERIOD_MS / 1_000
     const clocks = { nowMs: this.nowMs, storeNowMs: this.nowMs }
     const pools = site.pools.map((pool) => ({ standby: pool.standby, demand: this.scheduler.getDemand(pool.name, clocks) }))
     for (const move of planner.plan(this.nowMs, pools, this.machines.filter((machine) => machine.awayUntilMs === 0).map((machine) => this.describe(machine)))) {
@@ -248,7 +241,9 @@
       machine.toPool = move.toPool
       if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, this.nowMs + FINITE_TASK_GRACE_MS)
     }
+    this.ordersLeft = site.ordersPerSecond * MACHINE_PERIOD_MS / 1_000
     for (const machine of this.machines) {
+      if (this.ordersLeft < 1) break
       if (machine.toPool === undefined || machine.down || (machine.vmId !== undefined && !this.scheduler.isEvacuated(machine.vmId))) continue
       this.order(machine)
     }
@@ -256,7 +251,8 @@
 
   /** Orders the move of an evacuated machine. */
   private order (machine: SimulatedMachine): void {
-    if (this.nowMs >= WARM_UP_MS) this.moves += 1
+    if (this.nowMs >= this.options.site.warmUpMs) this.moves += 1
+    this.ordersLeft -= 1
     this.retire(machine)
     machine.down = true
     this.at(this.nowMs + 15 + MOVE_MS, () => {
@@ -280,11 +276,3 @@
     this.events.add(atMs, run)
   }
 }
-
-function isStandby (site: LoadSite, pool: string): boolean {
-  return site.pools.some((each) => each.standby && each.name === pool)
-}
-
-function createEntry (id: string, machine: SimulatedMachine, capacity: Capacity, nowMs: number): VmEntry {
-  return { id, machine: machine.id, pool: machine.pool, address: { host: 'h', port: 1 }, zone: 'z', labels: ['k', `rack-${machine.id.length}`], draining: false, bornMs: Math.round(nowMs) + 1, capacity }
-}
--- a/packages/integration/src/lib/load/LoadSite.ts
+++ b/packages/integration/src/lib/load/LoadSite.ts
@@ -49,6 +49,22 @@
   readonly longRunning?: LongRunningLoad
 }
 
+/** A period of high demand of one queue. Times are counted from the first arrival. */
+export interface LoadTurn {
+  /** Name of the queue. */
+  readonly queue: string
+  readonly fromMs: number
+  readonly toMs: number
+}
+
+/** A job of one wide step that arrives besides the others. */
+export interface LargeJob {
+  /** Name of the queue. */
+  readonly queue: string
+  readonly atMs: number
+  readonly tasks: number
+}
+
 /** A site. */
 export interface LoadSite {
   readonly pools: readonly LoadPool[]
@@ -56,7 +72,21 @@
   readonly machine: Capacity
   /** Time for which the demand of one queue is high, in milliseconds. */
   readonly turnMs: number
+  /** Periods of high demand, if they are not those of the queues' turns one after another. */
+  readonly turns?: readonly LoadTurn[]
+  readonly largeJobs?: readonly LargeJob[]
   readonly lengthMs: number
+  /** Time before the first arrival, in milliseconds. */
+  readonly warmUpMs: number
+  /** Orders for machines that the platform accepts in a second, all machines together. */
+  readonly ordersPerSecond: number
+  /** Spread of the clients' estimates around the true mean duration of a step's tasks. */
+  readonly estimateSpread: number
+  /** Share of the tasks that take `slowFactor` times as long. */
+  readonly slowShare: number
+  readonly slowFactor: number
+  /** True if a slow task is slow again after a restart, as the work itself is long; false if only the run was slow. */
+  readonly staysSlow: boolean
   /** Cost of a machine outside of the standby pool for a second, in the unit of `LoadQueue.worth`. */
   readonly machineSecondCost: number
   readonly moveCost: number
@@ -68,6 +98,8 @@
   readonly queue: LoadQueue
   /** Durations in milliseconds by step and task. */
   readonly durationsMs: ReadonlyArray<readonly number[]>
+  /** Durations of restarted tasks. */
+  readonly restartedMs: ReadonlyArray<readonly number[]>
   /** Duration of the longest chain of tasks. */
   readonly chainMs: number
   /** Worth if the job ends within its objective. */
@@ -78,9 +110,6 @@
 const DEADLINE_FACTOR = 1.6
 const TARGET_LATENCY_MS = 600
 
-/** Spread of the clients' estimates around the true mean duration of a step's tasks. */
-const ESTIMATE_SPREAD = 0.2
-
 /** Demand of a queue at the height of its turn and out of turn, as multiples of its mean. */
 const PEAK_FACTOR = 5
 const REST_FACTOR = 0.05
@@ -91,12 +120,18 @@
 /** Generates the finite jobs of a day in the order of their arrival. */
 export function generateJobs (site: LoadSite, random: RandomSource): LoadJob[] {
   const jobs: LoadJob[] = []
+  const turns = listTurns(site)
   for (const [index, queue] of site.queues.entries()) {
+    const own = turns.filter((turn) => turn.queue === queue.name)
     const peakPerSecond = queue.jobsPerSecond * PEAK_FACTOR
     for (let atMs = 0; ;) {
       atMs += -Math.log(1 - random.nextFloat()) * 1_000 / peakPerSecond
       if (atMs >= site.lengthMs) break
-      if (random.nextFloat() < getDemandShare(site, queue, atMs)) jobs.push(generateJob(formatJobId(index + 1, jobs.length), queue, atMs, random))
+      if (random.nextFloat() < getDemandShare(own, atMs)) jobs.push(generateJob(site, formatJobId(index + 1, jobs.length), queue, atMs, random))
+    }
+    for (const { atMs, tasks } of site.largeJobs?.filter((job) => job.queue === queue.name) ?? []) {
+      const wide = { ...queue, steps: { mean: 1, spread: 0, max: 1 }, tasksPerStep: { mean: tasks, spread: 0, max: tasks } }
+      jobs.push({ ...generateJob(site, formatJobId(index + 1, jobs.length), wide, atMs, random), queue })
     }
   }
   return jobs.sort((a, b) => a.accepted.acceptedAtMs - b.accepted.acceptedAtMs)
@@ -111,17 +146,26 @@
   })
 }
 
-/** Returns the demand of a queue at a time as a share of the demand at its height. */
-function getDemandShare (site: LoadSite, queue: LoadQueue, atMs: number): number {
-  const cycle = site.queues.length
-  const position = ((atMs / site.turnMs - queue.turn) % cycle + cycle) % cycle
+/** Returns the periods of high demand of a day. */
+export function listTurns (site: LoadSite): readonly LoadTurn[] {
+  if (site.turns !== undefined) return site.turns
+  const count = Math.ceil(site.lengthMs / site.turnMs)
+  return Array.from({ length: count }, (_unused, index) => index).flatMap((index) => site.queues
+    .filter((queue) => queue.turn === index % site.queues.length)
+    .map((queue) => ({ queue: queue.name, fromMs: index * site.turnMs, toMs: (index + 1) * site.turnMs })))
+}
+
+/** Returns the demand of a queue with these turns at a time as a share of the demand at its height. */
+function getDemandShare (turns: readonly LoadTurn[], atMs: number): number {
   const rest = REST_FACTOR / PEAK_FACTOR
-  return position >= 1 ? rest : Math.max(rest, Math.sin(Math.PI * position))
+  return turns.filter(({ fromMs, toMs }) => atMs >= fromMs && atMs < toMs)
+    .reduce((share, { fromMs, toMs }) => Math.max(share, Math.sin(Math.PI * (atMs - fromMs) / (toMs - fromMs))), rest)
 }
 
-function generateJob (id: string, queue: LoadQueue, atMs: number, random: RandomSource): LoadJob {
+function generateJob (site: LoadSite, id: string, queue: LoadQueue, atMs: number, random: RandomSource): LoadJob {
   const steps: StepSpec[] = []
   const durationsMs: number[][] = []
+  const restartedMs: number[][] = []
   let chainMs = 0
   let work = 0
   const stepCount = Math.max(1, Math.round(draw(queue.steps, random)))
@@ -129,17 +173,19 @@
     const taskCount = Math.max(1, Math.round(draw(queue.tasksPerStep, random)))
     const meanMs = draw(queue.durationMs, random)
     const durations = Array.from({ length: taskCount }, () => draw({ mean: meanMs, spread: queue.taskSpread, max: 2.5 * meanMs }, random))
+    const slowed = durations.map((duration) => duration * drawSlowness(site, random))
     const need = { cpuMillis: Math.round(draw(queue.cpuMillis, random)), memoryMb: Math.round(draw(queue.memoryMb, random)), accelerators: 0 }
     steps.push({
       ...STEP_DEFAULTS,
       taskCount,
       need,
-      estimateMs: Math.round(draw({ mean: meanMs, spread: ESTIMATE_SPREAD, max: 2 * meanMs }, random)),
+      estimateMs: Math.round(draw({ mean: meanMs, spread: site.estimateSpread, max: 2 * meanMs }, random)),
       after: index === 0 ? [] : [index - 1],
       maxTasksPerVm: random.nextFloat() < SPREAD_STEPS_SHARE ? 1 : undefined,
     })
-    durationsMs.push(durations)
-    chainMs += Math.max(...durations)
+    durationsMs.push(slowed)
+    restartedMs.push(site.staysSlow ? slowed : durations)
+    chainMs += Math.max(...slowed)
     work += durations.reduce((sum, each) => sum + each, 0) * need.cpuMillis
   }
   const meanWork = queue.steps.mean * queue.tasksPerStep.mean * queue.durationMs.mean * queue.cpuMillis.mean
@@ -147,6 +193,7 @@
     accepted: createAcceptedJob({ id, queue: queue.name, pool: queue.pool, priority: queue.priority, acceptedAtMs: atMs, steps }),
     queue,
     durationsMs,
+    restartedMs,
     chainMs,
     worth: queue.worth * Math.min(4, 0.3 + 0.7 * work / meanWork),
   }
@@ -168,6 +215,11 @@
   return job.accepted.deadlineFactor * job.chainMs + job.accepted.targetLatencyMs
 }
 
+/** Draws the factor by which a task takes longer than the others of its step. */
+function drawSlowness ({ slowShare, slowFactor }: LoadSite, random: RandomSource): number {
+  return slowShare > 0 && random.nextFloat() < slowShare ? slowFactor : 1
+}
+
 /** Draws a value by the Box-Muller transform. */
 function draw ({ mean, spread, max }: Quantity, random: RandomSource): number {
   const variance = Math.log(1 + spread * spread)
--- a/packages/integration/src/lib/load/sites.ts
+++ b/packages/integration/src/lib/load/sites.ts
@@ -66,6 +66,12 @@
     machine: { cpuMillis: scale.machineCpuMillis, memoryMb: scale.machineMemoryMb, accelerators: 0 },
     turnMs: 9_000,
     lengthMs: 34_000,
+    warmUpMs: 8_000,
+    ordersPerSecond: Infinity,
+    estimateSpread: 0.2,
+    slowShare: 0,
+    slowFactor: 1,
+    staysSlow: true,
     machineSecondCost: scale.machineSecondCost,
     moveCost: scale.moveCost,
   }
@@ -119,6 +125,34 @@
   moveCost: 0.025,
 })
 
+/**
+ * A site of 250 machines whose queues have turns of 4 s, two or three times a day, with inaccurate estimates and some slow tasks.
+ * Machines are spread over the pools when the first turn begins.
+ */
+export const TURNS_SITE: LoadSite = {
+  ...createSite({
+    machines: [45, 50, 55, 60, 40],
+    machineCpuMillis: 16_000,
+    machineMemoryMb: 32_768,
+    jobsPerSecond: [16.2, 5.1, 20.3, 6.24],
+    shortDurationMs: 1_000,
+    shortCpuMillis: 1_500,
+    wideCpuMillis: 3_300,
+    tasksPerStep: 8,
+    worth: [0.399, 1.43],
+    longRunningTasks: 24,
+    machineSecondCost: 0.022,
+    moveCost: 0.025,
+  }),
+  turnMs: 4_000,
+  warmUpMs: 1_500,
+  ordersPerSecond: 64,
+  estimateSpread: 0.9,
+  slowShare: 0.03,
+  slowFactor: 7,
+  staysSlow: false,
+}
+
 /** A site of 378 machines of 32 cores. */
 export const LARGE_SITE = createSite({
   machines: [65, 75, 85, 91, 62],
--- a/packages/integration/src/lib/load/summarizeLoadDay.ts
+++ b/packages/integration/src/lib/load/summarizeLoadDay.ts
@@ -1,7 +1,8 @@
 /**
  * What callers got on a simulated day, and what the machines cost.
  */
-import { getObjectiveMs, type LoadJob, type LoadSite } from './LoadSite.js'
+import type { StopReason } from '@vanillathread/policy'
+import { getObjectiveMs, listTurns, type LoadJob, type LoadSite } from './LoadSite.js'
 
 /** What the callers of one queue got. */
 export interface QueueOutcome {
@@ -12,15 +13,25 @@
   earned: number
 }
 
+/** Stopped runs, and the processor time that they had used. */
+export interface StoppedWork {
+  readonly runs: number
+  readonly coreSeconds: number
+}
+
 /** Result of a day. */
 export interface LoadDayResult {
   readonly byQueue: ReadonlyMap<string, QueueOutcome>
   /** Earned share of the worth of the jobs that arrived in each window, in order. */
   readonly windows: readonly number[]
+  /** Earned share of the worth of the jobs that arrived in each second of their queue's turns. */
+  readonly secondsOfTurn: readonly number[]
   /** Earned share of the worth of all jobs. */
   readonly served: number
   readonly machineSeconds: number
   readonly moves: number
+  /** Runs that were stopped, by reason. */
+  readonly stops: ReadonlyMap<StopReason | undefined, StoppedWork>
   /** Earned share less the cost of machines and moves, with the weights of the users' goal. */
   readonly net: number
 }
@@ -44,12 +55,15 @@
   readonly completedAtMs: ReadonlyMap<string, number>
   readonly machineSeconds: number
   readonly moves: number
+  readonly stops: ReadonlyMap<StopReason | undefined, StoppedWork>
 }
 
 /** Sums up a day by queue, by window and in whole. */
-export function summarizeLoadDay ({ site, startedAtMs, jobs, completedAtMs, machineSeconds, moves }: EndedLoadDay): LoadDayResult {
+export function summarizeLoadDay ({ site, startedAtMs, jobs, completedAtMs, machineSeconds, moves, stops }: EndedLoadDay): LoadDayResult {
   const byQueue = new Map<string, QueueOutcome>()
-  const windows: Array<{ worth: number, earned: number }> = []
+  const windows: WorthSum[] = []
+  const seconds: WorthSum[] = []
+  const turns = listTurns(site)
   const day = { worth: 0, earned: 0 }
   for (const job of jobs) {
     const share = getEarnedShare(job, completedAtMs.get(job.accepted.id))
@@ -59,18 +73,30 @@
     outcome.jobs += 1
     if (share === 1) outcome.inTime += 1
     else if (share > 0) outcome.late += 1
-    for (const sum of [outcome, window, day]) {
+    const atMs = job.accepted.acceptedAtMs - startedAtMs
+    const turn = turns.find((each) => each.queue === job.queue.name && atMs >= each.fromMs && atMs < each.toMs)
+    const second = turn === undefined ? [] : [seconds[Math.floor((atMs - turn.fromMs) / 1_000)] ??= { worth: 0, earned: 0 }]
+    for (const sum of [outcome, window, day, ...second]) {
       sum.worth += job.worth
       sum.earned += share * job.worth
     }
   }
-  const shares = windows.filter((window) => window !== undefined).map((window) => window.earned / window.worth)
+  const shares = listShares(windows)
   const worst = [...shares].sort((a, b) => a - b).slice(0, 2)
   const worstQueue = Math.min(...[...byQueue.values()].map((queue) => queue.earned / queue.worth))
   const served = day.earned / day.worth
   const gross = GOAL.day * served + GOAL.windows * worst.reduce((sum, share) => sum + share, 0) / worst.length + GOAL.queue * worstQueue
   const cost = machineSeconds * site.machineSecondCost + moves * site.moveCost
-  return { byQueue, windows: shares, served, machineSeconds, moves, net: gross - cost / day.worth }
+  return { byQueue, windows: shares, secondsOfTurn: listShares(seconds), served, machineSeconds, moves, stops, net: gross - cost / day.worth }
+}
+
+interface WorthSum {
+  worth: number
+  earned: number
+}
+
+function listShares (sums: readonly WorthSum[]): number[] {
+  return sums.filter((sum) => sum !== undefined).map((sum) => sum.earned / sum.worth)
 }
 
 function getEarnedShare (job: LoadJob, endMs: number | undefined): number {
