Forecast the next turn, and order its machines ahead (planner only)

Machines for a turn were ordered once its jobs had arrived, so that the first two seconds of each turn were served worst. Not yet used by the daemon.

--- a/packages/integration/src/lib/load/planners.ts
+++ b/packages/integration/src/lib/load/planners.ts
@@ -1,7 +1,7 @@
 /**
  * Ways of placing machines that days of load are played with.
  */
-import { CapacityPlanner, type PlannedMachine, type PlannedMove, type PlannedPool } from '@vanillathread/policy'
+import { CapacityPlanner, ForecastPlanner, type PlannedMachine, type PlannedMove, type PlannedPool } from '@vanillathread/policy'
 import type { MovePlanner } from './LoadDay.js'
 import { listTurns, type LoadSite } from './LoadSite.js'
 
@@ -26,6 +26,11 @@
   return CapacityPlanner.create(OPTIONS)
 }
 
+/** The planner with a forecast of turns. */
+export function createForecastPlanner (): MovePlanner {
+  return ForecastPlanner.create(OPTIONS)
+}
+
 /** Knows the arrival rates of the day to come, and plans with those of the time at which a move would end. */
 class Oracle implements MovePlanner {
   private readonly planner = CapacityPlanner.create(OPTIONS)
@@ -56,5 +61,6 @@
   ['never', () => new NeverMove()],
   ['chase', () => new AlwaysChase()],
   ['present', createCapacityPlanner],
+  ['forecast', createForecastPlanner],
   ['oracle', (site) => new Oracle(site)],
 ])
--- /dev/null
+++ b/packages/policy/src/lib/forecast/ForecastPlanner.ts
@@ -0,0 +1,51 @@
+/**
+ * Plans moves of machines with a forecast of the next turn.
+ */
+import { CapacityPlanner, type CapacityPlannerOptions, type PlannedMachine, type PlannedMove, type PlannedPool } from '../machines/CapacityPlanner.js'
+import { TurnForecast, type TurnHistory } from './TurnForecast.js'
+
+/** Options of {@link ForecastPlanner.create}. @public */
+export interface ForecastPlannerOptions extends CapacityPlannerOptions {
+  /** What a previous owner has learned, with times on this owner's clock. */
+  readonly history?: TurnHistory
+}
+
+/**
+ * Time by which machines are ordered ahead of the move's duration: a turn is recognized some 0.5 s after its first jobs, and a VM
+ * takes some 0.2 s to register.
+ */
+const LEAD_MS = 700
+
+/** Least confidence for which machines are ordered. */
+const MIN_CONFIDENCE = 0.3
+
+/** Adds what the forecast expects to the demand that capacity planning sees. @public */
+export class ForecastPlanner {
+  readonly forecast: TurnForecast
+  private readonly planner: CapacityPlanner
+
+  private constructor (private readonly options: ForecastPlannerOptions) {
+    this.forecast = TurnForecast.create(options.history)
+    this.planner = CapacityPlanner.create(options)
+  }
+
+  static create (options: ForecastPlannerOptions): ForecastPlanner {
+    return new ForecastPlanner(options)
+  }
+
+  /** Returns the moves to order now. */
+  plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[] {
+    const rates = pools.filter((pool) => !pool.standby).map(({ demand }) => ({ pool: demand.pool, cpuMillis: demand.arrivingCpuMillis }))
+    this.forecast.observe(nowMs, rates, machines.reduce((sum, machine) => sum + machine.capacity.cpuMillis, 0))
+    return this.planner.plan(nowMs, pools.map((pool) => this.addForecast(nowMs, pool)), machines)
+  }
+
+  private addForecast (nowMs: number, pool: PlannedPool): PlannedPool {
+    const { expected } = this.forecast
+    if (expected === undefined || expected.confidence < MIN_CONFIDENCE) return pool
+    const leadMs = this.options.moveMs + LEAD_MS
+    const untilMs = expected.startMs - nowMs
+    if (expected.pool !== pool.demand.pool) return { ...pool, isEnding: untilMs <= leadMs }
+    return untilMs > leadMs ? pool : { ...pool, expectedCpuMillis: expected.confidence * expected.heightCpuMillis }
+  }
+}
--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -25,6 +25,10 @@
 export interface PlannedPool {
   readonly demand: PoolCapacityDemand
   readonly standby: boolean
+  /** Processor that an expected turn will need, in thousandths of a core; 0 if absent. No busy machine is moved for it. */
+  readonly expectedCpuMillis?: number
+  /** True if another pool's turn is about to begin, so that idle machines are not kept. */
+  readonly isEnding?: boolean
 }
 
 /** Options of {@link CapacityPlanner.create}. @public */
@@ -60,6 +64,8 @@
   readonly machines: PlannedMachine[]
   /** Number of machines that the demand needs now or when a move would end, without jobs that can only end late. */
   readonly needed: number
+  /** Same as `needed`, with the turn that is expected. */
+  readonly neededSoon: number
   /** Highest value of `needed` within `keepMs`. Idle machines in excess of it may go to a pool that lacks machines. */
   readonly recentPeak: number
   /** Same as `needed`, with the late jobs. */
@@ -102,22 +108,25 @@
     return moves
   }
 
-  private computeBalance (nowMs: number, { demand }: PlannedPool, machines: readonly PlannedMachine[]): PoolBalance {
+  private computeBalance (nowMs: number, { demand, expectedCpuMillis = 0, isEnding = false }: PlannedPool, machines: readonly PlannedMachine[]): PoolBalance {
     const own = machines.filter((machine) => machine.pool === demand.pool)
     const sampleMachines = own.length > 0 ? own : machines
     const needed = countMachines(demand, sampleMachines, this.options)
+    const neededSoon = countMachines({ ...demand, arrivingCpuMillis: Math.max(demand.arrivingCpuMillis, expectedCpuMillis) }, sampleMachines, this.options)
     const { busyCpuMillis, lateCpuMillis, memoryMb, lateMemoryMb } = demand
     const neededWithLate = countMachines({ ...demand, busyCpuMillis: busyCpuMillis + lateCpuMillis, memoryMb: memoryMb + lateMemoryMb }, sampleMachines, this.options)
     const history = (this.needHistory.get(demand.pool) ?? []).filter((entry) => nowMs - entry.atMs <= this.options.keepMs)
     history.push({ atMs: nowMs, needed, neededWithLate })
     this.needHistory.set(demand.pool, history)
+    const kept = isEnding ? history.slice(-1) : history
     return {
       pool: demand.pool,
       machines: own,
       needed,
-      recentPeak: Math.max(...history.map((entry) => entry.needed)),
+      neededSoon,
+      recentPeak: Math.max(neededSoon, ...kept.map((entry) => entry.needed)),
       neededWithLate,
-      recentPeakWithLate: Math.max(...history.map((entry) => entry.neededWithLate)),
+      recentPeakWithLate: Math.max(neededSoon, ...kept.map((entry) => entry.neededWithLate)),
     }
   }
 }
@@ -143,7 +152,9 @@
   const [idle, usableByLate] = partitionById(surplus, new Set(balances.flatMap((balance) => listSurplus(balance, balance.recentPeakWithLate)).map(({ id }) => id)))
   const sources = [...idle, ...standbyMachines, ...usableByLate]
   const needs = balances.map(({ pool, needed, machines: { length } }) => ({ pool, missing: needed - length, reason: `needs ${needed}, has ${length}` }))
-  return assignMachines(needs.sort((a, b) => b.missing - a.missing), sources)
+  const expected = balances.map(({ pool, needed, neededSoon, machines: { length } }) =>
+    ({ pool, missing: neededSoon - Math.max(needed, length), reason: `expects to need ${neededSoon}, has ${length}` }))
+  return assignMachines([...needs.sort((a, b) => b.missing - a.missing), ...expected], sources)
 }
 
 /** Machines that a pool lacks, and the reason that is logged with each move to it. */
