Keep idle machines in their pools until a turn is expected, on fleets of 100 machines and more

In the first seconds the planner returned every idle machine to standby, and the first turns of the other pools found few machines left; at 64 orders a second these returns also delayed the moves that were needed. Machines now stay for the first 8 s of an owner unless a turn is expected. The forecast also continues the history of a previous owner, and gives up after a gap in its observations.

--- a/packages/integration/src/playLoad.ts
+++ b/packages/integration/src/playLoad.ts
@@ -28,6 +28,7 @@
     inTime: getMean(results, inTime).toFixed(3),
     worstQueue: getMean(results, (result) => Math.min(...queues(result))).toFixed(3),
     seconds: [0, 1, 2, 3].map((second) => getMean(results, ({ secondsOfTurn }) => secondsOfTurn[second] ?? 0).toFixed(3)).join(' '),
+    firstWindows: [0, 1, 2, 3, 4, 5, 6, 7].map((window) => getMean(results, ({ windows }) => windows[window] ?? 0).toFixed(2)).join(' '),
     moves: getMean(results, ({ moves }) => moves).toFixed(0),
     machineSeconds: getMean(results, ({ machineSeconds }) => machineSeconds).toFixed(0),
     // Stopped runs and the core-seconds that they had used.
--- a/packages/policy/src/lib/forecast/ForecastPlanner.ts
+++ b/packages/policy/src/lib/forecast/ForecastPlanner.ts
@@ -19,10 +19,23 @@
 /** Least confidence for which machines are ordered. */
 const MIN_CONFIDENCE = 0.3
 
+/**
+ * Time from the first plan for which no machine is returned to standby unless a turn is expected. Nothing is known by then of the
+ * demand of pools that have not had a turn, and machines that return at once are missing in the first turns.
+ */
+const KEEP_UNTIL_KNOWN_MS = 8_000
+
+/**
+ * Number of machines from which on they are kept so. The platform accepts 64 orders for machines in a second, so returning the idle
+ * machines of a large fleet also delays the moves that its first turns need.
+ */
+const KEEP_MIN_MACHINES = 100
+
 /** Adds what the forecast expects to the demand that capacity planning sees. @public */
 export class ForecastPlanner {
   readonly forecast: TurnForecast
   private readonly planner: CapacityPlanner
+  private startedAtMs: number | undefined
 
   private constructor (private readonly options: ForecastPlannerOptions) {
     this.forecast = TurnForecast.create(options.history)
@@ -37,7 +50,9 @@
   plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[] {
     const rates = pools.filter((pool) => !pool.standby).map(({ demand }) => ({ pool: demand.pool, cpuMillis: demand.arrivingCpuMillis }))
     this.forecast.observe(nowMs, rates, machines.reduce((sum, machine) => sum + machine.capacity.cpuMillis, 0))
-    return this.planner.plan(nowMs, pools.map((pool) => this.addForecast(nowMs, pool)), machines)
+    this.startedAtMs ??= nowMs
+    const keepsIdle = machines.length >= KEEP_MIN_MACHINES && this.forecast.expected === undefined && nowMs - this.startedAtMs < KEEP_UNTIL_KNOWN_MS
+    return this.planner.plan(nowMs, pools.map((pool) => this.addForecast(nowMs, pool)), machines, keepsIdle)
   }
 
   private addForecast (nowMs: number, pool: PlannedPool): PlannedPool {
--- a/packages/policy/src/lib/forecast/TurnForecast.ts
+++ b/packages/policy/src/lib/forecast/TurnForecast.ts
@@ -40,6 +40,12 @@
 /** Confidence by the reason why a pool is expected next, before hits and misses are counted. */
 const CONFIDENCE = { followedBefore: 1, onlyOneLeft: 0.9, longestAgo: 0.8 } as const
 
+/** Time without an observation after which a forecast is given up, in milliseconds. */
+const MAX_GAP_MS = 1_000
+
+/** Turns by which the history of a previous owner is continued. After more, the sum of small deviations is too large. */
+const MAX_TURNS_AHEAD = 4
+
 /** Weight of earlier hits and misses at each new one. */
 const MEMORY = 0.7
 
@@ -54,13 +60,18 @@
   private pending: ExpectedTurn | undefined
   /** Start of the turn after which the latest forecast was made. */
   private predictedAfterMs = -Infinity
+  private observedAtMs = -Infinity
+  private outcome: 'begun' | 'missed' | undefined
   private changedAtMs: number | undefined
+  /** Start of the last turn that a previous owner has seen. */
+  private readonly restoredUntilMs: number
 
   private constructor (history: TurnHistory | undefined) {
     this.turns = [...history?.turns ?? []]
     this.followers = new Map(Object.entries(history?.followers ?? {}))
     this.hits = history?.hits ?? 0
     this.misses = history?.misses ?? 0
+    this.restoredUntilMs = this.turns.at(-1)?.startMs ?? -Infinity
   }
 
   static create (history?: TurnHistory): TurnForecast {
@@ -82,8 +93,21 @@
     return this.pending
   }
 
+  /** Forecasts that came true and that did not, as far as they still count. */
+  get score (): { readonly hits: number, readonly misses: number } {
+    return { hits: this.hits, misses: this.misses }
+  }
+
+  /** What became of the latest forecast whose turn was due. */
+  get lastOutcome (): 'begun' | 'missed' | undefined {
+    return this.outcome
+  }
+
   /** Adds the present rates of all pools with queues. @param fleetCpuMillis - processor of all machines, in thousandths of a core. */
   observe (nowMs: number, rates: readonly PoolRate[], fleetCpuMillis: number): void {
+    // Nothing is observed while the store is silent, so a turn may have begun and ended unseen.
+    if (nowMs - this.observedAtMs > MAX_GAP_MS) this.pending = undefined
+    this.observedAtMs = nowMs
     for (const rate of rates) {
       const ended = this.recorder.observe(nowMs, rate, fleetCpuMillis)
       if (ended !== undefined) {
@@ -94,13 +118,7 @@
       if (open !== undefined) this.replace(open)
     }
     this.checkPending(nowMs)
-    this.predict(rates.map(({ pool }) => pool))
-  }
-
-  /** Returns the turn that a pool is in, or seems to be in. */
-  findCurrent (pool: string): { readonly startMs: number } | undefined {
-    const startMs = this.recorder.findRise(pool)
-    return startMs === undefined ? undefined : { startMs }
+    this.predict(nowMs, rates.map(({ pool }) => pool))
   }
 
   /** Typical length of a turn, of the pool itself if it has had one. */
@@ -136,17 +154,19 @@
     if (!begun && (risen || nowMs <= pending.startMs + toleranceMs)) return
     this.hits = this.hits * MEMORY + (begun ? 1 : 0)
     this.misses = this.misses * MEMORY + (begun ? 0 : 1)
+    this.outcome = begun ? 'begun' : 'missed'
     this.pending = undefined
   }
 
   /** Makes the forecast that follows from the latest turn, once for each turn. */
-  private predict (pools: readonly string[]): void {
-    const last = this.turns.at(-1)
+  private predict (nowMs: number, pools: readonly string[]): void {
     const spacingMs = this.getSpacingMs()
+    const last = spacingMs === undefined ? undefined : this.findLast(nowMs, spacingMs)
     if (last === undefined || spacingMs === undefined || last.startMs <= this.predictedAfterMs || this.pending !== undefined) return
     const next = this.chooseNext(last.pool, pools)
     if (next === undefined) return
     this.predictedAfterMs = last.startMs
+    if (last.startMs + spacingMs * (1 + TOLERANCE) < nowMs) return
     const own = this.turns.filter((turn) => turn.pool === next.pool)
     const heights = (own.length > 0 ? own : this.turns).map(({ heightCpuMillis }) => heightCpuMillis)
     this.pending = {
@@ -159,6 +179,21 @@
     }
   }
 
+  /**
+   * Returns the latest turn. If turns have passed since the history of a previous owner, or one was in progress, the turn that must be
+   * the latest by the order of the earlier ones.
+   */
+  private findLast (nowMs: number, spacingMs: number): Pick<Turn, 'pool' | 'startMs'> | undefined {
+    let last: Pick<Turn, 'pool' | 'startMs'> | undefined = this.turns.at(-1)
+    if (last === undefined || last.startMs > this.restoredUntilMs) return last
+    for (let count = 0; last.startMs + spacingMs <= nowMs && count < MAX_TURNS_AHEAD; count++) {
+      const follower = this.followers.get(last.pool)
+      if (follower === undefined) break
+      last = { pool: follower, startMs: last.startMs + spacingMs }
+    }
+    return last
+  }
+
   /** Chooses the pool that is expected after another one's turn. */
   private chooseNext (last: string, pools: readonly string[]): { readonly pool: string, readonly confidence: number } | undefined {
     const follower = this.followers.get(last)
--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -96,15 +96,15 @@
     return new CapacityPlanner(options)
   }
 
-  /** Returns the moves to order now. */
-  plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[] {
+  /** Returns the moves to order now. If `keepsIdle`, none goes to the standby pool. */
+  plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[], keepsIdle = false): PlannedMove[] {
     const standbyPool = pools.find((pool) => pool.standby)?.demand.pool
     const balances = pools.filter((pool) => !pool.standby).map((pool) => this.computeBalance(nowMs, pool, machines))
     const standbyMachines = machines.filter((machine) => machine.pool === standbyPool && machine.movable)
     const moves = coverDeficits(balances, standbyMachines)
     if (moves.length < countDeficit(balances)) moves.push(...distributeProportionally(balances, moves))
     else moves.push(...coverLate(balances, standbyMachines, moves))
-    if (standbyPool !== undefined) moves.push(...returnSurplus(balances, standbyPool, new Set(moves.map((move) => move.machine))))
+    if (standbyPool !== undefined && !keepsIdle) moves.push(...returnSurplus(balances, standbyPool, new Set(moves.map((move) => move.machine))))
     return moves
   }
 
