Use the forecast of turns in the daemon, and store its history beside the shard

MachineController plans with ForecastPlanner through MovePlanner, which logs expected turns (757) and what became of them (758). The history is one row in the table of turns, written once after a turn at the most, on condition of the owner row; the next owner reads it with the shard (759). If it cannot be read or used, the takeover goes on and the pattern is learned again.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -3,14 +3,16 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type PoolRules } from '@vanillathread/model'
-import { CapacityPlanner, type JobScheduler, type PlannedMachine } from '@vanillathread/policy'
+import type { JobScheduler, PlannedMachine } from '@vanillathread/policy'
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { MachineDirectory } from './MachineDirectory.js'
 import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
+import { MovePlanner } from './MovePlanner.js'
 import { MoveRecords } from './MoveRecords.js'
 import type { OrderedMachines } from './loadOrderedMachines.js'
+import type { StoredTurnHistory } from './TurnHistoryStore.js'
 import { WavePlanner } from './WavePlanner.js'
 import { WaveProgressStore } from './WaveProgressStore.js'
 
@@ -32,6 +34,7 @@
   readonly ordersAllowedFromMs: number
   /** Orders of earlier owners that may still be carried out. */
   readonly orderedMachines: OrderedMachines
+  readonly turnHistory: StoredTurnHistory
   getPools (): readonly PoolRules[]
   getWaves (): Iterable<MaintenanceWave>
   /** Called if a machine or the store shows that another daemon owns the shard. */
@@ -47,7 +50,7 @@
   private readonly operations = new Map<string, MachineOperation>()
   private readonly waves: WaveProgressStore
   private readonly moves: MoveRecords
-  private readonly planner: CapacityPlanner
+  private readonly planner: MovePlanner
   private readonly timer: Subscription
   private readonly wavePlanner: WavePlanner
   private disposed = false
@@ -63,7 +66,7 @@
       findOperation: (id) => this.operations.get(id),
       findVm: (id) => this.directory.findVm(id),
     })
-    this.planner = CapacityPlanner.create({ moveMs: options.settings.moveMs, ...machineOptions.capacity })
+    this.planner = MovePlanner.create({ ...options, capacity: { moveMs: options.settings.moveMs, ...machineOptions.capacity }, nowMs: options.timers.now() })
     this.timer = options.timers.every(machineOptions.periodMs, () => { this.runCycle() })
     this.adoptOrders(options.timers.now())
     this.directory.refresh(machineOptions.listPeriodMs)
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -15,6 +15,7 @@
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
+import { loadTurnHistory, type StoredTurnHistory } from './TurnHistoryStore.js'
 import { VmSessions } from './VmSessions.js'
 
 /** Options of {@link ShardOwner.create}. */
@@ -34,6 +35,12 @@
   onSuperseded (reason: string): void
 }
 
+/** What previous owners have recorded about the shard's machines. */
+interface MachineContent {
+  readonly orderedMachines: OrderedMachines
+  readonly turnHistory: StoredTurnHistory
+}
+
 /** Loads a shard from the store, schedules its jobs and commits their progress. */
 export class ShardOwner {
   readonly scheduler: JobScheduler
@@ -108,14 +115,15 @@
   /** Reads the shard from the store, retrying until that succeeds, and then starts scheduling. */
   async start (): Promise<void> {
     while (!this.disposed) {
-      const [content, orders, vms] = await Promise.all([
+      const [content, orders, vms, turnHistory] = await Promise.all([
         loadShard(this.options.rows, this.options.log, this.shard),
         loadOrderedMachines(this.options.rows, this.options.log, this.shard),
         this.options.feeds.readRegistrations(),
+        loadTurnHistory(this.options.rows, this.options.log, this.shard),
       ])
       if (this.disposed) return
       if (content.ok && orders.ok && vms.ok) {
-        this.startScheduling(content.value, orders.value, vms.value)
+        this.startScheduling(content.value, { orderedMachines: orders.value, turnHistory }, vms.value)
         return
       }
       await delay(this.options.timers, taskOptions.storeRetryMs)
@@ -167,8 +175,9 @@
     })
   }
 
-  private startScheduling (content: ShardContent, orderedMachines: OrderedMachines, registrations: Changes<VmChange>): void {
+  private startScheduling (content: ShardContent, machineContent: MachineContent, registrations: Changes<VmChange>): void {
     const { values: vms, version: vmsVersion } = registrations
+    const { orderedMachines } = machineContent
     const { scheduler, options } = this
     const nowMs = options.timers.now()
     this.commitLoop = CommitLoop.create({
@@ -203,7 +212,7 @@
       this.commitLoop?.requestDueRecords()
     })
     this.endedJobRemover = EndedJobRemover.create({ ...options, scheduler, versions: content.versions, keepMs: options.settings.stateKeptMs * taskOptions.stateRetentionFactor })
-    this.createMachineController(orderedMachines)
+    this.createMachineController(machineContent)
     this.feeds = ShardFeeds.create({
       ...options,
       jobsVersion: content.jobsVersion,
@@ -215,13 +224,13 @@
     this.onChange()
   }
 
-  private createMachineController (orderedMachines: OrderedMachines): void {
+  private createMachineController (content: MachineContent): void {
     const { machines, configuration, settings, generation, onSuperseded } = this.options
     if (machines === undefined) return
     this.machineController = MachineController.create({
       ...this.options,
+      ...content,
       machines,
-      orderedMachines,
       scheduler: this.scheduler,
       // If the platform does not check fencing tokens, the last order of a previous owner must be older than the order lease.
       ordersAllowedFromMs: generation === 0 || settings.fencingEnforced ? 0 : this.startedAtMs + settings.orderLeaseMs,
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -4,7 +4,7 @@
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
 import type { AcceptedJob, VmEntry } from '@vanillathread/model'
-import type { JobProgress, RosterRecord } from '@vanillathread/policy'
+import type { JobProgress, RosterRecord, TurnHistory } from '@vanillathread/policy'
 
 /** Tables. The rows of a shard have the shard's name as their part. */
 export enum Table {
@@ -24,6 +24,8 @@
   Waves = 'waves',
   /** Machines whose move was ordered or may have been ordered, until the move has ended. */
   Moves = 'moves',
+  /** History of turns, one row for each shard, from which the owner forecasts demand. */
+  Turns = 'turns',
 }
 
 /** Prefixes of keys in {@link Table.Jobs}: of jobs, and of cancellations. */
@@ -56,7 +58,7 @@
 export type MemberRow = z.infer<typeof memberRowSchema>
 
 /** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | RosterRow | WaveMachineRow | MoveRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | JobProgress | RosterRow | WaveMachineRow | MoveRow | TurnHistoryRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -149,6 +151,23 @@
   return typeof row?.toPool === 'string' && typeof row.vmId === 'string' && typeof row.bornMs === 'number' ? row : undefined
 }
 
+const turnHistorySchema = z.object({
+  /** Times on the store's clock. */
+  turns: z.array(z.object({ pool: z.string(), startMs: z.number().finite(), lengthMs: z.number().finite().optional(), heightCpuMillis: z.number().nonnegative().finite() })).max(100),
+  followers: z.record(z.string(), z.string()),
+  hits: z.number().nonnegative(),
+  misses: z.number().nonnegative(),
+})
+
+/** A shard's history of turns, with times on the store's clock. */
+export type TurnHistoryRow = TurnHistory
+
+/** Decodes a shard's history of turns. */
+export function decodeTurnHistoryRow (bytes: Uint8Array): TurnHistoryRow | undefined {
+  const row = turnHistorySchema.safeParse(decode(bytes)).data
+  return row === undefined ? undefined : { ...row, turns: row.turns.map((turn) => ({ ...turn, lengthMs: turn.lengthMs })) }
+}
+
 /** Decodes CBOR. Returns undefined for other bytes; callers log such rows. */
 function decode (bytes: Uint8Array): unknown {
   try {
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -179,6 +179,12 @@
   MoveAnswered = 755,
   /** The owner begins to evacuate a VM before its machine is moved or maintained. */
   EvacuationStarted = 756,
+  /** The owner expects a turn of a pool, that is, some seconds of high demand; `confidence` is between 0 and 1. */
+  TurnExpected = 757,
+  /** An expected turn has begun, or has not begun in time; see `outcome`. */
+  TurnForecastChecked = 758,
+  /** The history of turns that a previous owner has stored was read, or could not be used; see `outcome`. */
+  TurnHistoryLoaded = 759,
   /** The settings were read at the start or after the signal named by `signal`. */
   SettingsLoaded = 760,
   /** The settings cannot be used; `reason` says why. */
@@ -275,6 +281,9 @@
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
   [EventCode.WaveComplete]: { level: EventLevel.Info, message: 'maintenance wave is complete' },
+  [EventCode.TurnExpected]: { level: EventLevel.Info, message: 'turn of a pool is expected' },
+  [EventCode.TurnForecastChecked]: { level: EventLevel.Info, message: 'expected turn has begun, or has not begun in time' },
+  [EventCode.TurnHistoryLoaded]: { level: EventLevel.Info, message: 'history of turns of a previous owner was read, or could not be used' },
   [EventCode.MoveOrdered]: { level: EventLevel.Info, message: 'move of a machine to another pool was planned' },
   [EventCode.MoveAnswered]: { level: EventLevel.Info, message: 'ordered move of a machine was answered with done or refused, or its answer was lost' },
   [EventCode.EvacuationStarted]: { level: EventLevel.Info, message: 'evacuation of a VM has begun' },
