Keep idle machines for an owner's first 8 s also if it has read a history

A successor with the history returned idle machines at once, as a turn was expected, without knowing what its pools had needed just before; it then served worse than one that had to learn the pattern again. The 8 s now do not depend on the forecast.

--- a/packages/policy/src/lib/forecast/ForecastPlanner.ts
+++ b/packages/policy/src/lib/forecast/ForecastPlanner.ts
@@ -20,8 +20,8 @@
 const MIN_CONFIDENCE = 0.3
 
 /**
- * Time from the first plan for which no machine is returned to standby unless a turn is expected. Nothing is known by then of the
- * demand of pools that have not had a turn, and machines that return at once are missing in the first turns.
+ * Time from the first plan for which no machine is returned to standby. Nothing is known by then of the demand of
+ * pools that have not had a turn, and a successor does not know what its pools needed just before; machines that return are missing then.
  */
 const KEEP_UNTIL_KNOWN_MS = 8_000
 
@@ -51,7 +51,7 @@
     const rates = pools.filter((pool) => !pool.standby).map(({ demand }) => ({ pool: demand.pool, cpuMillis: demand.arrivingCpuMillis }))
     this.forecast.observe(nowMs, rates, machines.reduce((sum, machine) => sum + machine.capacity.cpuMillis, 0))
     this.startedAtMs ??= nowMs
-    const keepsIdle = machines.length >= KEEP_MIN_MACHINES && this.forecast.expected === undefined && nowMs - this.startedAtMs < KEEP_UNTIL_KNOWN_MS
+    const keepsIdle = machines.length >= KEEP_MIN_MACHINES && nowMs - this.startedAtMs < KEEP_UNTIL_KNOWN_MS
     return this.planner.plan(nowMs, pools.map((pool) => this.addForecast(nowMs, pool)), machines, keepsIdle)
   }
 
