--- a/packages/integration/src/lib/load/sites.ts
+++ b/packages/integration/src/lib/load/sites.ts
@@ -66,6 +66,12 @@
     machine: { cpuMillis: scale.machineCpuMillis, memoryMb: scale.machineMemoryMb, accelerators: 0 },
     turnMs: 9_000,
     lengthMs: 34_000,
+    warmUpMs: 8_000,
+    ordersPerSecond: Infinity,
+    estimateSpread: 0.2,
+    slowShare: 0,
+    slowFactor: 1,
+    staysSlow: true,
     machineSecondCost: scale.machineSecondCost,
     moveCost: scale.moveCost,
   }
@@ -119,6 +125,33 @@
   moveCost: 0.025,
 })
 
+/**
+ * A site of 250 machines whose queues have turns of 4 s, two or three times a day, with inaccurate estimates and some slow tasks.
+ * Machines are spread over the pools when the first turn begins.
+ */
+export const TURNS_SITE = createTurnsSite({ machines: [45, 50, 55, 60, 40], share: 1 })
+
+/** The same with a fifth of the machines and of the load. */
+export const SMALL_TURNS_SITE = createTurnsSite({ machines: [9, 10, 11, 12, 8], share: 0.2 })
+
+function createTurnsSite ({ machines, share }: { readonly machines: readonly number[], readonly share: number }): LoadSite {
+  const site = createSite({
+    machines,
+    machineCpuMillis: 16_000,
+    machineMemoryMb: 32_768,
+    jobsPerSecond: [16.2 * share, 5.1 * share, 20.3 * share, 6.24 * share],
+    shortDurationMs: 1_000,
+    shortCpuMillis: 1_500,
+    wideCpuMillis: 3_300,
+    tasksPerStep: 8,
+    worth: [0.399, 1.43],
+    longRunningTasks: Math.round(24 * share),
+    machineSecondCost: 0.022,
+    moveCost: 0.025,
+  })
+  return { ...site, turnMs: 4_000, warmUpMs: 1_500, ordersPerSecond: 64 * share, estimateSpread: 0.9, slowShare: 0.03, slowFactor: 7, staysSlow: false }
+}
+
 /** A site of 378 machines of 32 cores. */
 export const LARGE_SITE = createSite({
   machines: [65, 75, 85, 91, 62],
