--- a/packages/daemon/src/lib/jobs/JobWriter.test.ts
+++ b/packages/daemon/src/lib/jobs/JobWriter.test.ts
@@ -1,7 +1,7 @@
 /**
  * Checks that a cancellation is not stored for a job whose rows are removed meanwhile, and how long another daemon's check of a key holds.
  */
-import { FakeTimerService } from '@vanillathread/kernel'
+import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { Result, type AcceptedJob } from '@vanillathread/model'
 import { StoreFailureKind, type RowStore, type RowTransaction, type StoredRow } from '@vanillathread/ports'
 import { assert, describe } from '@vanillathread/testing'
@@ -10,6 +10,7 @@
 import type { WriteResult } from './JobRowBatcher.js'
 import { JobWriter, type JobWriterOptions } from './JobWriter.js'
 import { encodeRow } from './rows.js'
+import { StoreGate } from './StoreGate.js'
 
 const JOB_ROW: StoredRow = { table: 'jobs', part: 's', key: 'j/a', value: new Uint8Array(), version: 7, removed: false }
 
@@ -33,12 +34,13 @@
 /** Asks a daemon to write a job, for a call whose key was checked until 100 ms on the store's clock. Returns the outcome. */
 async function relayJob (storeClockMs: number, isCurrent: boolean): Promise<WriteOutcome | undefined> {
   const row = encodeRow({ id: 'a', spec: { steps: [] } } as unknown as AcceptedJob)
-  const rows = { getStoreClockMs: () => storeClockMs, transact: async () => Result.ok({ version: 9 }) } as unknown as RowStore
+  const rows = { getStoreClockMs: () => storeClockMs, getTimeSinceAnswerMs: () => 0, transact: async () => Result.ok({ version: 9 }) } as unknown as RowStore
   let outcome: WriteOutcome | undefined
   let handle: MessageHandler<PeerMessageKind.WriteRequest> | undefined
   const network = { on: (kind: PeerMessageKind, handler: never) => { if (kind === PeerMessageKind.WriteRequest) handle = handler } } as unknown as PeerTransport
   const timers = FakeTimerService.create()
-  JobWriter.create({ timers, rows, network, shardName: 's', canServe: () => isCurrent } as unknown as JobWriterOptions)
+  const gate = StoreGate.create({ timers, log: MemoryEventLog.create(), rows, getOwnerAnswerAtMs: () => -Infinity })
+  JobWriter.create({ timers, rows, network, shardName: 's', gate, canServe: () => isCurrent } as unknown as JobWriterOptions)
   handle?.({ kind: PeerMessageKind.WriteRequest, seq: 1, job: row, untilMs: 100 }, (answer: PeerMessage) => { outcome = (answer as PeerMessageOf<PeerMessageKind.WriteAnswer>).outcome })
   await timers.advance(1)
   return outcome
