Take no step for long because of VMs that end nothing

Cause: runs on hung VMs were evidence that the step is long. Change: only a VM that has ended other tasks since the run began is; at most three signs count, so that a task on a hung VM is stopped in the end.

--- a/packages/policy/src/lib/jobs/restartOverdue.test.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.test.ts
@@ -145,5 +145,17 @@
       planAndAccept(scheduler, startMs + 4 * DURATION_MS)
       assert.is(scheduler.state.vms.get('a')?.pausedUntilMs, 0)
     })
+
+    it('takes no task for long because it is overdue on several VMs that end nothing', () => {
+      const { scheduler, startMs } = prepare(false)
+      for (const id of ['b', 'c', 'd']) reportRunning(scheduler, createVmEntry(id, { capacity: { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 } }), startMs)
+      for (const id of ['d', 'e']) scheduler.addJob(createTestJob({ id: id.repeat(16), steps: [createTestStep({ taskCount: 6, maxTasksPerVm: 2 })] }), 1, startMs)
+      planAndAccept(scheduler, startMs)
+      const atMs = startMs + 4.2 * DURATION_MS
+      for (const id of ['b', 'c', 'd']) reportRunning(scheduler, createVmEntry(id, { capacity: { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 } }), atMs)
+      const stops = planAndAccept(scheduler, atMs).filter(({ kind }) => kind === OrderKind.Stop)
+      assert.equal([...new Set(stops.map(({ run }) => run.vmId))].filter((id) => id !== 'a').sort(), ['b', 'c', 'd'])
+      assert.ok(['b', 'c', 'd'].every((id) => (scheduler.state.vms.get(id)?.pausedUntilMs ?? 0) > atMs))
+    })
   })
 })
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -27,6 +27,9 @@
  */
 const LONG_TASK_FACTOR = 2
 
+/** Largest number of such signs that count, so that a task on a hung VM is stopped in the end. */
+const MAX_SIGNS = 3
+
 /** Number of VMs on which runs of one step must be overdue for the step to count as long: estimates may be far too short for a whole job. */
 const LONG_STEP_VMS = 3
 
@@ -59,7 +62,11 @@
     const overdue = [...vm.runs.values()].filter((run) => getDurationRatio(state, run, nowMs) >= OVERDUE_FACTOR)
     if (overdue.length === 0) continue
     overdueByVm.set(vm, overdue)
-    for (const { task: { step } } of overdue) vmsByStep.set(step, (vmsByStep.get(step) ?? new Set()).add(vm))
+    // Only a VM that ends other tasks shows that the step is long; several VMs may be hung together.
+    for (const run of overdue) {
+      const { step } = run.task
+      if (vm.doneCount > run.vmDoneCountBefore) vmsByStep.set(step, (vmsByStep.get(step) ?? new Set()).add(vm))
+    }
   }
   const isLongStep = (step: TrackedStep): boolean => (vmsByStep.get(step)?.size ?? 0) >= LONG_STEP_VMS
   for (const [vm, overdue] of overdueByVm) {
@@ -120,5 +127,5 @@
 function getStopFactor (vm: TrackedVm, run: TrackedRun, { isSlow, isLongStep }: OverdueSigns): number {
   const vmWorks = !isSlow && vm.doneCount > run.vmDoneCountBefore
   const signsOfLongTask = run.task.stallCount + (vmWorks ? 1 : 0) + (isLongStep ? 1 : 0)
-  return STOP_FACTOR * LONG_TASK_FACTOR ** signsOfLongTask
+  return STOP_FACTOR * LONG_TASK_FACTOR ** Math.min(MAX_SIGNS, signsOfLongTask)
 }
