Do not stop tasks for moves of machines

Callers saw: long tasks restarted by moves, so that jobs took 20 s. Cause: the machine with least in use is moved first, and what is left on it after 4 s was stopped: just the tasks that take several times the mean. Change: a machine is taken only if its tasks are expected to end within that time, and a move that has not been ordered by then is given up.

--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -3,12 +3,12 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type PoolRules } from '@vanillathread/model'
-import type { JobScheduler, PlannedMachine } from '@vanillathread/policy'
+import { canEndWithin, type JobScheduler, type PlannedMachine } from '@vanillathread/policy'
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { MachineDirectory } from './MachineDirectory.js'
-import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
+import { createMachineOperation, describeAnswer, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { MovePlanner } from './MovePlanner.js'
 import { MoveRecords } from './MoveRecords.js'
 import type { OrderedMachines } from './loadOrderedMachines.js'
@@ -16,8 +16,15 @@
 import { WavePlanner } from './WavePlanner.js'
 import { WaveProgressStore } from './WaveProgressStore.js'
 
+/** What previous owners have recorded about the shard's machines. */
+export interface MachineContent {
+  /** Orders of earlier owners that may still be carried out. */
+  readonly orderedMachines: OrderedMachines
+  readonly turnHistory: StoredTurnHistory
+}
+
 /** Options of {@link MachineController.create}. */
-export interface MachineControllerOptions {
+export interface MachineControllerOptions extends MachineContent {
   readonly shard: string
   readonly settings: JobsSettings
   readonly timers: TimerService
@@ -32,9 +39,6 @@
    * previous owner is older than the order lease by then.
    */
   readonly ordersAllowedFromMs: number
-  /** Orders of earlier owners that may still be carried out. */
-  readonly orderedMachines: OrderedMachines
-  readonly turnHistory: StoredTurnHistory
   getPools (): readonly PoolRules[]
   getWaves (): Iterable<MaintenanceWave>
   /** Called if a machine or the store shows that another daemon owns the shard. */
@@ -95,7 +99,7 @@
         this.moves.remove(machine)
         continue
       }
-      this.beginOperation({ machine, toPool }, nowMs)
+      this.beginOperation({ machine, toPool }, nowMs, true)
       const operation = this.operations.get(machine)
       if (operation === undefined) continue
       operation.sent = true
@@ -168,7 +172,7 @@
     if (operation !== undefined || vm?.isLeaving === true) return undefined
     if (vm !== undefined) {
       const usable = vm.isUsable(nowMs)
-      const drainable = usable && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
+      const drainable = usable && canEndWithin(this.options.scheduler.state, vm, nowMs, machineOptions.finiteTaskGraceMs)
       // The list may show another size than the VM has at present.
       const { capacity } = vm.entry
       return { id, capacity, pool, movable: usable && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
@@ -178,18 +182,20 @@
     return machine.state === MachineState.Moving || machine.state === MachineState.InMaintenance ? { ...idle, pool, movable: false } : undefined
   }
 
-  private beginOperation (plan: MachineOperationPlan, nowMs: number): void {
+  /** @param stopsTasks - False for a new move, which waits for the finite tasks on the VM and is given up if they take too long. */
+  private beginOperation (plan: MachineOperationPlan, nowMs: number, stopsTasks = plan.wave !== undefined): void {
     const vm = this.directory.findVm(plan.machine)
-    this.operations.set(plan.machine, createMachineOperation(plan, vm))
+    this.operations.set(plan.machine, createMachineOperation(plan, vm, nowMs))
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
-    this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
+    this.options.scheduler.evacuate(vm.id, stopsTasks ? nowMs + machineOptions.finiteTaskGraceMs : Infinity)
     this.options.onChange()
   }
 
   private advance (operation: MachineOperation, nowMs: number): void {
     if (operation.phase === 'evacuating') {
       if (operation.vmId === undefined || this.options.scheduler.isEvacuated(operation.vmId)) this.sendOrder(operation)
+      else if (operation.toPool !== undefined && !operation.sent && nowMs >= operation.beganAtMs + machineOptions.finiteTaskGraceMs) this.finish(operation)
     } else if (operation.phase === 'underway') {
       this.checkReturn(operation, nowMs)
     }
@@ -291,8 +297,3 @@
     this.options.onChange()
   }
 }
-
-function describeAnswer (answer: MachineAnswer): string | undefined {
-  if (answer.kind === 'refused') return answer.refusal
-  return answer.kind === 'unknown' ? answer.reason : undefined
-}
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -8,14 +8,14 @@
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
-import { MachineController } from './MachineController.js'
+import { MachineController, type MachineContent } from './MachineController.js'
 import { taskOptions } from './jobOptions.js'
-import { loadOrderedMachines, type OrderedMachines } from './loadOrderedMachines.js'
+import { loadOrderedMachines } from './loadOrderedMachines.js'
 import { Table } from './rows.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
-import { loadTurnHistory, type StoredTurnHistory } from './TurnHistoryStore.js'
+import { loadTurnHistory } from './TurnHistoryStore.js'
 import { VmSessions } from './VmSessions.js'
 
 /** Options of {@link ShardOwner.create}. */
@@ -35,12 +35,6 @@
   onSuperseded (reason: string): void
 }
 
-/** What previous owners have recorded about the shard's machines. */
-interface MachineContent {
-  readonly orderedMachines: OrderedMachines
-  readonly turnHistory: StoredTurnHistory
-}
-
 /** Loads a shard from the store, schedules its jobs and commits their progress. */
 export class ShardOwner {
   readonly scheduler: JobScheduler
