Do not take a shard over from an owner that is learned of during the last read

Cause: the token was checked after the read of the owner row, but not after that of the heartbeat. Change: it is checked there too.

--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -5,9 +5,7 @@
 import { EventCode } from '@vanillathread/model'
 import { StoreFailureKind } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
-import type { PeerTransport } from '../peer/PeerTransport.js'
 import { shardOptions, watchOptions } from './jobOptions.js'
-import type { MemberDirectory } from './MemberDirectory.js'
 import { OwnerHeartbeats } from './OwnerHeartbeats.js'
 import { OwnerRecord, type KnownOwner, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
@@ -16,19 +14,11 @@
 import { ReleaseNotices, type FinishedOwner } from './ReleaseNotices.js'
 import type { OwnerRow } from './rows.js'
 import { ShardOwner } from './ShardOwner.js'
-import type { ShardOwnerContext } from './ShardOwnerContext.js'
+import type { ShardOwnershipOptions } from './ShardOwnerContext.js'
 import { ShardReleaser } from './ShardReleaser.js'
 import { Succession, type OwnerTerm } from './Succession.js'
 import { TakeoverReason } from './TakeoverReason.js'
 
-/** Options of {@link ShardOwnership.create}. */
-export interface ShardOwnershipOptions {
-  readonly shard: string
-  readonly context: ShardOwnerContext
-  readonly network: PeerTransport
-  readonly members: MemberDirectory
-}
-
 /** A daemon's knowledge of a shard's owner, and its own ownership if it has taken the shard over. */
 export class ShardOwnership {
   /** Newest owner row known, from the store or from a heartbeat. */
@@ -180,6 +170,8 @@
     // The store heartbeat of the suspected owner says nothing about a new owner, which may not have written one yet.
     if (!await this.readRow() || this.knownFencingToken !== suspectedToken || this.row?.value.owner === '' || this.stopping) return
     const heartbeat = await this.record.readHeartbeat()
+    // Another daemon may have taken over during the read; its heartbeat names a new token, but not the generation that belongs to it.
+    if (this.knownFencingToken !== suspectedToken) return
     if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.ownerTerm))) await this.takeOver(TakeoverReason.StoreUnreachable)
   }
 
