Settle each forecast, expect no turn of a pool without arrivals, and return machines no sooner

Change: a forecast keeps its tolerance and is settled by it; pools without arrivals have no turns; the return to standby goes by the uncut peak, and a turn that has begun cuts nothing.

--- a/packages/policy/src/lib/forecast/ForecastPlanner.ts
+++ b/packages/policy/src/lib/forecast/ForecastPlanner.ts
@@ -36,6 +36,7 @@
   readonly forecast: TurnForecast
   private readonly planner: CapacityPlanner
   private startedAtMs: number | undefined
+  private readonly poolsWithArrivals = new Set<string>()
 
   private constructor (private readonly options: ForecastPlannerOptions) {
     this.forecast = TurnForecast.create(options.history)
@@ -48,7 +49,11 @@
 
   /** Returns the moves to order now. */
   plan (nowMs: number, pools: readonly PlannedPool[], machines: readonly PlannedMachine[]): PlannedMove[] {
-    const rates = pools.filter((pool) => !pool.standby).map(({ demand }) => ({ pool: demand.pool, cpuMillis: demand.arrivingCpuMillis }))
+    for (const { demand } of pools) {
+      if (demand.arrivingCpuMillis > 0) this.poolsWithArrivals.add(demand.pool)
+    }
+    // A pool without queues never has a turn and must not count as the only one that has had none yet.
+    const rates = pools.filter(({ standby, demand }) => !standby && this.poolsWithArrivals.has(demand.pool)).map(({ demand }) => ({ pool: demand.pool, cpuMillis: demand.arrivingCpuMillis }))
     this.forecast.observe(nowMs, rates, machines.reduce((sum, machine) => sum + machine.capacity.cpuMillis, 0))
     this.startedAtMs ??= nowMs
     const keepsIdle = machines.length >= KEEP_MIN_MACHINES && nowMs - this.startedAtMs < KEEP_UNTIL_KNOWN_MS
@@ -60,7 +65,7 @@
     if (expected === undefined || expected.confidence < MIN_CONFIDENCE) return pool
     const leadMs = this.options.moveMs + LEAD_MS
     const untilMs = expected.startMs - nowMs
-    if (expected.pool !== pool.demand.pool) return { ...pool, isEnding: untilMs <= leadMs }
+    if (expected.pool !== pool.demand.pool) return { ...pool, isEnding: untilMs > 0 && untilMs <= leadMs }
     return untilMs > leadMs ? pool : { ...pool, expectedCpuMillis: expected.confidence * expected.heightCpuMillis }
   }
 }
--- a/packages/policy/src/lib/forecast/TurnForecast.ts
+++ b/packages/policy/src/lib/forecast/TurnForecast.ts
@@ -17,6 +17,12 @@
   readonly confidence: number
 }
 
+/** A forecast whose outcome is not known yet. */
+interface PendingTurn extends ExpectedTurn {
+  /** Time by which the turn may begin earlier or later than expected. */
+  readonly toleranceMs: number
+}
+
 /** What a forecast has learned. Contains all that a successor needs to go on with it. @public */
 export interface TurnHistory {
   /** The latest turns in the order of their start. */
@@ -57,7 +63,7 @@
   private hits: number
   private misses: number
   /** The latest forecast, until its pool's turn begins or is overdue. */
-  private pending: ExpectedTurn | undefined
+  private pending: PendingTurn | undefined
   /** Start of the turn after which the latest forecast was made. */
   private predictedAfterMs = -Infinity
   private observedAtMs = -Infinity
@@ -146,9 +152,8 @@
   /** Counts the forecast as a hit or a miss once that is known. */
   private checkPending (nowMs: number): void {
     const { pending } = this
-    const spacingMs = this.getSpacingMs()
-    if (pending === undefined || spacingMs === undefined) return
-    const toleranceMs = spacingMs * TOLERANCE
+    if (pending === undefined) return
+    const { toleranceMs } = pending
     const begun = this.turns.some((turn) => turn.pool === pending.pool && Math.abs(turn.startMs - pending.startMs) <= toleranceMs)
     const risen = this.recorder.findRise(pending.pool) !== undefined
     if (!begun && (risen || nowMs <= pending.startMs + toleranceMs)) return
@@ -170,6 +175,7 @@
     const own = this.turns.filter((turn) => turn.pool === next.pool)
     const heights = (own.length > 0 ? own : this.turns).map(({ heightCpuMillis }) => heightCpuMillis)
     this.pending = {
+      toleranceMs: spacingMs * TOLERANCE,
       pool: next.pool,
       startMs: last.startMs + spacingMs,
       lengthMs: this.getLengthMs(next.pool) ?? spacingMs,
--- a/packages/policy/src/lib/machines/CapacityPlanner.ts
+++ b/packages/policy/src/lib/machines/CapacityPlanner.ts
@@ -72,6 +72,8 @@
   readonly neededWithLate: number
   /** Same as `recentPeak`, with the late jobs. */
   readonly recentPeakWithLate: number
+  /** Same, also if the pool's turn is ending. Idle machines in excess of it return to standby. */
+  readonly keptPeak: number
 }
 
 /** Numbers of machines that a pool needed at one time. */
@@ -127,6 +129,7 @@
       recentPeak: Math.max(neededSoon, ...kept.map((entry) => entry.needed)),
       neededWithLate,
       recentPeakWithLate: Math.max(neededSoon, ...kept.map((entry) => entry.neededWithLate)),
+      keptPeak: Math.max(neededSoon, ...history.map((entry) => entry.neededWithLate)),
     }
   }
 }
@@ -220,9 +223,9 @@
 
 /** Moves idle machines that neither jobs in time nor late jobs need to the standby pool. */
 function returnSurplus (balances: readonly PoolBalance[], standbyPool: string, taken: ReadonlySet<string>): PlannedMove[] {
-  return balances.flatMap((balance) => listSurplus(balance, balance.recentPeakWithLate)
+  return balances.flatMap((balance) => listSurplus(balance, balance.keptPeak)
     .filter((machine) => !taken.has(machine.id))
-    .map((machine) => ({ machine: machine.id, fromPool: balance.pool, toPool: standbyPool, reason: `keeps ${balance.recentPeakWithLate}, has ${balance.machines.length}` })))
+    .map((machine) => ({ machine: machine.id, fromPool: balance.pool, toPool: standbyPool, reason: `keeps ${balance.keptPeak}, has ${balance.machines.length}` })))
 }
 
 /** Returns idle machines of a pool in excess of the number that it keeps. */
