Let clients outlast an outage of the store of 7 s

Change: a refused write is to be tried again after 1.5 s on average, spread by the job's id, in whole seconds on the wire.

--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -289,7 +289,7 @@
   private refuse (job: string | undefined, code: ResultCode, reason: string): IngressAnswer {
     this.options.log.write(EventCode.JobRefused, { job, code, reason, configuration: this.options.configuration.current?.version, storeSilentMs: Math.round(this.options.rows.getTimeSinceAnswerMs()) })
     this.options.metrics.increment('refusals', { code: String(code) })
-    const { retryAfterMs } = clientOptions
-    return { kind: IngressAnswerKind.Refused, code, retryAfterMs: code === ResultCode.StoreSilent && job !== undefined ? spreadRetryAfter(job, retryAfterMs) : retryAfterMs }
+    const isWrite = code === ResultCode.StoreSilent || code === ResultCode.JobNotStored
+    return { kind: IngressAnswerKind.Refused, code, retryAfterMs: isWrite && job !== undefined ? spreadRetryAfter(job, clientOptions.writeRetryAfterMs) : clientOptions.retryAfterMs }
   }
 }
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -142,8 +142,8 @@
   /** The same while a machine is expected back from a move or maintenance. */
   busyListPeriodMs: 1_000,
   /**
-   * Time for which finite tasks may keep running on a VM that is evacuated: longer than the longest one, as a task that is
-   * stopped begins again elsewhere.
+   * Time for which finite tasks may keep running on a VM that is evacuated: longer than most, as a task that is stopped begins again
+   * elsewhere. Maintenance then stops them; a move is given up, as a few tasks take several times as long on every VM.
    */
   finiteTaskGraceMs: 4_000,
   /** Pause before an order that was refused or had an unknown outcome is sent again. */
@@ -194,6 +194,11 @@
   relayAnswerMs: 1_300,
   /** Retry delay sent to a refused client: the store's outages last seconds. */
   retryAfterMs: 1_000,
+  /**
+   * Mean retry delay sent with a refused write. Clients try four times more and the header has whole seconds, so that they outlast an outage
+   * of 7 s; after one second each time, they had used up their attempts in an outage of 4.2 s.
+   */
+  writeRetryAfterMs: 1_500,
   /** Longest wait for the owner's answer before the store is read instead. */
   ownerAnswerMs: 250,
   /**
