--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -169,6 +169,8 @@
   StoreCallFailed = 742,
   /** The store no longer keeps the changes after the version that was read last, so the whole table is read again. */
   HistoryGone = 743,
+  /** Tasks of a step wait for room near their data (`outcome` is `waits`, with both costs), or the last of them has started (`over`). */
+  NearPlaceWait = 746,
   /** The owner orders the maintenance of a machine whose VM it has evacuated. */
   MaintenanceOrdered = 750,
   /** The order for maintenance of a machine was carried out, was refused or got no answer; see `outcome`. */
@@ -277,6 +279,7 @@
   [EventCode.StoreRegained]: { level: EventLevel.Info, message: 'platform store answers again' },
   [EventCode.StoreCallFailed]: { level: EventLevel.Warn, message: 'call to the store, the machine service or the admission service of the platform failed' },
   [EventCode.HistoryGone]: { level: EventLevel.Warn, message: 'changes since the last read are gone from the store, so the whole table is read again' },
+  [EventCode.NearPlaceWait]: { level: EventLevel.Info, message: 'tasks wait for room near their data, or have ended that wait' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -41,6 +41,8 @@
 export { SLOW_CLOCK_FACTOR } from './lib/vms/VmRegistry.js'
 export { TrackedVm } from './lib/vms/TrackedVm.js'
 export { JobScheduler } from './lib/jobs/JobScheduler.js'
+export { DEFAULT_NEAR_PLACE_MAX_WAIT_MS, decideNearPlaceWait, type NearPlaceDecision, type NearPlaceView } from './lib/placement/decideNearPlaceWait.js'
+export { NearPlaces, type NearPlaceCounts, type NearPlaceRequest, type NearPlaceRules, type NearPlacesOptions } from './lib/placement/NearPlaces.js'
 export type { ClockReadings, JobSchedulerOptions } from './lib/jobs/JobSchedulerOptions.js'
 export type { JobProgress, OccurrenceProgress } from './lib/jobs/JobProgress.js'
 export { OrderKind, StartOutcome, type Order } from './lib/jobs/orders.js'
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -59,7 +59,7 @@
     const { logDecision, stopMs, leaseMs, generation, startedAtMs, previousOwnerRenewalMs } = options
     const previousOwnerUntilMs = generation > 0 ? startedAtMs + previousOwnerRenewalMs : -Infinity
     const endedJobRunMs = leaseMs * SLOW_CLOCK_FACTOR + previousOwnerRenewalMs + stopMs
-    this.state = SchedulerState.create(logDecision, stopMs, TeamScheduling.create({ previousOwnerUntilMs, endedJobRunMs, startedAtMs, logDecision }))
+    this.state = SchedulerState.create(logDecision, stopMs, TeamScheduling.create({ previousOwnerUntilMs, endedJobRunMs, startedAtMs, logDecision }), options.nearPlaces)
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
     this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
--- a/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
+++ b/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
@@ -1,6 +1,7 @@
 /**
  * What a scheduler is created with, and the clocks that it plans by.
  */
+import type { NearPlaceRules } from '../placement/NearPlaces.js'
 import type { DecisionLogger } from './SchedulerState.js'
 
 /** Options of `JobScheduler.create`. @public */
@@ -20,6 +21,8 @@
   /** Time from which every lease of previous owners has expired, if the last one recorded it. */
   readonly previousLeasesEndAtMs?: number
   readonly logDecision: DecisionLogger
+  /** Rules for waits for places near the data; without them, no task waits for one. */
+  readonly nearPlaces?: NearPlaceRules
 }
 
 /** Readings of the clocks at one moment, in milliseconds. @public */
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -5,6 +5,7 @@
 import { TrackedVm } from '../vms/TrackedVm.js'
 import { DurationEstimates } from './DurationEstimates.js'
 import { OrderKind, type Order } from './orders.js'
+import { NearPlaces, type NearPlaceRules } from '../placement/NearPlaces.js'
 import type { TrackedJob } from './TrackedJob.js'
 import type { TrackedTask } from './TrackedTask.js'
 import { RunPhase, StopReason, TrackedRun } from './TrackedRun.js'
@@ -50,11 +51,16 @@
   /** By VM id, since a task was last done there: the number of pauses, and the jobs with failed tasks since the last pause. */
   private readonly failuresByVm = new Map<string, { jobs: Set<string>, pauses: number }>()
 
-  private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number, readonly teams: TeamScheduling) {}
+  /** Waits for places near the data of tasks; undefined if it is not known what another place costs. */
+  readonly nearPlaces: NearPlaces | undefined
+
+  private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number, readonly teams: TeamScheduling, rules: NearPlaceRules | undefined) {
+    this.nearPlaces = rules && NearPlaces.create({ ...rules, estimates: this.estimates, logDecision })
+  }
 
   /** @param stopMs - longest time from a VM's answer to a stop until the run has ended. */
-  static create (logDecision: DecisionLogger, stopMs: number, teams: TeamScheduling): SchedulerState {
-    return new SchedulerState(logDecision, stopMs, teams)
+  static create (logDecision: DecisionLogger, stopMs: number, teams: TeamScheduling, nearPlaceRules?: NearPlaceRules): SchedulerState {
+    return new SchedulerState(logDecision, stopMs, teams, nearPlaceRules)
   }
 
   takeOrders (): Order[] {
@@ -103,6 +109,7 @@
     const run = TrackedRun.create(task, number, vm.id, nowMs)
     task.lastRun = Math.max(task.lastRun, number)
     task.needsSecondRun = false
+    this.nearPlaces?.recordStart(run, vm, nowMs)
     this.trackRun(run, vm)
     this.orders.push({ kind: OrderKind.Start, run, ticket })
     return run
@@ -114,6 +121,7 @@
     // A previous owner may have changed the pace.
     run.orderedPacePercent = Number.NaN
     run.mayBeStopping = true
+    run.placeFactor = this.nearPlaces?.getFactor(task.step, vm) ?? 1
     task.lastRun = Math.max(task.lastRun, number)
     task.begun = true
     this.trackRun(run, vm)
@@ -196,12 +204,13 @@
     const { job } = task.step.occurrence
     this.failuresByVm.delete(vm.id)
     vm.doneCount += 1
-    if (run?.confirmedAtMs !== undefined) this.learnDuration(task, nowMs - run.confirmedAtMs)
+    if (run?.confirmedAtMs !== undefined) this.learnDuration(task, (nowMs - run.confirmedAtMs) / run.placeFactor)
     job.markDone(task)
     this.teams.markDone(task)
     for (const other of task.runs) this.stopRun(other, StopReason.Unwanted, nowMs)
   }
 
+  /** Learns from the duration that a run would have had near its data. */
   private learnDuration ({ step }: TrackedTask, durationMs: number): void {
     const { queue } = step.occurrence.job.accepted
     const { estimateMs, taskCount } = step.spec
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -11,6 +11,8 @@
   doneCount = 0
   /** Duration of the longest task that ended as done under this owner, in milliseconds. */
   longestMs = 0
+  /** Time on the owner's clock from which a wait of the step's tasks for near places counts; set by `getReadySinceMs`. */
+  readySinceMs: number | undefined
 
   private constructor (
     readonly occurrence: TrackedOccurrence,
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -56,6 +56,8 @@
   usage: number | undefined
   /** Pace that the owner last ordered, in percent; `NaN` if the pace in force is not known. */
   orderedPacePercent = 100
+  /** Factor by which the run takes longer because of where it runs; see `NearPlaces`. */
+  placeFactor = 1
   readonly name: string
 
   private constructor (
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -2,6 +2,8 @@
  * Chooses VMs for waiting tasks.
  */
 import type { TrackedVm } from '../vms/TrackedVm.js'
+import { getReadySinceMs } from '../placement/getReadySinceMs.js'
+import { canWait } from '../placement/NearPlaces.js'
 import { placeSuspects } from './placeSuspects.js'
 import { rankJob, type JobRank } from './rankJobs.js'
 import type { SchedulerState } from './SchedulerState.js'
@@ -12,15 +14,16 @@
 /** Starts as many of a pool's waiting tasks as fit on its VMs, in the order of the jobs' ranks. @public */
 export function placeTasks (state: SchedulerState, pool: string, context: PlacementContext): void {
   const jobs = state.openJobs.get(pool)
+  state.nearPlaces?.beginPlan(pool)
   if (jobs === undefined || jobs.size === 0) return
   const usableVms = context.vms.filter((vm) => vm.isUsable(context.nowMs))
   placeSuspects(state, pool, usableVms, context)
   const vms = usableVms.filter((vm) => !vm.reservedForTrial && !vm.isOnTrial)
   if (vms.length === 0) return
-  for (const { job } of state.teams.order(rankJobs(state, jobs, context))) {
-    for (const step of listReadySteps(job, context.wallClockMs)) {
+  for (const rank of state.teams.order(rankJobs(state, jobs, context))) {
+    for (const step of listReadySteps(rank.job, context.wallClockMs)) {
       if (step.spec.gang) placeGang(state, step, vms, context)
-      else placeStep(state, step, vms, context)
+      else placeStep(state, step, vms, context, rank)
     }
   }
 }
@@ -50,23 +53,44 @@
   return steps
 }
 
-/** Starts the waiting tasks of a step one by one, until one fits on no VM. */
-function placeStep (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
+/** Starts the waiting tasks of a step one by one, until one fits on no VM. Some may wait for places near their data; see `NearPlaces`. */
+function placeStep (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext, rank: JobRank): void {
+  const { nearPlaces } = state
+  if (nearPlaces !== undefined && step.spec.dataRack !== undefined) getReadySinceMs(step, context)
   const tickets = getTicketsIfRequired(step, context)
   if (tickets === undefined) return
+  const { pool } = step.occurrence.job.accepted
+  const awaitedRacks = nearPlaces?.getAwaitedRacks(pool)
+  let heldBack: number | undefined
   for (const task of step.tasks) {
     if (!task.isWaiting || task.needsTrial) continue
+    if (heldBack !== undefined && heldBack > 0 && canWait(task)) {
+      heldBack -= 1
+      continue
+    }
     if (!state.teams.mayStartTask(task)) return
-    const vm = chooseVm(step, task, vms, tickets)
+    const vm = chooseVm(step, task, vms, tickets, awaitedRacks)
     // All tasks of a step have the same needs, so the next one does not fit either.
     if (vm === undefined) {
       state.teams.recordNoRoom(step.occurrence.job)
+      nearPlaces?.recordNoRoom(pool, context.nowMs)
       return
     }
+    if (nearPlaces !== undefined && heldBack === undefined && isFar(step, vm) && canWait(task)) {
+      heldBack = nearPlaces.countHeldBack(step, { rank, vms: vms.filter((each) => isAllowed(step, each, tickets)), context })
+      if (heldBack > 0) {
+        heldBack -= 1
+        continue
+      }
+    }
     startTask(state, task, vm, task.lastRun + 1, tickets, context)
   }
 }
 
+function isFar ({ spec: { dataRack } }: TrackedStep, vm: TrackedVm): boolean {
+  return dataRack !== undefined && vm.rack !== dataRack
+}
+
 /** Starts all tasks of a gang under one run number, or none. With `sameRack`, a single rack is tried first. */
 function placeGang (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
   const tickets = getTicketsIfRequired(step, context)
@@ -84,6 +108,7 @@
     return
   }
   state.teams.recordNoRoom(step.occurrence.job)
+  state.nearPlaces?.recordNoRoom(step.occurrence.job.accepted.pool, context.nowMs)
 }
 
 /** Returns a VM for each task of a gang, or undefined if they do not all fit. */
@@ -102,14 +127,17 @@
 }
 
 /** Returns the VM with the lowest score among those that can take the task, or undefined if there is none. */
-function chooseVm (step: TrackedStep, task: TrackedTask, vms: readonly TrackedVm[], tickets: ReadonlyMap<string, string> | 'none'): TrackedVm | undefined {
+function chooseVm (
+  step: TrackedStep, task: TrackedTask, vms: readonly TrackedVm[], tickets: ReadonlyMap<string, string> | 'none', awaitedRacks: ReadonlySet<string> | undefined
+): TrackedVm | undefined {
   const { spec } = step
   let best: TrackedVm | undefined
   let bestScore = Infinity
   for (const vm of vms) {
     if (!vm.hasRoom(spec.need, spec.fills) || !isAllowed(step, vm, tickets) || hasRunOfTask(vm, task)) continue
     if (spec.maxTasksPerVm !== undefined && vm.countRunsOf(step) >= spec.maxTasksPerVm) continue
-    const score = scoreVm(step, task, vm)
+    let score = scoreVm(step, task, vm)
+    if (awaitedRacks?.has(vm.rack) === true && vm.rack !== spec.dataRack) score += AWAITED_RACK_WEIGHT
     if (score < bestScore) {
       best = vm
       bestScore = score
@@ -135,11 +163,12 @@
  */
 const FAILED_HERE_WEIGHT = 1e9
 const OTHER_RACK_WEIGHT = 1e8
+const AWAITED_RACK_WEIGHT = 1e7
 
 /**
  * Returns the score of a VM for a task; the VM with the lowest score is chosen. VMs on which the task failed or was overdue
  * come last, and VMs outside the rack of its data come next to last. Among equals, the VM with the least free processor comes
- * first; for a best-effort task, the VM with the most.
+ * first; for a best-effort task, the VM with the most. `chooseVm` puts racks for which tasks of other steps wait behind the others.
  */
 function scoreVm (step: TrackedStep, task: TrackedTask, vm: TrackedVm): number {
   const { spec } = step
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -70,7 +70,7 @@
 }
 
 /**
- * Returns the time that a run has taken as a multiple of its queue's mean. Returns 0 if the run is not compared: it is not
+ * Returns the time that a run has taken as a multiple of its queue's mean, for where it runs. Returns 0 if the run is not compared: it is not
  * confirmed, its task is long-running or belongs to a gang, too little time has passed, or the queue has too few samples.
  */
 function getDurationRatio (state: SchedulerState, run: TrackedRun, nowMs: number): number {
@@ -78,7 +78,7 @@
   if (run.phase !== RunPhase.Running || run.confirmedAtMs === undefined || step.spec.longRunning || step.spec.gang) return 0
   const elapsedMs = nowMs - run.confirmedAtMs
   const expectedMs = state.estimates.findTaskMs(step.occurrence.job.accepted.queue, step.spec.estimateMs, MIN_SAMPLES)
-  return expectedMs === undefined || elapsedMs < MIN_OVERDUE_MS ? 0 : elapsedMs / expectedMs
+  return expectedMs === undefined || elapsedMs < MIN_OVERDUE_MS ? 0 : elapsedMs / (expectedMs * run.placeFactor)
 }
 
 /** Returns true if runs of several jobs are overdue on the VM, and it has ended few others meanwhile. */
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -139,6 +139,13 @@
       this.used.accelerators + need.accelerators <= capacity.accelerators
   }
 
+  get free (): Capacity {
+    const { capacity } = this.entry
+    return {
+      cpuMillis: this.freeCpuMillis, memoryMb: capacity.memoryMb - this.used.memoryMb, accelerators: capacity.accelerators - this.used.accelerators,
+    }
+  }
+
   get freeCpuMillis (): number {
     return this.entry.capacity.cpuMillis - this.used.cpuMillis
   }
