Count the capacity that a far place keeps from others in a full pool

In a full pool the cost is now counted twice, and a pool counts as full for 1 s after a task found no room.

--- a/packages/policy/src/lib/placement/NearPlaces.ts
+++ b/packages/policy/src/lib/placement/NearPlaces.ts
@@ -14,8 +14,11 @@
 import { forecastPlaces, MIN_SAMPLES } from './forecastPlaces.js'
 import { getReadySinceMs } from './getReadySinceMs.js'
 
-/** Time for which a pool counts as full after a task found no room in it; plans are made at most 100 ms apart while tasks wait. */
-const FULL_MS = 200
+/**
+ * Time for which a pool counts as full after a task found no room in it. Tasks that wait leave room in a pool with too much work, so
+ * that it has some in many plans.
+ */
+const FULL_MS = 1_000
 
 /** Rules for waits for near places. @public */
 export interface NearPlaceRules {
@@ -185,7 +188,7 @@
     if (untilMs <= nowMs) return undefined
     const taskMs = estimates.findTaskMs(accepted.queue, spec.estimateMs, MIN_SAMPLES)
     if (taskMs === undefined) return undefined
-    const waitsMs = forecast(Math.min(untilMs - nowMs, (remoteFactor - 1) * taskMs))
+    const waitsMs = forecast(untilMs - nowMs)
     const isPoolFull = nowMs - (this.fullAtMs.get(accepted.pool) ?? -Infinity) < FULL_MS
     return decide({ waitsMs, taskMs, remoteFactor, slackMs: rank.slackMs, leftMs: untilMs - nowMs, isPoolFull })
   }
--- a/packages/policy/src/lib/placement/decideNearPlaceWait.ts
+++ b/packages/policy/src/lib/placement/decideNearPlaceWait.ts
@@ -35,7 +35,7 @@
 export interface NearPlaceDecision {
   /** Number of tasks that wait; the others start in far places now. */
   readonly waitCount: number
-  /** Time that one task loses in a far place. */
+  /** Time that one task loses in a far place; in a full pool, also the time for which it keeps the capacity from others. */
   readonly farCostMs: number
   /** Expected wait of the last task that waits, or of the first task if none does. */
   readonly waitCostMs: number
@@ -51,7 +51,8 @@
  */
 export function decideNearPlaceWait (view: NearPlaceView): NearPlaceDecision {
   const { waitsMs, taskMs, remoteFactor, slackMs, leftMs, isPoolFull } = view
-  const farCostMs = (remoteFactor - 1) * taskMs
+  const lostMs = (remoteFactor - 1) * taskMs
+  const farCostMs = isPoolFull ? lostMs + lostMs : lostMs
   const untilMs = Math.max(0, Math.min(farCostMs, slackMs, leftMs))
   const limitMs = Math.min(untilMs, isPoolFull ? farCostMs : farCostMs * MAX_WAIT_SHARE)
   const inTime = waitsMs.filter((waitMs) => waitMs < limitMs).length
