--- a/packages/cli/src/lib/jobs/explainLogs.test.ts
+++ b/packages/cli/src/lib/jobs/explainLogs.test.ts
@@ -51,6 +51,15 @@
     assert.is(explainLogs(LoggedKind.Job, JOB, createEntries(accepted, started(1, 'v1', 20), ended(2, 'complete')))?.cause, undefined)
   })
 
+  it('shows the wait for a near place with both costs and its outcome', () => {
+    const waits: [number, string, EventCode, Record<string, unknown>] = [1, 'a', EventCode.NearPlaceWait, { job: JOB, step: 0, outcome: 'waits', rack: 'r1', tasks: 2, farCostMs: 900, waitCostMs: 150, untilMs: 700 }]
+    const over: [number, string, EventCode, Record<string, unknown>] = [2, 'a', EventCode.NearPlaceWait, { job: JOB, step: 0, outcome: 'over', waitedMs: 210, near: 2, far: 0 }]
+    assert.equal(explainLogs(LoggedKind.Job, JOB, createEntries(accepted, waits, over))?.facts.slice(1), [
+      'step 0: 2 tasks wait for rack r1 for up to 700 ms: expected wait 150 ms, a far place costs 900 ms',
+      'step 0: wait for a near place over after 210 ms: 2 tasks near, 0 far',
+    ])
+  })
+
   it('reports the owner of a shard, and which machines of a wave are not yet down', () => {
     const shard = explainLogs(LoggedKind.Shard, 'main', createEntries(
       [1, 'a', EventCode.ShardTaken, { shard: 'main', fencingToken: 5, reason: 'no owner' }],
--- a/packages/policy/src/lib/placement/NearPlaces.ts
+++ b/packages/policy/src/lib/placement/NearPlaces.ts
@@ -20,6 +20,9 @@
  */
 const FULL_MS = 1_000
 
+/** Free share of a pool's processor below which the pool counts as full. */
+const MIN_FREE_SHARE = 0.15
+
 /** Rules for waits for near places. @public */
 export interface NearPlaceRules {
   /** Factor by which a task takes longer outside the rack of its data. */
@@ -52,6 +55,8 @@
   readonly tasks: Set<TrackedTask>
   near: number
   far: number
+  /** True once the end was logged; tasks whose start a VM refused may wait again. */
+  isEndLogged: boolean
 }
 
 /** Options of {@link NearPlaces.create}. @public */
@@ -118,7 +123,7 @@
     if (dataRack === undefined) return 0
     const tasks = step.tasks.filter((task) => canWait(task))
     const near = request.vms.filter((vm) => vm.rack === dataRack)
-    const claimedMillis = this.claims.get(request.context.vms[0]?.entry.pool ?? '')?.get(dataRack) ?? 0
+    const claimedMillis = this.claims.get(step.occurrence.job.accepted.pool)?.get(dataRack) ?? 0
     const skipped = Math.ceil(claimedMillis / Math.max(1, step.spec.need.cpuMillis))
     const decision = this.decide(step, request, (horizonMs) => {
       const placesMs = forecastPlaces(step, near, this.options.estimates, { nowMs: request.context.nowMs, horizonMs })
@@ -172,14 +177,15 @@
     wait[isNear ? 'near' : 'far'] += 1
     this.counts.waited += 1
     if (!isNear || nowMs - wait.sinceMs > wait.farCostMs) this.counts.waitedInVain += 1
-    if (wait.tasks.size > 0 || wait.near + wait.far === 0) return
+    if (wait.tasks.size > 0 || wait.isEndLogged) return
+    wait.isEndLogged = true
     this.options.logDecision(EventCode.NearPlaceWait, {
       job: task.step.occurrence.job.id, step: task.step.index, outcome: 'over', waitedMs: Math.round(nowMs - wait.sinceMs), near: wait.near, far: wait.far,
     })
   }
 
   /** Returns the decision on a step, or undefined if its tasks must not wait. `forecast` returns the expected waits up to a horizon. */
-  private decide (step: TrackedStep, { rank, context }: NearPlaceRequest, forecast: (horizonMs: number) => number[]): NearPlaceDecision | undefined {
+  private decide (step: TrackedStep, { rank, vms, context }: NearPlaceRequest, forecast: (horizonMs: number) => number[]): NearPlaceDecision | undefined {
     const { spec, occurrence: { job: { accepted } } } = step
     const { remoteFactor, maxWaitMs, estimates, decide = decideNearPlaceWait } = this.options
     const { nowMs } = context
@@ -189,7 +195,7 @@
     const taskMs = estimates.findTaskMs(accepted.queue, spec.estimateMs, MIN_SAMPLES)
     if (taskMs === undefined) return undefined
     const waitsMs = forecast(untilMs - nowMs)
-    const isPoolFull = nowMs - (this.fullAtMs.get(accepted.pool) ?? -Infinity) < FULL_MS
+    const isPoolFull = nowMs - (this.fullAtMs.get(accepted.pool) ?? -Infinity) < FULL_MS || getFreeShare(vms) < MIN_FREE_SHARE
     return decide({ waitsMs, taskMs, remoteFactor, slackMs: rank.slackMs, leftMs: untilMs - nowMs, isPoolFull })
   }
 
@@ -206,13 +212,24 @@
       return
     }
     const { farCostMs, waitCostMs, untilMs } = decision
-    this.waits.set(step, { sinceMs: nowMs, farCostMs, untilMs: nowMs + untilMs, tasks: new Set(tasks), near: 0, far: 0 })
+    this.waits.set(step, { sinceMs: nowMs, farCostMs, untilMs: nowMs + untilMs, tasks: new Set(tasks), near: 0, far: 0, isEndLogged: false })
     this.options.logDecision(EventCode.NearPlaceWait, {
       job: job.id, step: step.index, outcome: 'waits', rack, tasks: tasks.length, farCostMs: Math.round(farCostMs), waitCostMs: Math.round(waitCostMs), untilMs: Math.round(untilMs),
     })
   }
 }
 
+/** Returns the free share of the processor of the given VMs. */
+function getFreeShare (vms: readonly TrackedVm[]): number {
+  let freeMillis = 0
+  let totalMillis = 0
+  for (const vm of vms) {
+    freeMillis += vm.freeCpuMillis
+    totalMillis += vm.entry.capacity.cpuMillis
+  }
+  return freeMillis / Math.max(1, totalMillis)
+}
+
 function groupByRack (vms: readonly TrackedVm[]): Map<string, TrackedVm[]> {
   const racks = new Map<string, TrackedVm[]>()
   for (const vm of vms) {
--- a/packages/policy/src/lib/placement/forecastPlaces.ts
+++ b/packages/policy/src/lib/placement/forecastPlaces.ts
@@ -22,12 +22,13 @@
 export function forecastPlaces (step: TrackedStep, vms: readonly TrackedVm[], estimates: DurationEstimates, { nowMs, horizonMs }: { readonly nowMs: number, readonly horizonMs: number }): number[] {
   const { need, fills, maxTasksPerVm = Infinity } = step.spec
   const placesMs: number[] = []
+  const neededMillis = fills ? 0 : need.cpuMillis
   for (const vm of vms) {
     const free = { ...vm.free }
     let stepRuns = vm.countRunsOf(step)
     const takePlaces = (atMs: number): void => {
-      while (stepRuns < maxTasksPerVm && (fills || free.cpuMillis >= need.cpuMillis) && free.memoryMb >= need.memoryMb && free.accelerators >= need.accelerators) {
-        if (!fills) free.cpuMillis -= need.cpuMillis
+      while (stepRuns < maxTasksPerVm && free.cpuMillis >= neededMillis && free.memoryMb >= need.memoryMb && free.accelerators >= need.accelerators) {
+        free.cpuMillis -= neededMillis
         free.memoryMb -= need.memoryMb
         free.accelerators -= need.accelerators
         stepRuns += 1
