--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -11,6 +11,7 @@
 import { MachineController, type MachineContent } from './MachineController.js'
 import { taskOptions } from './jobOptions.js'
 import { loadOrderedMachines } from './loadOrderedMachines.js'
+import { getNearPlaceRules } from './JobsSettings.js'
 import { Table } from './rows.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
@@ -64,6 +65,7 @@
       startedAtMs: this.startedAtMs,
       previousLeasesEndAtMs: options.previousLeasesEndAtMs,
       logDecision: (code, fields) => log.write(code, fields),
+      nearPlaces: getNearPlaceRules(options.settings),
     })
     this.sessions = VmSessions.create({
       ...options,
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -178,6 +178,8 @@
   StoreGateChanged = 744,
   /** The owner's calls to the store take another path: through the daemon `path`, or its own connections. */
   StorePathChanged = 745,
+  /** Tasks of a step wait for room near their data (`outcome` is `waits`, with both costs), or the last of them has started (`over`). */
+  NearPlaceWait = 746,
   /** The owner orders the maintenance of a machine whose VM it has evacuated. */
   MaintenanceOrdered = 750,
   /** The order for maintenance of a machine was carried out, was refused or got no answer; see `outcome`. */
@@ -295,6 +297,7 @@
   [EventCode.HistoryGone]: { level: EventLevel.Warn, message: 'changes since the last read are gone from the store, so the whole table is read again' },
   [EventCode.StoreGateChanged]: { level: EventLevel.Warn, message: 'requests that need the store are refused, or are not refused any more' },
   [EventCode.StorePathChanged]: { level: EventLevel.Info, message: 'calls of an owner to the store take another path' },
+  [EventCode.NearPlaceWait]: { level: EventLevel.Info, message: 'tasks wait for room near their data, or have ended that wait' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
   [EventCode.WaveSeen]: { level: EventLevel.Info, message: 'maintenance wave was requested' },
