--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -3,12 +3,12 @@
  */
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
 import { EventCode, type PoolRules } from '@vanillathread/model'
-import { canEndWithin, type JobScheduler, type PlannedMachine } from '@vanillathread/policy'
+import type { JobScheduler, PlannedMachine } from '@vanillathread/policy'
 import { MachineRefusal, MachineState, type FleetFeeds, type Machine, type MachineAnswer, type MachineService, type RowCondition, type RowStore, type MaintenanceWave } from '@vanillathread/ports'
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { MachineDirectory } from './MachineDirectory.js'
-import { createMachineOperation, describeAnswer, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
+import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { MovePlanner } from './MovePlanner.js'
 import { MoveRecords } from './MoveRecords.js'
 import type { OrderedMachines } from './loadOrderedMachines.js'
@@ -99,7 +99,7 @@
         this.moves.remove(machine)
         continue
       }
-      this.beginOperation({ machine, toPool }, nowMs, true)
+      this.beginOperation({ machine, toPool }, nowMs)
       const operation = this.operations.get(machine)
       if (operation === undefined) continue
       operation.sent = true
@@ -172,7 +172,7 @@
     if (operation !== undefined || vm?.isLeaving === true) return undefined
     if (vm !== undefined) {
       const usable = vm.isUsable(nowMs)
-      const drainable = usable && canEndWithin(this.options.scheduler.state, vm, nowMs, machineOptions.finiteTaskGraceMs)
+      const drainable = usable && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
       // The list may show another size than the VM has at present.
       const { capacity } = vm.entry
       return { id, capacity, pool, movable: usable && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
@@ -182,20 +182,18 @@
     return machine.state === MachineState.Moving || machine.state === MachineState.InMaintenance ? { ...idle, pool, movable: false } : undefined
   }
 
-  /** @param stopsTasks - False for a new move, which waits for the finite tasks on the VM and is given up if they take too long. */
-  private beginOperation (plan: MachineOperationPlan, nowMs: number, stopsTasks = plan.wave !== undefined): void {
+  private beginOperation (plan: MachineOperationPlan, nowMs: number): void {
     const vm = this.directory.findVm(plan.machine)
-    this.operations.set(plan.machine, createMachineOperation(plan, vm, nowMs))
+    this.operations.set(plan.machine, createMachineOperation(plan, vm))
     if (vm === undefined) return
     this.options.log.write(EventCode.EvacuationStarted, { vm: vm.id, machine: plan.machine, wave: plan.wave, toPool: plan.toPool, runs: vm.runs.size })
-    this.options.scheduler.evacuate(vm.id, stopsTasks ? nowMs + machineOptions.finiteTaskGraceMs : Infinity)
+    this.options.scheduler.evacuate(vm.id, nowMs + machineOptions.finiteTaskGraceMs)
     this.options.onChange()
   }
 
   private advance (operation: MachineOperation, nowMs: number): void {
     if (operation.phase === 'evacuating') {
       if (operation.vmId === undefined || this.options.scheduler.isEvacuated(operation.vmId)) this.sendOrder(operation)
-      else if (operation.toPool !== undefined && !operation.sent && nowMs >= operation.beganAtMs + machineOptions.finiteTaskGraceMs) this.finish(operation)
     } else if (operation.phase === 'underway') {
       this.checkReturn(operation, nowMs)
     }
@@ -297,3 +295,8 @@
     this.options.onChange()
   }
 }
+
+function describeAnswer (answer: MachineAnswer): string | undefined {
+  if (answer.kind === 'refused') return answer.refusal
+  return answer.kind === 'unknown' ? answer.reason : undefined
+}
--- a/packages/daemon/src/lib/jobs/MachineOperation.ts
+++ b/packages/daemon/src/lib/jobs/MachineOperation.ts
@@ -2,7 +2,6 @@
  * A machine operation in progress: the evacuation of the machine's VM, the order, and the wait until the machine is back.
  */
 import type { TrackedVm } from '@vanillathread/policy'
-import type { MachineAnswer } from '@vanillathread/ports'
 import type { PreviousVm } from './WaveProgressStore.js'
 
 /** What is to be done with a machine. */
@@ -20,7 +19,6 @@
   vmId?: string
   /** VM that was on the machine before the operation, as stored with a maintenance order; its id is empty if there was none. */
   former: PreviousVm
-  readonly beganAtMs: number
   /**
    * `evacuating`: the VM is being evacuated, and the order follows; `ordering`: an order awaits its answer or its retry;
    * `underway`: the platform accepted the order.
@@ -40,13 +38,7 @@
 }
 
 /** Creates an operation that begins with the evacuation of the machine's VM, if it has one. */
-export function createMachineOperation (plan: MachineOperationPlan, vm: TrackedVm | undefined, beganAtMs: number): MachineOperation {
+export function createMachineOperation (plan: MachineOperationPlan, vm: TrackedVm | undefined): MachineOperation {
   const former = { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }
-  return { ...plan, vmId: vm?.id, former, beganAtMs, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayBeCarriedOut: false, mayPrecedeVm: false }
-}
-
-/** Returns the reason of an order that was not carried out or has an unknown outcome, to be logged. */
-export function describeAnswer (answer: MachineAnswer): string | undefined {
-  if (answer.kind === 'refused') return answer.refusal
-  return answer.kind === 'unknown' ? answer.reason : undefined
+  return { ...plan, vmId: vm?.id, former, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayBeCarriedOut: false, mayPrecedeVm: false }
 }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -57,13 +57,12 @@
     const { timers, log } = options
     this.startedAtMs = timers.now()
     this.scheduler = JobScheduler.create({
-      generation: options.generation,
+      ...options,
       fencingToken: options.ownerRow.version,
       leaseMs: this.leaseMs,
       stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
-      previousLeasesEndAtMs: options.previousLeasesEndAtMs,
       logDecision: (code, fields) => log.write(code, fields),
       nearPlaces: getNearPlaceRules(options.settings),
     })
@@ -185,7 +184,10 @@
       ...options,
       scheduler,
       versions: content.versions,
-      onCommitted: () => this.onCommitted(),
+      onCommitted: () => {
+        this.sessions.resumeAfterCommit()
+        this.requestPlan()
+      },
       onSuperseded: () => options.onSuperseded('commit found another owner'),
     })
     for (const { job, version } of content.jobs) scheduler.addJob(job, version, nowMs, content.progress.get(job.id))
@@ -263,11 +265,6 @@
     this.commitLoop?.request()
   }
 
-  private onCommitted (): void {
-    this.sessions.resumeAfterCommit()
-    this.requestPlan()
-  }
-
   /** Applies changes of registrations, and opens a session to each VM that has none. */
   private applyVms (changes: readonly VmChange[]): void {
     const { log, timers } = this.options
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -142,8 +142,8 @@
   /** The same while a machine is expected back from a move or maintenance. */
   busyListPeriodMs: 1_000,
   /**
-   * Time for which finite tasks may keep running on a VM that is evacuated: longer than most, as a task that is stopped begins again
-   * elsewhere. Maintenance then stops them; a move is given up, as a few tasks take several times as long on every VM.
+   * Time for which finite tasks may keep running on a VM that is evacuated: longer than the longest one, as a task that is
+   * stopped begins again elsewhere.
    */
   finiteTaskGraceMs: 4_000,
   /** Pause before an order that was refused or had an unknown outcome is sent again. */
--- a/packages/integration/src/lib/load/LoadDay.ts
+++ b/packages/integration/src/lib/load/LoadDay.ts
@@ -3,7 +3,7 @@
  * It answers what callers get: jobs in time, late and missed, by queue and by window.
  */
 import { RunEnd, type TeamRules } from '@vanillathread/model'
-import { canEndWithin, JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type StopReason, type TrackedRun } from '@vanillathread/policy'
+import { JobScheduler, OrderKind, RandomSource, StartOutcome, type PlannedMachine, type PlannedMove, type PlannedPool, type StopReason, type TrackedRun } from '@vanillathread/policy'
 import { EventQueue } from './EventQueue.js'
 import { createLongRunningJobs, generateJobs, type LoadJob, type LoadSite } from './LoadSite.js'
 import { createEntry, isStandby, type SimulatedMachine, type SimulatedVm } from './SimulatedMachine.js'
@@ -181,7 +181,7 @@
   }
 
   private addMachine (id: string, pool: string): void {
-    const machine: SimulatedMachine = { id, pool, vmId: undefined, toPool: undefined, moveBeganAtMs: 0, down: false, bootNumber: 0, awayUntilMs: 0 }
+    const machine: SimulatedMachine = { id, pool, vmId: undefined, toPool: undefined, down: false, bootNumber: 0, awayUntilMs: 0 }
     this.machines.push(machine)
     this.boot(machine)
   }
@@ -242,17 +242,12 @@
       const machine = this.machines.find(({ id }) => id === move.machine)
       if (machine === undefined || machine.toPool !== undefined) continue
       machine.toPool = move.toPool
-      machine.moveBeganAtMs = this.nowMs
-      if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, Infinity)
+      if (machine.vmId !== undefined) this.scheduler.evacuate(machine.vmId, this.nowMs + FINITE_TASK_GRACE_MS)
     }
     this.ordersLeft = site.ordersPerSecond * MACHINE_PERIOD_MS / 1_000
     for (const machine of this.machines) {
       if (this.ordersLeft < 1) break
-      if (machine.toPool === undefined || machine.down) continue
-      if (machine.vmId !== undefined && !this.scheduler.isEvacuated(machine.vmId)) {
-        if (this.nowMs >= machine.moveBeganAtMs + FINITE_TASK_GRACE_MS) this.giveUpMove(machine, machine.vmId)
-        continue
-      }
+      if (machine.toPool === undefined || machine.down || (machine.vmId !== undefined && !this.scheduler.isEvacuated(machine.vmId))) continue
       this.order(machine)
     }
   }
@@ -270,18 +265,13 @@
     })
   }
 
-  private giveUpMove (machine: SimulatedMachine, vmId: string): void {
-    machine.toPool = undefined
-    this.scheduler.endEvacuation(vmId)
-  }
-
   private describe (machine: SimulatedMachine): PlannedMachine {
     const capacity = this.options.site.machine
     const idle = { id: machine.id, capacity, drainable: false, usedCpuMillis: 0 }
     if (machine.toPool !== undefined) return { ...idle, pool: machine.toPool, movable: false }
     const vm = machine.vmId === undefined ? undefined : this.scheduler.state.vms.get(machine.vmId)
     if (vm === undefined) return { ...idle, pool: machine.pool, movable: isStandby(this.options.site, machine.pool) }
-    const drainable = vm.isUsable(this.nowMs) && canEndWithin(this.scheduler.state, vm, this.nowMs, FINITE_TASK_GRACE_MS)
+    const drainable = vm.isUsable(this.nowMs) && [...vm.runs.values()].every((run) => !run.task.step.spec.longRunning)
     return { id: machine.id, capacity, pool: machine.pool, movable: vm.isUsable(this.nowMs) && vm.runs.size === 0, drainable, usedCpuMillis: capacity.cpuMillis - vm.freeCpuMillis }
   }
 
--- a/packages/integration/src/lib/load/SimulatedMachine.ts
+++ b/packages/integration/src/lib/load/SimulatedMachine.ts
@@ -12,8 +12,6 @@
   vmId: string | undefined
   /** Pool of a move in progress. */
   toPool: string | undefined
-  /** Time at which the evacuation for that move began. */
-  moveBeganAtMs: number
   /** True from the order of a move until its VM is up. */
   down: boolean
   bootNumber: number
