--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -8,7 +8,7 @@
 import { machineOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import { MachineDirectory } from './MachineDirectory.js'
-import { createMachineOperation, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
+import { createMachineOperation, describeAnswer, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { MovePlanner } from './MovePlanner.js'
 import { MoveRecords } from './MoveRecords.js'
 import type { OrderedMachines } from './loadOrderedMachines.js'
@@ -295,8 +295,3 @@
     this.options.onChange()
   }
 }
-
-function describeAnswer (answer: MachineAnswer): string | undefined {
-  if (answer.kind === 'refused') return answer.refusal
-  return answer.kind === 'unknown' ? answer.reason : undefined
-}
--- a/packages/daemon/src/lib/jobs/MachineOperation.ts
+++ b/packages/daemon/src/lib/jobs/MachineOperation.ts
@@ -2,6 +2,7 @@
  * A machine operation in progress: the evacuation of the machine's VM, the order, and the wait until the machine is back.
  */
 import type { TrackedVm } from '@vanillathread/policy'
+import type { MachineAnswer } from '@vanillathread/ports'
 import type { PreviousVm } from './WaveProgressStore.js'
 
 /** What is to be done with a machine. */
@@ -42,3 +43,9 @@
   const former = { vmId: vm?.id ?? '', bornMs: vm?.entry.bornMs ?? 0 }
   return { ...plan, vmId: vm?.id, former, phase: 'evacuating', confirmedAtMs: 0, sent: false, mayBeCarriedOut: false, mayPrecedeVm: false }
 }
+
+/** Returns the reason of an order that was not carried out or has an unknown outcome, to be logged. */
+export function describeAnswer (answer: MachineAnswer): string | undefined {
+  if (answer.kind === 'refused') return answer.refusal
+  return answer.kind === 'unknown' ? answer.reason : undefined
+}
--- a/packages/daemon/src/lib/jobs/ReleaseNotices.ts
+++ b/packages/daemon/src/lib/jobs/ReleaseNotices.ts
@@ -85,7 +85,7 @@
   /**
    * Returns the time on this daemon's clock from which all leases have expired, if the released row holds it or the owner that gave
    * the shard up has announced it; the earlier one if both are known. Each takeover writes a higher generation, so a notice of the
-   * row's generation shows that nobody has owned the shard since.
+   * row's generation shows that no daemon has owned the shard since.
    *
    * @param storeNowMs - the store's clock, or less.
    */
--- a/packages/daemon/src/lib/jobs/ShardReleaser.ts
+++ b/packages/daemon/src/lib/jobs/ShardReleaser.ts
@@ -1,5 +1,5 @@
 /**
- * Releases a shard: records in the store that it has no owner, and tells the other daemons.
+ * Releases a shard: records in the store that it has no owner, and notifies the other daemons.
  */
 import { EventCode } from '@vanillathread/model'
 import type { OwnerRecord } from './OwnerRecord.js'
--- a/packages/model/src/lib/result/ResultCode.ts
+++ b/packages/model/src/lib/result/ResultCode.ts
@@ -69,7 +69,7 @@
   JobStateUnavailable = 2106,
   /** The call has no usable key, or one that no team holds. */
   Unauthorized = 2107,
-  /** The daemon has not proved its configuration current for so long that it cannot judge the call's key or path. */
+  /** The daemon has not proved its configuration current for so long that it cannot check the call's key or path. */
   ConfigurationStale = 2108,
   /** The store is silent, so nothing of the request was sent to it. */
   StoreSilent = 2109,
--- a/packages/policy/src/lib/teams/KeyIndex.ts
+++ b/packages/policy/src/lib/teams/KeyIndex.ts
@@ -5,7 +5,7 @@
 import type { TeamRules } from '@vanillathread/model'
 
 /**
- * Finds the team that holds a key. Keys are looked up by their SHA-256 digest, so that the time of a lookup tells nothing about
+ * Finds the team that holds a key. Keys are looked up by their SHA-256 digest, so that the time of a lookup reveals nothing about
  * how much of a guessed key is right.
  * @public
  */
