--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,32 +1,45 @@
 /**
- * Two racks lose their minions by turns, so that the tasks of a lasting job move to and fro.
+ * The store is silent for three seconds; a client that got no outcome for its job cancels it.
  */
 import { runCase, sleep } from '../lib/world.mjs'
 
-const LASTING = { count: 3, cpu: 2_700, 'mem-mb': 6_800, 'anti-affinity': 1, 'long-running': true, 'may-miss': 1 }
-const JOB = '00000000000000f1'
-const MACHINES = 8
-const CRASHES = 4
-const CRASH_PERIOD_MS = 1_500
-const DOWN_MS = 700
-const AFTER_MS = 12_000
+const CERTIFICATE = { count: 8, cpu: 3_800, 'mem-mb': 7_100, 'estimate-ms': 1_300, durationMs: 1_300 }
+const STEPS = [CERTIFICATE, { ...CERTIFICATE, after: [0] }, { ...CERTIFICATE, after: [1] }]
+const JOB = '00000000000000e1'
+const SILENT_MS = 3_000
+/** A call without an answer may be carried out seconds later. */
+const WRITE_DELAY_MS = 6_000
+const CANCEL_MS = 3_000
+const CONTACT_MS = 3_000
+const PLAY_MS = 12_000
 
 runCase(import.meta.url, async (world, hasTrouble) => {
   await world.start()
-  for (let index = 0; index < MACHINES; index++) await world.addMachine({ machine: `m-${index}` })
-  await sleep(1_000)
-  await world.submit(JOB, [LASTING])
-  await sleep(5_000)
-  for (let crash = 0; crash < (hasTrouble ? CRASHES : 0); crash++) {
-    const busy = [...world.minions].filter(([, minion]) => minion.runs.size > 0).map(([machine]) => Math.floor(Number(machine.slice(2)) / 4))
-    const rack = busy.filter((each) => each === 0).length * 2 >= busy.length ? 0 : 1
-    world.record('a rack loses its minions', { rack })
-    for (let index = 4 * rack; index < 4 * rack + 4; index++) world.crash(`m-${index}`, DOWN_MS)
-    await sleep(CRASH_PERIOD_MS)
+  for (let index = 0; index < 6; index++) await world.addMachine({ machine: `m-${index}` })
+  await sleep(4_000)
+  let calmSinceMs = -Infinity
+  if (hasTrouble) {
+    world.store.silentWriteDelayMs = WRITE_DELAY_MS
+    world.record('the store falls silent')
+    setTimeout(() => {
+      world.store.silentWriteDelayMs = undefined
+      calmSinceMs = performance.now()
+      world.record('the store answers again')
+    }, SILENT_MS)
   }
-  await sleep(AFTER_MS)
-  const state = await world.getState(JOB)
-  const failedEnds = [...world.endsByTask].flatMap(([, ends]) => ends).filter((how) => how === 'failed').length
-  if (state === 'failed') world.break('LOST', `lasting job ${JOB} is shown as failed after ${failedEnds} ends as failed, and ${world.countRuns(JOB)} of its tasks are at work`)
-  else world.record('state', { state, atWork: world.countRuns(JOB) })
+  const sentAtMs = performance.now()
+  const { status } = await world.submitOnce(JOB, STEPS)
+  await sleep(hasTrouble ? SILENT_MS - (performance.now() - sentAtMs) + 100 : 100)
+  let answer
+  do answer = await world.cancel(JOB)
+  while (answer.status !== 200 && answer.status !== 410 && await sleep(200, true))
+  const acknowledgedAtMs = performance.now()
+  world.record('the cancelling is acknowledged', { posted: status, deleted: answer.status })
+  world.onStartHook = ({ task, number, minion }) => {
+    const nowMs = performance.now()
+    if (!task.startsWith(JOB) || nowMs - acknowledgedAtMs <= CANCEL_MS || nowMs - calmSinceMs < CONTACT_MS) return
+    world.break('UNASKED', `run ${number} of ${task} begins on ${minion.id} ${Math.round(nowMs - acknowledgedAtMs)} ms after the job's cancelling was acknowledged`)
+  }
+  await sleep(PLAY_MS)
+  world.record('state', { state: await world.getState(JOB) })
 })
