Review case 2: a shorter validity of tickets, so that the fault shows in each run

Cause: with 3,000 ms and other figures of the load, some runs ended with two idle jobs, or none. Change: valid-ms is 2,000 in the configuration of the case.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -3,7 +3,7 @@
  */
 import { runCase, sleep } from '../lib/world.mjs'
 
-const ADVICE = { 'decide-ms': 90, 'each-ms': 10, 'valid-ms': 3_000 }
+const ADVICE = { 'decide-ms': 90, 'each-ms': 10, 'valid-ms': 2_000 }
 const CHECK = { count: 6, cpu: 1_800, 'mem-mb': 2_500, 'estimate-ms': 640, durationMs: 640 }
 const USUAL_PER_S = 5
 const BURST = 2.6
