--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -21,7 +21,7 @@
 /** The command of `deploy/system.toml`. */
 const DAEMON_ARGS = ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/vanillathreadd.cjs']
 const QUEUE_HOST = 'review.example'
-const PREFIX = '/work/'
+const PREFIX = '/puxa400/'
 export const SERVICE = 'checks'
 /** A client tries four times more after its first attempt. */
 const SUBMIT_ATTEMPTS = 5
