Let only a VM's own answers end an incarnation that it has confirmed

A VM restarted under its id and got tasks; its registration from before the restart was read again, as the store had discarded its history, and the owner started the VM's running tasks elsewhere.

Cause: VmRegistry.apply took every registration with another bornMs for a restart. Registrations come by way of the store and may be older than the answers; the order of two start times does not tell, as clocks may be set back.

Change: a registration of another incarnation than the VM confirmed is kept aside until the VM answers as that incarnation (event 719); until the VM has answered a later call it gets no new tasks. Related paths: runs that were only ordered when a restart is noticed stay until a report decides on them, as the new incarnation may have accepted the start; retired VMs are ignored under both incarnations; runs recorded by a former owner belong to the record's incarnation.

--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -138,6 +138,11 @@
   VmAvoided = 727,
   /** The registration of a VM cannot be decoded and is ignored. */
   VmEntryInvalid = 728,
+  /**
+   * The registration of a VM names the incarnation `bornMs`, and the VM last answered as `knownBornMs`, `answeredAgoMs` ago. The registration
+   * takes effect once the VM answers as that incarnation.
+   */
+  VmRegistrationUnconfirmed = 719,
   /**
    * Starts in a pool have waited for a while: until the runs of `vmCount` VMs are known, tasks of `jobs` jobs may already run
    * there under a previous owner. `vms` names some of the VMs; the wait ends in `untilInMs` at the latest.
@@ -279,6 +284,7 @@
   [EventCode.VmAnswers]: { level: EventLevel.Info, message: 'VM answers again' },
   [EventCode.VmRestarted]: { level: EventLevel.Warn, message: 'VM restarted and its former runs have ended' },
   [EventCode.VmAvoided]: { level: EventLevel.Warn, message: 'VM gets no new tasks for a while because tasks of several jobs failed or are overdue on it' },
+  [EventCode.VmRegistrationUnconfirmed]: { level: EventLevel.Info, message: 'VM registration names another incarnation than the VM and is kept aside' },
   [EventCode.VmEntryInvalid]: { level: EventLevel.Warn, message: 'VM registration cannot be read and is ignored' },
   [EventCode.StartsWait]: { level: EventLevel.Warn, message: 'starts in a pool wait until the runs of VMs are known' },
   [EventCode.ShardTaken]: { level: EventLevel.Info, message: 'daemon has become the owner of a shard' },
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -159,7 +159,7 @@
   /** Applies a VM's report. `sentAtMs` is the time at which it was requested. */
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
     this.startGate.recordCall(vm.id)
-    reconcileReport(this.state, vm, report, sentAtMs, nowMs)
+    if (reconcileReport(this.state, vm, report, sentAtMs, nowMs)) this.evacuate(vm.id, nowMs + DRAINING_TASK_GRACE_MS)
     this.pacing.control(this.state, vm, nowMs)
   }
 
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -132,7 +132,9 @@
   restoreRun (taskName: string, number: number, vm: TrackedVm, nowMs: number): void {
     const { task } = this.findTask(taskName)
     if (task === undefined || task.done || task.step.occurrence.job.isOver) return
-    this.adoptRun(task, vm, number, nowMs).markUnknown(nowMs)
+    const run = this.adoptRun(task, vm, number, nowMs)
+    run.isOfKnownIncarnation = true
+    run.markUnknown(nowMs)
   }
 
   /** Orders the stop of a run, unless that was done before. */
--- a/packages/policy/src/lib/jobs/TrackedRun.ts
+++ b/packages/policy/src/lib/jobs/TrackedRun.ts
@@ -40,6 +40,11 @@
   phase = RunPhase.Ordered
   /** Time at which the VM first confirmed the run, by its answer to the start or in a report. */
   confirmedAtMs: number | undefined
+  /**
+   * True if the run belongs to the incarnation of the VM that the owner knows, as a report listed it or a previous owner recorded it.
+   * A run that was only ordered may begin on a later incarnation.
+   */
+  isOfKnownIncarnation = false
   /** Time since which the outcome of the start is unknown. */
   unknownSinceMs: number | undefined
   /** Time at which the VM answered a stop. A report that was requested later and lacks the run proves that the run has ended. */
--- a/packages/policy/src/lib/jobs/reconcileReport.test.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.test.ts
@@ -2,6 +2,9 @@
  * What an owner concludes from reports that are older than its orders, or that name jobs it has not read.
  */
 import { assert, describe } from '@vanillathread/testing'
+import type { RunningEntry } from '@vanillathread/model'
+import type { TrackedVm } from '../vms/TrackedVm.js'
+import type { JobScheduler } from './JobScheduler.js'
 import { OrderKind, StartOutcome } from './orders.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from './testSupport.js'
 
@@ -39,3 +42,116 @@
     assert.is(vm.runs.size, 1)
   })
 })
+
+/** A VM `a` with one long-running task, known as incarnation 10. */
+function createRestartCase (): { scheduler: JobScheduler, vm: TrackedVm } {
+  const scheduler = createScheduler()
+  reportRunning(scheduler, createVmEntry('a', { bornMs: 10 }), 0)
+  scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1, longRunning: true })] }), 1, 0)
+  planAndAccept(scheduler, 10)
+  const vm = scheduler.state.vms.get('a')
+  if (vm === undefined) throw new Error('VM is not tracked')
+  // The task has run for so long that it is not suspected of a later crash.
+  for (const nowMs of [20, 3_000]) reportRunning(scheduler, vm.entry, nowMs)
+  return { scheduler, vm }
+}
+
+function listRuns (vm: TrackedVm): RunningEntry[] {
+  return [...vm.runs.values()].map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
+}
+
+/** Has the VM answer as an incarnation, with the given runs. */
+function answerAs (scheduler: JobScheduler, vm: TrackedVm, bornMs: number, sentAtMs: number, running: RunningEntry[] = listRuns(vm)): void {
+  scheduler.applyReport(vm, { clockMs: sentAtMs, bornMs, running, ends: [] }, sentAtMs, sentAtMs + 1)
+}
+
+/** Plans and returns the VMs on which tasks are started. */
+function planStarts (scheduler: JobScheduler, nowMs: number): string[] {
+  return planAndAccept(scheduler, nowMs).filter((order) => order.kind === OrderKind.Start).map((order) => order.run.vmId)
+}
+
+describe('restarts of a VM under its id', ({ describe }) => {
+  describe('registrations of another incarnation than the VM confirmed', ({ it }) => {
+    // Guards against TWICE: the registration of an earlier incarnation, read again, made the owner start running tasks elsewhere.
+    it('do not end the runs of an incarnation that answers, whatever their start times', () => {
+      for (const [confirmed, registered] of [[20, 10], [30, 20], [30, 40]] as const) {
+        const { scheduler, vm } = createRestartCase()
+        answerAs(scheduler, vm, confirmed, 3_100, [])
+        assert.equal(planStarts(scheduler, 3_110), ['a'])
+        answerAs(scheduler, vm, confirmed, 3_120)
+        reportRunning(scheduler, createVmEntry('b'), 3_130)
+        scheduler.applyRegistration({ ...vm.entry, bornMs: registered }, 3_140)
+        assert.equal(planStarts(scheduler, 3_150), [], `registered ${registered}, answers as ${confirmed}`)
+        answerAs(scheduler, vm, confirmed, 3_160)
+        assert.equal(planStarts(scheduler, 3_170), [])
+        assert.is(vm.runs.size, 1)
+      }
+    })
+
+    // Guards against starts on a VM whose registration as draining belongs to the incarnation that is about to answer.
+    it('bar the VM from new tasks until it answers a call that was sent later', () => {
+      const { scheduler, vm } = createRestartCase()
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 20, draining: true }, 3_100)
+      assert.is(vm.isUsable(3_101), false)
+      answerAs(scheduler, vm, 10, 3_090)
+      assert.is(vm.isUsable(3_101), false, 'the answer was requested before the registration was read')
+      answerAs(scheduler, vm, 10, 3_110)
+      assert.is(vm.isUsable(3_120), true)
+      assert.is(vm.entry.draining, false)
+    })
+
+    it('take effect once the VM answers as that incarnation', () => {
+      const { scheduler, vm } = createRestartCase()
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 20, draining: true, labels: ['other', 'r'] }, 3_100)
+      assert.is(vm.runs.size, 1)
+      answerAs(scheduler, vm, 20, 3_110, [])
+      assert.equal([vm.runs.size, vm.entry.draining, vm.evacuating, vm.entry.labels], [0, true, true, ['other', 'r']])
+    })
+  })
+
+  describe('answers of another incarnation', ({ it }) => {
+    // Guards against a wait for lost work: a clock that was set back gives the new incarnation the lower start time.
+    it('end the runs of the former one once, also with a lower start time', () => {
+      const { scheduler, vm } = createRestartCase()
+      answerAs(scheduler, vm, 5, 3_100, [])
+      assert.equal(planStarts(scheduler, 3_110), ['a'])
+      answerAs(scheduler, vm, 5, 3_115)
+      reportRunning(scheduler, createVmEntry('b'), 3_118)
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 5 }, 3_120)
+      assert.equal(planStarts(scheduler, 3_130), [])
+    })
+
+    // Guards against TWICE: a start that the new incarnation accepted before its first report arrived counted as a run of the former one.
+    it('do not end runs that the new one may have started', () => {
+      const { scheduler, vm } = createRestartCase()
+      scheduler.addJob(createTestJob({ id: '00000000000000bb', steps: [createTestStep({ taskCount: 1, longRunning: true })] }), 1, 3_100)
+      const starts = scheduler.plan({ ...CLOCKS, nowMs: 3_110 }, () => undefined)
+      assert.equal(starts.length, 1)
+      for (const { run } of starts) scheduler.applyStart(run, StartOutcome.Accepted, 3_125)
+      // The call that returns this report was sent before the start was answered.
+      answerAs(scheduler, vm, 20, 3_120, [])
+      assert.equal([...vm.runs.keys()], ['00000000000000bb.0.0.0#1'])
+      // A report that was requested later lists what the new incarnation runs.
+      answerAs(scheduler, vm, 20, 3_140)
+      assert.is(vm.runs.size, 1)
+    })
+  })
+
+  describe('after a takeover', ({ it }) => {
+    // Guards against TWICE: the successor reads the registration of the former incarnation beside the record of runs on the present one.
+    it('keep the recorded runs while the registration is older than the record', () => {
+      const scheduler = createScheduler({ generation: 1 })
+      scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1, longRunning: true })] }), 0, 0)
+      const entry = createVmEntry('a', { bornMs: 20 })
+      scheduler.restoreVm({ entry, leaseEndMs: 4_000, runs: [['00000000000000aa.0.0.0', 1]] }, { nowMs: 0, storeNowMs: 0 })
+      scheduler.applyRegistration({ ...entry, bornMs: 10 }, 0)
+      reportRunning(scheduler, createVmEntry('b'), 10)
+      assert.equal(planStarts(scheduler, 20), [])
+      const vm = scheduler.state.vms.get('a')
+      if (vm === undefined) throw new Error('VM was not restored')
+      answerAs(scheduler, vm, 20, 30)
+      assert.equal(planStarts(scheduler, 40), [])
+      assert.is(vm.runs.size, 1)
+    })
+  })
+})
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -15,10 +15,13 @@
  * Applies a report.
  *
  * @param sentAtMs - time at which the report was requested. The report may lack runs that the VM confirmed after it.
+ * @returns true if the VM drains and did not before, as it answers as an incarnation that is registered so.
  * @public
  */
-export function reconcileReport (state: SchedulerState, vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
+export function reconcileReport (state: SchedulerState, vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): boolean {
+  const wasDraining = vm.entry.draining
   if (report.bornMs !== undefined && report.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, report.bornMs, nowMs)
+  vm.confirmIncarnation(sentAtMs)
   vm.answeredAtMs ??= nowMs
   vm.lastAnswerAtMs = nowMs
   vm.unresponsiveSinceMs = undefined
@@ -34,23 +37,20 @@
     if (sentAtMs >= vm.answeredAtMs + state.stopMs) run.mayBeStopping = false
   }
   vm.isReconciled ||= allRunsKnown
-  if (!allEndsApplied) return
-  for (const run of [...vm.runs.values()]) {
+  for (const run of allEndsApplied ? [...vm.runs.values()] : []) {
     if (!listed.has(run)) applyUnlistedRun(state, vm, run, sentAtMs, nowMs)
   }
+  return vm.entry.draining && !wasDraining
 }
 
-/**
- * Records a new incarnation of a VM. If an earlier one was known (`bornMs` was not 0), its runs are lost, as the restart
- * ended them.
- */
-export function beginIncarnation (state: SchedulerState, vm: TrackedVm, bornMs: number, nowMs: number): void {
-  const isRestart = vm.entry.bornMs !== 0
-  vm.entry = { ...vm.entry, bornMs }
-  if (!isRestart) return
-  state.logDecision(EventCode.VmRestarted, { vm: vm.id, bornMs })
-  blameCrash(state, vm, nowMs)
-  state.loseRuns(vm, vm.beginIncarnation(), 'VM restarted')
+/** Records that a VM answers as another incarnation. If one was known before, its runs are lost, as the restart ended them. */
+function beginIncarnation (state: SchedulerState, vm: TrackedVm, bornMs: number, nowMs: number): void {
+  const isRestart = vm.hasKnownIncarnation
+  if (isRestart) {
+    state.logDecision(EventCode.VmRestarted, { vm: vm.id, bornMs, previousBornMs: vm.entry.bornMs })
+    blameCrash(state, vm, nowMs)
+  }
+  state.loseRuns(vm, vm.beginIncarnation(bornMs), 'VM restarted')
 }
 
 /** Applies new end entries in order. @returns false if some are left, because a job has to be read first or the list is full. */
@@ -97,6 +97,7 @@
 
 function confirmRun (run: TrackedRun, entry: RunningEntry, nowMs: number): void {
   run.confirmedAtMs ??= nowMs
+  run.isOfKnownIncarnation = true
   run.task.begun = true
   run.percent = entry.percent
   run.usage = entry.usage
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -8,6 +8,9 @@
 /** Share by which a VM's steady clock may run slow, as the platform states. */
 const MAX_CLOCK_SLOWDOWN = 0.02
 
+/** `bornMs` of a registration or report that does not tell its incarnation. */
+const UNKNOWN_BORN_MS = 0
+
 /** Added to the expiry time of a lease, to cover rounding to whole milliseconds. */
 const LEASE_EXPIRY_MARGIN_MS = 20
 
@@ -22,7 +25,15 @@
 
 /** A VM of one of the owner's pools. @public */
 export class TrackedVm {
+  /** The VM's registration, with the incarnation that the owner deals with. */
   entry: VmEntry
+  /**
+   * The latest registration, if it names an incarnation other than that of `entry`. It may be older or newer: a registration reaches the
+   * owner by way of the store, so only an answer of the VM tells which incarnation is alive.
+   */
+  unconfirmedEntry: VmEntry | undefined
+  /** Time since which the registration names another incarnation and the VM has not answered a call sent later. */
+  private unconfirmedSinceMs: number | undefined
   /**
    * True once the owner knows the VM's runs: the VM has answered under the owner's fencing token, or all leases of previous
    * owners have expired.
@@ -92,7 +103,7 @@
 
   /** Returns true if new tasks may be placed on the VM. */
   isUsable (nowMs: number): boolean {
-    return this.isReconciled && this.recorded && this.mayBeLeased && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
+    return this.isReconciled && this.recorded && this.mayBeLeased && this.unconfirmedSinceMs === undefined && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
       !this.evacuating && !this.isOnTrial && nowMs >= this.pausedUntilMs
   }
 
@@ -198,9 +209,46 @@
     return this.clockReadAtMs + (this.leaseUntilClockMs - this.clockMs) / (1 - MAX_CLOCK_SLOWDOWN) + LEASE_EXPIRY_MARGIN_MS
   }
 
-  /** Resets the state that depends on the VM's incarnation, and returns the runs of the previous one. */
-  beginIncarnation (): TrackedRun[] {
-    const lost = [...this.runs.values()]
+  /**
+   * Applies a registration. One that names another incarnation than the VM confirmed is kept aside until the VM answers as that one.
+   *
+   * @returns true if the registration is in force.
+   */
+  applyRegistration (entry: VmEntry, nowMs: number): boolean {
+    this.unregisteredAtMs = undefined
+    const bornMs = entry.bornMs === UNKNOWN_BORN_MS ? this.entry.bornMs : entry.bornMs
+    if (bornMs === this.entry.bornMs || !this.hasKnownIncarnation) {
+      this.entry = { ...entry, bornMs }
+      this.unconfirmedEntry = undefined
+      this.unconfirmedSinceMs = undefined
+      return true
+    }
+    this.unconfirmedEntry = entry
+    this.unconfirmedSinceMs = nowMs
+    return false
+  }
+
+  /** Records that the VM has answered a call that was sent at `sentAtMs`, so that its incarnation at that time is known. */
+  confirmIncarnation (sentAtMs: number): void {
+    if (this.unconfirmedSinceMs !== undefined && sentAtMs >= this.unconfirmedSinceMs) this.unconfirmedSinceMs = undefined
+  }
+
+  /** True if the VM has answered as the incarnation of `entry`, or has runs that a previous owner recorded for it. */
+  get hasKnownIncarnation (): boolean {
+    return this.entry.bornMs !== UNKNOWN_BORN_MS && (this.answeredAtMs !== undefined || this.runs.size > 0)
+  }
+
+  /**
+   * Resets the state that depends on the VM's incarnation. Runs that were only ordered stay, as the new incarnation may have started
+   * them.
+   *
+   * @returns the runs of the previous incarnation.
+   */
+  beginIncarnation (bornMs: number): TrackedRun[] {
+    this.entry = this.unconfirmedEntry?.bornMs === bornMs ? this.unconfirmedEntry : { ...this.entry, bornMs }
+    this.unconfirmedEntry = undefined
+    this.unconfirmedSinceMs = undefined
+    const lost = [...this.runs.values()].filter((run) => run.isOfKnownIncarnation)
     for (const run of lost) this.removeRun(run)
     this.acknowledgedEnd = 0
     this.appliedEnd = 0
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -3,7 +3,6 @@
  */
 import { EventCode, type VmEntry } from '@vanillathread/model'
 import { blameCrash } from '../jobs/crashBlame.js'
-import { beginIncarnation } from '../jobs/reconcileReport.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
 import { planRosterWrite, type RosterClocks, type RosterRecord, type RosterWrite } from './rosterRecords.js'
 import { TrackedVm } from './TrackedVm.js'
@@ -33,8 +32,8 @@
 export class VmRegistry {
   /** Ids of VMs that are forgotten here and whose records in the store can be removed. */
   readonly forgotten = new Set<string>()
-  /** Start times (`bornMs`) of retired VMs that are still registered, by id. Their registrations are ignored. */
-  private readonly retired = new Map<string, number>()
+  /** Incarnations (`bornMs`) of retired VMs that are still registered, by id. Their registrations are ignored. */
+  private readonly retired = new Map<string, readonly number[]>()
 
   private previousLeasesEndAtMs: number
 
@@ -60,7 +59,7 @@
     const { state } = this.options
     if (this.isReplaced(entry)) return false
     this.retireReplaced(entry, nowMs)
-    if (this.retired.get(entry.id) === entry.bornMs) return false
+    if (this.retired.get(entry.id)?.includes(entry.bornMs) === true) return false
     this.retired.delete(entry.id)
     const vm = state.vms.get(entry.id)
     if (vm === undefined) {
@@ -69,11 +68,13 @@
       state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
       return entry.draining
     }
-    const beginsToDrain = entry.draining && !vm.entry.draining
+    const wasDraining = vm.entry.draining
+    if (!vm.applyRegistration(entry, nowMs)) {
+      state.logDecision(EventCode.VmRegistrationUnconfirmed, { vm: vm.id, bornMs: entry.bornMs, knownBornMs: vm.entry.bornMs, answeredAgoMs: Math.round(nowMs - vm.lastAnswerAtMs) })
+      return false
+    }
+    const beginsToDrain = entry.draining && !wasDraining
     if (beginsToDrain) state.logDecision(EventCode.VmDraining, { vm: entry.id, runs: vm.runs.size })
-    if (entry.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, entry.bornMs, nowMs)
-    vm.entry = entry
-    vm.unregisteredAtMs = undefined
     return beginsToDrain
   }
 
@@ -133,7 +134,7 @@
   retire (id: string, reason: string): void {
     const vm = this.options.state.vms.get(id)
     if (vm === undefined) return
-    if (vm.registered) this.retired.set(id, vm.entry.bornMs)
+    if (vm.registered) this.retired.set(id, [vm.entry.bornMs, ...(vm.unconfirmedEntry === undefined ? [] : [vm.unconfirmedEntry.bornMs])])
     this.forget(id, reason)
   }
 
