Request tickets in the order of placement, when the service is free

Cause: a ticket's validity counted from the time at which its request was queued in the daemon. Requests that had waited for the validity brought tickets that counted as expired, and their steps asked again at the end of the queue.

Change: TicketQueue chooses the next step when the service is about to be free, in the order of placement; steps whose tickets expire unused take turns. The decisions are kept for each VM and its incarnation, a VM that was left out is not asked for again, a refused ticket is dropped, a fresh ticket is used at least once, and the timeout follows from the service's own times. A missing ticket no longer holds up other trials.

--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
-import { JobScheduler, type TrackedVm } from '@vanillathread/policy'
+import { JobScheduler } from '@vanillathread/policy'
 import type { Changes, RowCondition, VmChange } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
@@ -72,8 +72,9 @@
       fencingToken: options.ownerRow.version,
       leaseMs: this.leaseMs,
       onChange: () => this.onChange(),
+      onTicketRefused: (run, ticket) => this.advice.rejectTicket(run, ticket),
     })
-    this.advice = TicketCache.create({ timers, log, admissionService: options.admissionService, onChange: () => this.requestPlan() })
+    this.advice = TicketCache.create({ timers, log, scheduler: this.scheduler, admissionService: options.admissionService, onChange: () => this.requestPlan() })
   }
 
   static create (options: ShardOwnerOptions): ShardOwner {
@@ -248,18 +249,13 @@
     const { timers, rows, configuration } = this.options
     this.scheduler.setTeams(configuration.current?.teams)
     const clocks = { nowMs: timers.now(), storeNowMs: rows.getStoreClockMs(), wallClockMs: timers.wallClock() }
-    const orders = this.scheduler.plan(clocks, (step) => this.advice.getTickets(step, this.listUsableVms(step.occurrence.job.accepted.pool)))
+    const orders = this.advice.runPlan((getTickets) => this.scheduler.plan(clocks, getTickets))
     for (const order of orders) this.sessions.execute(order)
     this.sessions.closeForgotten()
     if (this.scheduler.state.jobsToRead.size > 0) this.readUnknownJobs()
     if (this.scheduler.listJobsToStore().length > 0) this.commitLoop?.request()
   }
 
-  private listUsableVms (pool: string): TrackedVm[] {
-    const nowMs = this.options.timers.now()
-    return [...this.scheduler.state.vms.values()].filter((vm) => vm.entry.pool === pool && vm.isUsable(nowMs))
-  }
-
   private onChange (): void {
     this.requestPlan()
     this.commitLoop?.request()
--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -21,6 +21,8 @@
   onFenced (vmId: string): void
   /** Called if another VM answers at the address. */
   onReplaced (vmId: string): void
+  /** Called if the VM refused the start of a run because of its ticket. */
+  onTicketRefused (run: TrackedRun, ticket: string): void
   /** Called if an unresponsive VM answers again; `unresponsiveForMs` is the time for which it was. */
   onResponsive (vmId: string, unresponsiveForMs: number): void
 }
@@ -144,7 +146,8 @@
         return
       case VmAnswerKind.Refused:
         scheduler.applyStart(run, StartOutcome.Refused, nowMs, answer.refusal)
-        this.applyRefusal(answer.refusal)
+        if (answer.refusal === OrderRefusal.NoTicket && ticket !== undefined) this.options.onTicketRefused(run, ticket)
+        else this.applyRefusal(answer.refusal)
         this.options.onChange()
     }
   }
--- a/packages/daemon/src/lib/jobs/VmSessions.ts
+++ b/packages/daemon/src/lib/jobs/VmSessions.ts
@@ -3,7 +3,7 @@
  */
 import type { EventLog, TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import type { JobScheduler, Order, TrackedVm } from '@vanillathread/policy'
+import type { JobScheduler, Order, TrackedRun, TrackedVm } from '@vanillathread/policy'
 import type { VmClients } from '@vanillathread/ports'
 import { VmSession } from './VmSession.js'
 
@@ -17,6 +17,8 @@
   readonly leaseMs: number
   /** Called after a change that planning or committing may act on. */
   onChange (): void
+  /** Called if a VM refused the start of a run because of its ticket. */
+  onTicketRefused (run: TrackedRun, ticket: string): void
   /** Called if a VM shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -6,6 +6,9 @@
  */
 export { TRIAL_MS } from './lib/vms/TrackedVm.js'
 export { RandomSource } from './lib/random/RandomSource.js'
+export { StepTickets, type TicketAnswer } from './lib/advice/StepTickets.js'
+export { TicketQueue, type TicketDemand } from './lib/advice/TicketQueue.js'
+export type { PlacementContext } from './lib/jobs/startTask.js'
 export { rankSuccessors, shouldHandOver, type OwnerCandidate } from './lib/membership/rankSuccessors.js'
 export { getRendezvousOwner, rankByRendezvous } from './lib/routing/rendezvous.js'
 export { shareByDemand, type SlotDemand } from './lib/routing/shareByDemand.js'
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -30,8 +30,10 @@
   const maxTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE))
   for (const [step, tasks] of waiting) {
     if (trials >= maxTrials) return
-    if (!beginTrial(state, step, tasks, vms, context)) {
-      reserveVm(state, step, vms, context)
+    const tickets = getTicketsIfRequired(step, vms, context)
+    if (tickets === undefined) continue
+    if (!beginTrial(state, { step, tasks, tickets, vms }, context)) {
+      reserveVm(state, { step, tasks, tickets, vms }, context)
       return
     }
     trials += 1
@@ -50,10 +52,16 @@
   return waiting
 }
 
+/** The tasks of one step that need a trial, with what their placement needs. */
+interface TrialRequest {
+  readonly step: TrackedStep
+  readonly tasks: readonly TrackedTask[]
+  readonly tickets: ReadonlyMap<string, string> | 'none'
+  readonly vms: readonly TrackedVm[]
+}
+
 /** Starts as many of the tasks as fit on one VM. Returns false if there is none for them. */
-function beginTrial (state: SchedulerState, step: TrackedStep, tasks: readonly TrackedTask[], vms: readonly TrackedVm[], context: PlacementContext): boolean {
-  const tickets = getTicketsIfRequired(step, context)
-  if (tickets === undefined) return false
+function beginTrial (state: SchedulerState, { step, tasks, tickets, vms }: TrialRequest, context: PlacementContext): boolean {
   const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && each.isQuiet(context.nowMs) && isAllowed(step, each, tickets) && canTakeTask(each, step)), context.nowMs)
   if (vm === undefined) return false
   const runs: TrackedRun[] = []
@@ -66,9 +74,8 @@
 }
 
 /** Keeps other tasks away from a VM, unless one of the pool is reserved already, so that it becomes quiet and has room. */
-function reserveVm (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): void {
-  const tickets = getTicketsIfRequired(step, context)
-  if (tickets === undefined || vms.some((vm) => vm.reservedForTrial)) return
+function reserveVm (state: SchedulerState, { step, tickets, vms }: TrialRequest, context: PlacementContext): void {
+  if (vms.some((vm) => vm.reservedForTrial)) return
   const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && isAllowed(step, each, tickets)), context.nowMs)
   if (vm !== undefined) vm.reservedForTrial = true
 }
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -57,7 +57,9 @@
 function placeStep (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext, rank: JobRank): void {
   const { nearPlaces } = state
   if (nearPlaces !== undefined && step.spec.dataRack !== undefined) getReadySinceMs(step, context)
-  const tickets = getTicketsIfRequired(step, context)
+  const first = step.tasks.find((task) => task.isWaiting && !task.needsTrial)
+  if (first === undefined || !state.teams.mayStartTask(first)) return
+  const tickets = getTicketsIfRequired(step, vms, context)
   if (tickets === undefined) return
   const { pool } = step.occurrence.job.accepted
   const awaitedRacks = nearPlaces?.getAwaitedRacks(pool)
@@ -95,8 +97,9 @@
 function placeGang (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext, rank: JobRank): void {
   const { nearPlaces } = state
   if (nearPlaces !== undefined && step.spec.sameRack) getReadySinceMs(step, context)
-  const tickets = getTicketsIfRequired(step, context)
-  if (tickets === undefined || step.tasks.some((task) => task.runs.size > 0) || !state.teams.mayStart(step.tasks)) return
+  if (step.tasks.some((task) => task.runs.size > 0) || !state.teams.mayStart(step.tasks)) return
+  const tickets = getTicketsIfRequired(step, vms, context)
+  if (tickets === undefined) return
   const racks = step.spec.sameRack ? new Set(vms.map((vm) => vm.rack)) : new Set<string>()
   for (const rack of [...racks, undefined]) {
     const candidates = rack === undefined ? vms : vms.filter((vm) => vm.rack === rack)
--- a/packages/policy/src/lib/jobs/startTask.ts
+++ b/packages/policy/src/lib/jobs/startTask.ts
@@ -19,8 +19,12 @@
   readonly vms: readonly TrackedVm[]
   /** Returns true if tasks of the job may be started, because the owner certainly knows all its runs. */
   mayStart (job: TrackedJob): boolean
-  /** Returns the admission service's tickets for a step by VM id, or undefined if they have not arrived yet. */
-  getTickets (step: TrackedStep): ReadonlyMap<string, string> | undefined
+  /**
+   * Returns the admission service's tickets for a step by VM id, or undefined if there are none yet.
+   *
+   * @param hasRoom - true if a task of the step could be started now with a ticket.
+   */
+  getTickets (step: TrackedStep, hasRoom: boolean): ReadonlyMap<string, string> | undefined
 }
 
 /** Orders the start of a task on a VM, and logs it. */
@@ -36,10 +40,15 @@
   return run
 }
 
-/** Returns the step's tickets by VM id, `'none'` if its job needs no tickets, or undefined if they have not arrived yet. */
-export function getTicketsIfRequired (step: TrackedStep, context: PlacementContext): ReadonlyMap<string, string> | 'none' | undefined {
+/**
+ * Returns the step's tickets by VM id, `'none'` if its job needs no tickets, or undefined if there are none yet.
+ *
+ * @param vms - VMs on which tasks may be placed.
+ */
+export function getTicketsIfRequired (step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext): ReadonlyMap<string, string> | 'none' | undefined {
   if (step.occurrence.job.accepted.advice === undefined) return 'none'
-  return context.getTickets(step)
+  const { need, fills } = step.spec
+  return context.getTickets(step, vms.some((vm) => vm.hasRoom(need, fills) && isAllowed(step, vm, 'none')))
 }
 
 /** Returns true if the VM has the label and the ticket that the step requires, if any. */
--- a/packages/ports/src/lib/jobs/FleetService.ts
+++ b/packages/ports/src/lib/jobs/FleetService.ts
@@ -117,5 +117,5 @@
 /** Port to the admission service, which grants tickets per step and VM. Queues with `advice` need them. @public */
 export interface AdmissionService {
   /** Requests tickets for a step. Returns the granted ones by VM id, and for how long they are valid, in milliseconds. */
-  advise (stepName: string, vmIds: readonly string[]): Promise<Result<{ tickets: ReadonlyMap<string, string>, validMs?: number }, string>>
+  advise (stepName: string, vmIds: readonly string[], timeoutMs: number): Promise<Result<{ tickets: ReadonlyMap<string, string>, validMs?: number }, string>>
 }
