Bound the progress row of a schedule, and isolate rows that the store rejects

Cause: each due occurrence was tracked and had an entry in the job's one row of progress (371,979 characters of JSON; a row holds 65,536 bytes). The store refused the transaction, and CommitLoop repeated it for ever with the same jobs first, so nothing was stored and no end was acknowledged.

Change: due occurrences are opened in order as others start, ended ones are kept as ranges and dropped from memory, the done tasks of a wide step are stored as bits. A job that does not fit into a row is refused with 400. row-bytes is read from the settings.

--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -3,9 +3,9 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
-import { STEP_DEFAULTS, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { JobState, STEP_DEFAULTS, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import { JobScheduler } from '@vanillathread/policy'
-import type { RowStore, RowTransaction } from '@vanillathread/ports'
+import { StoreFailureKind, type RowStore, type RowTransaction } from '@vanillathread/ports'
 import { CommitLoop } from './CommitLoop.js'
 
 /** Platform limit on the entries of one transaction. */
@@ -38,7 +38,8 @@
   readonly loop: CommitLoop
 }
 
-function createFixture (): Fixture {
+/** @param isRejected - true for a row that the store refuses for good. */
+function createFixture (isRejected: (key: string) => boolean = () => false): Fixture {
   const timers = FakeTimerService.create()
   const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
   const transactions: RowTransaction[] = []
@@ -46,6 +47,7 @@
     getStoreClockMs: () => timers.now(),
     getStoreClockReading: () => undefined,
     transact: async (transaction: RowTransaction) => {
+      if (transaction.puts.some(({ key }) => isRejected(key))) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 400', rejected: true })
       transactions.push(transaction)
       return Result.ok({ version: transactions.length + 1 })
     }
@@ -55,6 +57,7 @@
     scheduler,
     rows,
     timers,
+    rowBytes: 65_536,
     log: MemoryEventLog.create(),
     ownerRow: { table: 'shards', part: 's', key: 'owner', version: 1 },
     versions: new Map(),
@@ -109,4 +112,45 @@
     for (const { conditions, puts, removes } of transactions) assert.ok(conditions.length + puts.length + removes.length <= MAX_ENTRIES)
     loop.dispose()
   })
+
+  // Guards against LOST: one row that the store refused for good kept the progress of all jobs from being stored.
+  it('stores the rows of other jobs and VMs beside one that the store rejects', async () => {
+    const rejected = new Set([createJob(3).id, 'vm-2'])
+    const { scheduler, timers, transactions, loop } = createFixture((key) => rejected.has(key))
+    for (let index = 0; index < 20; index++) {
+      scheduler.addJob(createJob(index), 2, 0)
+      scheduler.cancelJob(createJob(index).id, 0)
+    }
+    for (let index = 0; index < 5; index++) scheduler.applyRegistration(createVm(index), 0)
+    loop.request()
+    await timers.advance(0)
+    await timers.advance(5_000)
+    assert.is(new Set(transactions.flatMap(({ puts }) => puts.map(({ key }) => key))).size, 23)
+    assert.is(scheduler.listJobsToStore().length, 0, 'nothing is repeated for ever')
+    assert.equal([...scheduler.state.vms.values()].filter((vm) => !vm.recorded).map(({ id }) => id), ['vm-2'])
+    const stored = transactions.length
+    scheduler.addJob(createJob(30), 2, 0)
+    scheduler.cancelJob(createJob(30).id, 0)
+    loop.request()
+    await timers.advance(0)
+    await timers.advance(100)
+    assert.is(transactions.length, stored + 1)
+    loop.dispose()
+  })
+
+  it('gives up a job whose progress exceeds a row, and stores that', async () => {
+    const { scheduler, timers, transactions, loop } = createFixture()
+    const wide = createJob(1)
+    const [step] = wide.spec.steps
+    if (step === undefined) throw new Error('job has no step')
+    scheduler.addJob({ ...wide, maxAttempts: 9, spec: { ...wide.spec, steps: [{ ...step, taskCount: 20_000 }] } }, 2, 0)
+    const job = scheduler.state.jobs.get(wide.id)
+    for (const task of job?.occurrences.get(0)?.steps[0]?.tasks ?? []) job?.markFailed(task, 1)
+    loop.request()
+    await timers.advance(0)
+    await timers.advance(100)
+    assert.is(job?.storedState, JobState.Failed)
+    assert.ok(transactions.every(({ puts }) => puts.every(({ value }) => value.length <= 65_536)))
+    loop.dispose()
+  })
 })
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -16,6 +16,8 @@
   readonly rows: RowStore
   readonly timers: TimerService
   readonly log: EventLog
+  /** Bytes that a row may have at the most. */
+  readonly rowBytes: number
   /** The shard's owner row, on whose version every transaction is conditional; that version is the fencing token. */
   readonly ownerRow: RowCondition
   /** Versions of the progress and roster rows, by table and key: as read at the takeover, then updated after each commit. */
@@ -28,7 +30,7 @@
 
 /** Content of one transaction. */
 interface Batch {
-  readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress }>
+  readonly jobs: ReadonlyArray<{ readonly job: TrackedJob, readonly progress: JobProgress, readonly value: Uint8Array }>
   /** Records for the roster, the stored list of VMs that may hold runs of the shard, with the lease ends that were recorded before. */
   readonly roster: ReadonlyArray<RosterWrite & { readonly formerLeaseEndMs: number | undefined }>
   /** VMs that are certain to hold no runs any more, whose roster rows are removed. */
@@ -41,6 +43,8 @@
 export class CommitLoop {
   private running = false
   private commitRequested = false
+  /** Number of transactions that hold one row only, after the store rejected one that held as many rows. */
+  private singleRowCommits = 0
   private disposed = false
 
   private constructor (private readonly options: CommitLoopOptions) {}
@@ -89,17 +93,18 @@
   }
 
   private collectBatch (): Batch {
-    const { scheduler, rows } = this.options
+    const { scheduler } = this.options
+    const maxRows = this.singleRowCommits > 0 ? 1 : MAX_ROWS
     const changed = scheduler.listJobsToStore()
-    const jobs = changed.slice(0, taskOptions.jobsPerCommit).map((job) => {
+    const jobs = changed.slice(0, Math.min(maxRows, taskOptions.jobsPerCommit)).map((job) => {
       job.changed = false
-      return { job, progress: job.toProgress(rows.getStoreClockMs()) }
+      return { job, ...this.encodeProgress(job) }
     })
     const vms = [...scheduler.state.vms.values()]
     const rosterWrites = this.listRosterWrites()
-    const roster = rosterWrites.slice(0, Math.floor(countEntriesLeft(jobs.length + MIN_ROSTER_REMOVALS) / ENTRIES_PER_ROW))
+    const roster = rosterWrites.slice(0, Math.max(0, maxRows - jobs.length - (maxRows === 1 ? 0 : MIN_ROSTER_REMOVALS)))
       .map((write) => ({ ...write, formerLeaseEndMs: write.vm.recordedLeaseEndMs }))
-    const left = [...scheduler.forgottenVms].slice(0, Math.floor(countEntriesLeft(jobs.length + roster.length) / ENTRIES_PER_ROW))
+    const left = [...scheduler.forgottenVms].slice(0, maxRows - jobs.length - roster.length)
     // The write may be carried out even if its answer is lost.
     for (const { vm, record } of roster) vm.recordedLeaseEndMs ??= record.leaseEndMs
     const complete = changed.length === jobs.length
@@ -109,6 +114,20 @@
     return { jobs, roster, left, ends }
   }
 
+  /** Encodes a job's progress. A job whose progress outgrows a row is given up, as none of its progress could be stored any more. */
+  private encodeProgress (job: TrackedJob): { progress: JobProgress, value: Uint8Array } {
+    const { scheduler, rows, rowBytes, timers } = this.options
+    const encode = () => {
+      const progress = job.toProgress(rows.getStoreClockMs())
+      return { progress, value: encodeRow(progress) }
+    }
+    const encoded = encode()
+    if (encoded.value.length <= rowBytes) return encoded
+    scheduler.state.failJob(job, `progress of ${encoded.value.length} bytes exceeds a row`, timers.now())
+    job.changed = false
+    return encode()
+  }
+
   /** Commits a batch in one transaction. Returns false if its changes must be committed again. */
   private async commit (batch: Batch): Promise<boolean> {
     const { scheduler } = this.options
@@ -122,6 +141,7 @@
     const conditions = [this.options.ownerRow, ...[...puts, ...removes].map(({ table, part, key }) => ({ table, part, key, version: this.options.versions.get(formatRowName({ table, part, key })) ?? 0 }))]
     const res = await this.options.rows.transact({ conditions, puts, removes })
     if (this.disposed) return true
+    this.singleRowCommits = Math.max(0, this.singleRowCommits - 1)
     if (res.ok) {
       for (const put of puts) this.options.versions.set(formatRowName(put), res.value.version)
       for (const remove of removes) this.options.versions.delete(formatRowName(remove))
@@ -135,12 +155,33 @@
       else vm.recordUnconfirmed = true
     }
     this.applyFailure(res.error, conditions)
+    if (res.error.kind === StoreFailureKind.NotDone && res.error.rejected === true) this.isolate(batch, puts.length + removes.length)
     return false
   }
 
+  /**
+   * Keeps a row that the store rejects from holding up the others: the rows of a rejected transaction are written one by one, and one that
+   * is rejected alone is not written again until its content changes.
+   */
+  private isolate (batch: Batch, rowCount: number): void {
+    const { scheduler, timers, log } = this.options
+    if (rowCount > 1) {
+      this.singleRowCommits = rowCount
+      return
+    }
+    const row = batch.jobs[0]?.job.id ?? batch.roster[0]?.vm.id ?? batch.left[0]
+    log.write(EventCode.RowRejected, { shard: this.options.shard, row })
+    for (const { job } of batch.jobs) {
+      if (job.isOver) job.changed = false
+      else scheduler.state.failJob(job, 'the store rejects its progress', timers.now())
+    }
+    for (const { vm } of batch.roster) vm.recordRejected = true
+    for (const id of batch.left) scheduler.forgottenVms.delete(id)
+  }
+
   private listPuts (batch: Batch): RowPut[] {
     const { shard } = this.options
-    const jobs = batch.jobs.map(({ job, progress }) => ({ table: Table.Progress, part: shard, key: job.id, value: encodeRow(progress) }))
+    const jobs = batch.jobs.map(({ job, value }) => ({ table: Table.Progress, part: shard, key: job.id, value }))
     const roster = batch.roster.map(({ vm, record: { entry, ...rest } }) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow({ ...entry, ...rest }) }))
     return [...jobs, ...roster]
   }
@@ -181,17 +222,12 @@
 /** Entries (conditions, puts and removes) of one transaction at the most, as the platform states. */
 const MAX_ENTRIES = 100
 
-/** Entries of a row: its condition, and its put or removal. */
-const ENTRIES_PER_ROW = 2
+/** Rows of one transaction at the most: a condition, and a put or removal each, beside the condition on the owner row. */
+const MAX_ROWS = Math.floor((MAX_ENTRIES - 1) / 2)
 
 /** Removals of roster rows that a transaction has room for beside any number of other rows. */
 const MIN_ROSTER_REMOVALS = 3
 
-/** Returns the entries that a transaction has left beside the condition on the owner row and a number of rows. */
-function countEntriesLeft (rows: number): number {
-  return MAX_ENTRIES - 1 - ENTRIES_PER_ROW * rows
-}
-
 /** Formats a row's name, which is unique within a part. */
 export function formatRowName (row: RowKey): string {
   return `${row.table}/${row.key}`
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -12,6 +12,7 @@
 import { findJobId, isJobId } from './jobId.js'
 import { clientOptions } from './jobOptions.js'
 import type { WriteResult } from './JobRowBatcher.js'
+import { FinalStates } from './FinalStates.js'
 import { JobWriter } from './JobWriter.js'
 import type { MemberDirectory } from './MemberDirectory.js'
 import { OwnerQueries } from './OwnerQueries.js'
@@ -31,6 +32,8 @@
   readonly metrics: Metrics
   readonly members: MemberDirectory
   readonly bounds: ConfigurationBounds
+  /** Bytes that a row of the store may have at the most. */
+  readonly rowBytes: number
 }
 
 /** A client's call: its queue, the path after the queue's prefix, and the permit for its writes if the queue needs a key. */
@@ -41,14 +44,10 @@
   readonly permit?: WritePermit
 }
 
-/** Limit on the cached final states of jobs, which let repeated queries be answered without the owner or the store. */
-const MAX_CACHED_STATES = 5_000
-
 /** Client API of a jobs daemon. */
 export class JobGateway implements ClientApi {
   private stopping = false
-  /** Cached final states by job id, in the order in which they were cached. */
-  private readonly finalStates = new Map<string, JobState>()
+  private readonly finalStates = FinalStates.create()
   private readonly queries: OwnerQueries
   private readonly writer: JobWriter
   private readonly guard: CallGuard
@@ -184,6 +183,7 @@
     const { timers, log } = this.options
     const startedAtMs = timers.now()
     const value = encodeRow(job)
+    if (value.length > this.options.rowBytes) return this.refuse(job.id, ResultCode.InvalidJob, 'job does not fit into a row of the store')
     const { outcome, version } = await this.retryUnknown(req, (unsent) => this.writer.writeJob(job.id, value, unsent, permit), permit)
     const storeMs = Math.round(timers.now() - startedAtMs)
     switch (outcome) {
@@ -255,18 +255,10 @@
     const cached = this.finalStates.get(id)
     if (cached !== undefined) return cached
     const state = await this.queries.findState(id) ?? await this.readStateUnlessSilent(id)
-    if (state !== undefined && state !== 'unavailable' && isFinalState(state)) this.cacheFinalState(id, state)
+    if (state !== undefined && state !== 'unavailable' && isFinalState(state)) this.finalStates.add(id, state)
     return state
   }
 
-  private cacheFinalState (id: string, state: JobState): void {
-    if (this.finalStates.size >= MAX_CACHED_STATES) {
-      const oldest = this.finalStates.keys().next().value
-      if (oldest !== undefined) this.finalStates.delete(oldest)
-    }
-    this.finalStates.set(id, state)
-  }
-
   /** Reads a job's state from the store, without waiting for a store that is silent. */
   private async readStateUnlessSilent (id: string): Promise<JobState | 'unavailable' | undefined> {
     const result = await this.gate.run(() => this.readState(id))
--- a/packages/daemon/src/lib/jobs/JobRowBatcher.test.ts
+++ b/packages/daemon/src/lib/jobs/JobRowBatcher.test.ts
@@ -28,12 +28,14 @@
 class SlowStore {
   readonly rows = new Map<string, StoredRow>()
   transactions = 0
+  isRejected: (transaction: Pick<RowTransaction, 'puts'>) => boolean = () => false
   private busyUntilMs = 0
 
   constructor (readonly timers: FakeTimerService, private readonly transactionMs: number) {}
 
   async transact ({ conditions, puts }: RowTransaction): Promise<ResultType<RowCommit, StoreFailure>> {
     const nowMs = this.timers.now()
+    if (this.isRejected({ puts })) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 400', rejected: true })
     if (this.busyUntilMs - nowMs > MAX_WAITING_MS) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 429', busy: true })
     this.transactions += 1
     this.busyUntilMs = Math.max(this.busyUntilMs, nowMs) + this.transactionMs
@@ -184,4 +186,15 @@
     assert.is((await first).outcome, WriteOutcome.Stored)
     assert.equal((await Promise.all(others)).map(({ outcome }) => outcome), [WriteOutcome.Cancelled, WriteOutcome.Stored, WriteOutcome.Cancelled, WriteOutcome.Stored])
   })
+
+  // Guards against refusals of jobs that only share a transaction with one that the store rejects.
+  it('writes the other jobs of a transaction that the store rejects', async () => {
+    const timers = FakeTimerService.create()
+    const store = new SlowStore(timers, SLOW_TRANSACTION_MS)
+    store.isRejected = ({ puts }) => puts.some(({ value }) => value.length > 100)
+    const batcher = createBatcher(store)
+    const writes = ['first', 'a', 'large', 'b'].map((id) => batcher.write(id, new Uint8Array(id === 'large' ? 101 : 1)))
+    await timers.advance(3_000)
+    assert.equal((await Promise.all(writes)).map(({ outcome }) => outcome), [WriteOutcome.Stored, WriteOutcome.Stored, WriteOutcome.NotDone, WriteOutcome.Stored])
+  })
 })
--- a/packages/daemon/src/lib/jobs/JobRowBatcher.ts
+++ b/packages/daemon/src/lib/jobs/JobRowBatcher.ts
@@ -43,6 +43,8 @@
   readonly permit?: WritePermit
   /** Version of a tombstone of other teams that the row replaces; absent if there is none. */
   replacedVersion?: number
+  /** True if the store rejected a transaction of several jobs with this one, which is then written alone. */
+  alone?: boolean
   /** Time at which a busy store first refused the job, if it did. */
   refusedAtMs?: number
   /** Aborted once the job must not be sent any more. */
@@ -104,7 +106,7 @@
     const rest: PendingJob[] = []
     let bytes = 0
     for (const job of this.pending) {
-      const fits = batch.length === 0 || (batch.length < MAX_JOBS && bytes + job.value.length <= MAX_BYTES)
+      const fits = batch.length === 0 || (job.alone !== true && batch[0]?.alone !== true && batch.length < MAX_JOBS && bytes + job.value.length <= MAX_BYTES)
       if (!fits || ids.has(job.id)) {
         rest.push(job)
         continue
@@ -132,6 +134,7 @@
     if (res.ok) settleAll(batch, { outcome: WriteOutcome.Stored, version: res.value.version })
     else if (res.error.kind === StoreFailureKind.Conflict) this.settleConflict(batch, res.error.rows)
     else if (res.error.kind === StoreFailureKind.NotDone && res.error.busy === true) this.retryLater(batch)
+    else if (res.error.kind === StoreFailureKind.NotDone && res.error.rejected === true && batch.length > 1) this.enqueue(batch.map((job) => Object.assign(job, { alone: true })), true)
     else settleAll(batch, { outcome: toOutcome(res.error) })
     this.sendNext()
   }
--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -30,6 +30,8 @@
   readonly moveMs: number
   /** Time for which clients can query the state of an ended job. */
   readonly stateKeptMs: number
+  /** Bytes that a row of the store may have at the most. */
+  readonly rowBytes: number
   /** Time within which an accepted configuration version must be in force at a daemon that reaches the store. */
   readonly configurationApplyMs: number
   /** Time after which a removed API key must be refused everywhere, or undefined on a deployment without teams. */
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -183,6 +183,7 @@
     const nowMs = options.timers.now()
     this.commitLoop = CommitLoop.create({
       ...options,
+      rowBytes: options.settings.rowBytes,
       scheduler,
       versions: content.versions,
       onCommitted: () => {
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -135,6 +135,7 @@
       rows: platform.rows,
       configuration: kernel.get(CONFIGURATION),
       bounds: kernel.get(JOBS_SETTINGS),
+      rowBytes: kernel.get(JOBS_SETTINGS).rowBytes,
       shard: kernel.get(SHARD),
       shardName: SHARD_NAME,
       network: kernel.get(NETWORK),
--- a/packages/integration/src/jobRows.test.ts
+++ b/packages/integration/src/jobRows.test.ts
@@ -2,7 +2,7 @@
  * Tests that daemons log the loss and the return of the store once each, and that the rows of ended jobs are removed from it.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { EventCode } from '@vanillathread/model'
+import { EventCode, ResultCode } from '@vanillathread/model'
 import { IngressAnswerKind } from '@vanillathread/ports'
 import { StoreFault } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
@@ -47,6 +47,19 @@
     assert.is(lab.history.starts, starts)
     for (const { daemon } of lab.daemons) await daemon?.kill()
   })
+
+  // Guards against jobs that can never be stored: they were answered 503 for ever, and the jobs that shared their transaction with them.
+  it('is not asked to store a job that does not fit into a row; the job is refused as invalid', async () => {
+    const lab = JobLab.create({ seed: 1, settings: { rowBytes: 2_000 } })
+    await lab.start()
+    const submit = (digit: string, payload: string) => lab.daemons[0]?.api?.submit({ host: 'lab', path: `/checks/${digit.repeat(16)}`, deadlineMs: 3_000 }, { ...createJob(createStep({ taskCount: 1 })), payload })
+    const answers = [submit('a', 'x'.repeat(2_000)), submit('b', 'x')]
+    await lab.run(1_000)
+    const [large, small] = await Promise.all(answers)
+    assert.is(large?.kind === IngressAnswerKind.Refused && large.code, ResultCode.InvalidJob)
+    assert.is(small?.kind, IngressAnswerKind.Accepted)
+    for (const { daemon } of lab.daemons) await daemon?.kill()
+  })
 })
 
 async function submitAll (lab: JobLab, count: number): Promise<Array<{ id: string }>> {
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -295,6 +295,7 @@
     maintenanceMs: 2_000,
     moveMs: 1_500,
     stateKeptMs: 120_000,
+    rowBytes: 65_536,
     configurationApplyMs: 2_000,
   }
 }
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -187,6 +187,8 @@
   StorePathChanged = 745,
   /** Tasks of a step wait for room near their data (`outcome` is `waits`, with both costs), or the last of them has started (`over`). */
   NearPlaceWait = 746,
+  /** The store rejects the row `row` of a shard for good; the other rows of its transaction are written without it. */
+  RowRejected = 749,
   /**
    * The admission service answered a request for tickets of a step: `granted` of the `asked` VMs, after `tookMs`. `waitingSteps` steps wanted
    * tickets when the request was sent.
@@ -312,6 +314,7 @@
   [EventCode.StoreGateChanged]: { level: EventLevel.Warn, message: 'requests that need the store are refused, or are not refused any more' },
   [EventCode.StorePathChanged]: { level: EventLevel.Info, message: 'calls of an owner to the store take another path' },
   [EventCode.NearPlaceWait]: { level: EventLevel.Info, message: 'tasks wait for room near their data, or have ended that wait' },
+  [EventCode.RowRejected]: { level: EventLevel.Error, message: 'store rejects a row' },
   [EventCode.TicketsReceived]: { level: EventLevel.Info, message: 'admission service answered a request for tickets' },
   [EventCode.MaintenanceOrdered]: { level: EventLevel.Info, message: 'maintenance of a machine was ordered' },
   [EventCode.MaintenanceAnswered]: { level: EventLevel.Info, message: 'maintenance order was answered with done or refused, or its answer was lost' },
--- a/packages/policy/src/lib/jobs/JobProgress.ts
+++ b/packages/policy/src/lib/jobs/JobProgress.ts
@@ -2,6 +2,7 @@
  * The progress of a job as its owner writes it to the store, in a row beside the accepted job.
  */
 import type { JobState } from '@vanillathread/model'
+import type { IndexRange } from './IndexRanges.js'
 import type { TaskCrash } from './TrackedTask.js'
 
 /** Progress of one occurrence that has not ended. @public */
@@ -9,6 +10,8 @@
   readonly index: number
   /** For each step with done tasks: the index of the step, and the indexes of these tasks. */
   readonly done: ReadonlyArray<readonly [number, readonly number[]]>
+  /** For each step with many done tasks: its index, and a bit for each task, the lowest bit of the first byte being that of task 0. */
+  readonly doneBits?: ReadonlyArray<readonly [number, Uint8Array]>
   /** For each task with failed runs: the index of its step, its own index, and the numbers of these runs. */
   readonly failed: ReadonlyArray<readonly [number, number, readonly number[]]>
   /** For each task that may have crashed VMs: the index of its step, its own index, and these crashes. */
@@ -18,10 +21,12 @@
 /** Progress of a job. @public */
 export interface JobProgress {
   readonly state: JobState
-  /** Occurrences that the owner tracks and that have not ended; empty if `state` is final. */
+  /** Occurrences that are partly done and have not ended; empty if `state` is final. */
   readonly occurrences: readonly OccurrenceProgress[]
   /** Indexes of the occurrences that have ended; empty if `state` is final. */
   readonly finished: readonly number[]
+  /** Further indexes of occurrences that have ended, if there are many; see {@link IndexRange}. */
+  readonly finishedRanges?: readonly IndexRange[]
   /** Store clock in milliseconds at which the owner first found that the job had ended; absent until then. */
   readonly endedAtMs?: number
 }
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -151,6 +151,8 @@
   releaseRun (run: TrackedRun): void {
     if (run.task.runs.delete(run)) this.teams.adjust(run, -1)
     this.vms.get(run.vmId)?.removeRun(run)
+    const { occurrence } = run.task.step
+    occurrence.job.dropIfEnded(occurrence)
   }
 
   /** Applies an end entry that a VM listed. */
@@ -175,6 +177,14 @@
     this.closeIfOver(job, nowMs)
   }
 
+  /** Gives a job up, for example because its progress cannot be stored. Its runs are stopped. */
+  failJob (job: TrackedJob, reason: string, nowMs: number): void {
+    if (job.isOver) return
+    this.logDecision(EventCode.JobGivenUp, { job: job.id, reason })
+    job.markFailedAsWhole()
+    this.closeIfOver(job, nowMs)
+  }
+
   /** Removes runs that ended without an end entry, for example because their VM restarted or its lease expired. */
   loseRuns (vm: TrackedVm, runs: Iterable<TrackedRun>, reason: string): void {
     for (const run of [...runs]) {
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -2,8 +2,11 @@
  * A job in the memory of its owner: occurrences and steps.
  */
 import { isFinalState, JobState, type AcceptedJob, type StepSpec } from '@vanillathread/model'
+import { countDueOccurrences, getMaxOpenOccurrences, MAX_WAITING_OCCURRENCES } from './dueOccurrences.js'
+import { IndexRanges } from './IndexRanges.js'
 import type { JobProgress, OccurrenceProgress } from './JobProgress.js'
-import { TrackedTask, type TaskCrash } from './TrackedTask.js'
+import { restoreOccurrence, toOccurrenceProgress } from './occurrenceProgress.js'
+import { TrackedTask } from './TrackedTask.js'
 
 /** One step of an occurrence. @public */
 export class TrackedStep {
@@ -59,6 +62,15 @@
   get isDone (): boolean {
     return this.steps.every((step) => step.isDone)
   }
+
+  /** True if a task could be started now. */
+  get isWaiting (): boolean {
+    return this.steps.some((step) => !step.isDone && step.isReady && step.tasks.some((task) => task.isWaiting))
+  }
+
+  get hasRuns (): boolean {
+    return this.steps.some((step) => step.tasks.some((task) => task.runs.size > 0))
+  }
 }
 
 /** Options of {@link TrackedJob.create}. @public */
@@ -76,10 +88,12 @@
 
 /** A job with its progress. @public */
 export class TrackedJob {
-  /** Tracked occurrences by index, including those that have ended since this owner began to track them. */
+  /** Tracked occurrences by index: those that are open, and those that have ended and still have runs. */
   readonly occurrences = new Map<number, TrackedOccurrence>()
   /** Indexes of the occurrences that have ended. They are not restored if the stored state of the job is final. */
-  readonly finishedOccurrences = new Set<number>()
+  private readonly finishedOccurrences = IndexRanges.create()
+  /** All occurrences below this index are open or have ended. */
+  private nextOccurrence = 0
   cancelled = false
   /** True if its team submitted the job beyond its weight; see `WeightMeter`. */
   isBeyondWeight = false
@@ -104,8 +118,9 @@
     this.endedAtMs = options.progress?.endedAtMs
     this.failed = this.storedState === JobState.Failed
     this.cancelled = this.storedState === JobState.Cancelled
-    for (const saved of options.progress?.occurrences ?? []) this.restore(saved)
+    for (const saved of options.progress?.occurrences ?? []) restoreOccurrence(this.getOccurrence(saved.index), saved)
     for (const index of options.progress?.finished ?? []) this.finishedOccurrences.add(index)
+    for (const [from, to] of options.progress?.finishedRanges ?? []) this.finishedOccurrences.addRange(from, to)
     if (accepted.spec.repeatCount === 0) this.getOccurrence(0)
   }
 
@@ -169,6 +184,37 @@
     return occurrence
   }
 
+  /** Opens due occurrences in order, as long as few of those that are open have tasks to start; see `dueOccurrences`. */
+  openDueOccurrences (wallClockMs: number): void {
+    const { spec } = this.accepted
+    const dueCount = countDueOccurrences(spec, wallClockMs)
+    this.nextOccurrence = this.finishedOccurrences.nextAbsent(this.nextOccurrence)
+    if (this.nextOccurrence >= dueCount) return
+    const limit = getMaxOpenOccurrences(spec)
+    let waiting = 0
+    for (const occurrence of this.occurrences.values()) waiting += occurrence.isWaiting ? 1 : 0
+    while (this.nextOccurrence < dueCount && waiting < MAX_WAITING_OCCURRENCES && this.occurrences.size < limit) {
+      if (!this.occurrences.has(this.nextOccurrence)) {
+        this.getOccurrence(this.nextOccurrence)
+        waiting += 1
+      }
+      this.nextOccurrence = this.finishedOccurrences.nextAbsent(this.nextOccurrence + 1)
+    }
+  }
+
+  /** Returns the number of due occurrences that are neither open nor have ended. */
+  countUnopened (wallClockMs: number): number {
+    const dueCount = countDueOccurrences(this.accepted.spec, wallClockMs)
+    let open = 0
+    for (const index of this.occurrences.keys()) open += index < dueCount && !this.finishedOccurrences.has(index) ? 1 : 0
+    return dueCount - this.finishedOccurrences.countBelow(dueCount) - open
+  }
+
+  /** Stops tracking an occurrence of a scheduled job that has ended and has no runs. */
+  dropIfEnded (occurrence: TrackedOccurrence): void {
+    if (this.accepted.spec.repeatCount > 0 && this.finishedOccurrences.has(occurrence.index) && !occurrence.hasRuns) this.occurrences.delete(occurrence.index)
+  }
+
   /** Returns the tasks that may have crashed a VM. */
   listSuspects (): TrackedTask[] {
     return [...this.occurrences.values()].flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks.filter(({ crashes }) => crashes.length > 0)))
@@ -199,6 +245,7 @@
     const { occurrence } = step
     if (!occurrence.isDone) return
     this.finishedOccurrences.add(occurrence.index)
+    this.dropIfEnded(occurrence)
   }
 
   /** Counts a failed run. A finite task that has reached the job's limit of attempts fails the job. */
@@ -209,6 +256,11 @@
     if (!task.step.spec.longRunning && task.failedRuns.size >= this.accepted.maxAttempts) this.failed = true
   }
 
+  markFailedAsWhole (): void {
+    this.failed = true
+    this.changed = true
+  }
+
   markCancelled (): void {
     if (this.isOver) return
     this.cancelled = true
@@ -224,39 +276,14 @@
     }
     const occurrences: OccurrenceProgress[] = []
     for (const occurrence of this.occurrences.values()) {
-      if (!this.finishedOccurrences.has(occurrence.index)) occurrences.push(toOccurrenceProgress(occurrence))
+      const progress = this.finishedOccurrences.has(occurrence.index) ? undefined : toOccurrenceProgress(occurrence)
+      if (progress !== undefined) occurrences.push(progress)
     }
-    return { state, occurrences, finished: [...this.finishedOccurrences] }
-  }
-
-  private restore (saved: OccurrenceProgress): void {
-    const occurrence = this.getOccurrence(saved.index)
-    for (const [step, done] of saved.done) {
-      for (const index of done) {
-        const task = occurrence?.steps[step]?.tasks[index]
-        if (task !== undefined) task.step.markDone(task)
-      }
-    }
-    for (const [step, index, runs] of saved.failed) {
-      const task = occurrence?.steps[step]?.tasks[index]
-      for (const run of runs) task?.failedRuns.add(run)
-    }
-    for (const [step, index, crashes] of saved.crashed ?? []) occurrence?.steps[step]?.tasks[index]?.restoreCrashes(crashes)
+    const ranges = this.finishedOccurrences.toRanges()
+    if (this.finishedOccurrences.size > MAX_FINISHED_LISTED) return { state, occurrences, finished: [], finishedRanges: ranges }
+    return { state, occurrences, finished: ranges.flatMap(([from, to]) => Array.from({ length: to - from }, (_, offset) => from + offset)) }
   }
 }
 
-function toOccurrenceProgress (occurrence: TrackedOccurrence): OccurrenceProgress {
-  const done: Array<[number, number[]]> = []
-  const failed: Array<[number, number, number[]]> = []
-  const crashed: Array<[number, number, readonly TaskCrash[]]> = []
-  for (const step of occurrence.steps) {
-    const indexes = step.tasks.filter((task) => task.done).map((task) => task.index)
-    if (indexes.length > 0) done.push([step.index, indexes])
-    for (const task of step.tasks) {
-      // Long-running tasks have no limit of attempts, so their failures need not be stored.
-      if (!step.spec.longRunning && task.failedRuns.size > 0) failed.push([step.index, task.index, [...task.failedRuns]])
-      if (!task.done && task.crashes.length > 0) crashed.push([step.index, task.index, task.crashes])
-    }
-  }
-  return { index: occurrence.index, done, failed, ...(crashed.length > 0 && { crashed }) }
-}
+/** Occurrences that have ended are listed one by one up to this number, as earlier builds read only that. */
+const MAX_FINISHED_LISTED = 1_000
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -40,10 +40,9 @@
   return listReadySteps(job, wallClockMs).length > 0
 }
 
-/** Returns the steps that are ready and have waiting tasks. Creates the occurrences that have become due. */
+/** Returns the steps that are ready and have waiting tasks. Opens occurrences that have become due. */
 function listReadySteps (job: TrackedJob, wallClockMs: number): TrackedStep[] {
-  const { spec } = job.accepted
-  for (let index = 0; index < spec.repeatCount && spec.firstRunMs + index * spec.intervalMs <= wallClockMs; index++) job.getOccurrence(index)
+  job.openDueOccurrences(wallClockMs)
   const steps: TrackedStep[] = []
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
--- a/packages/policy/src/lib/teams/PossibleRuns.ts
+++ b/packages/policy/src/lib/teams/PossibleRuns.ts
@@ -2,7 +2,7 @@
  * Runs that another owner of the shard may have started and that this owner does not know yet. After a takeover, the cap of a
  * team must hold for them as well.
  */
-import { JobState, type Capacity } from '@vanillathread/model'
+import { JobState, type Capacity, type StepSpec } from '@vanillathread/model'
 import type { ClockReadings } from '../jobs/JobSchedulerOptions.js'
 import type { TrackedJob, TrackedOccurrence } from '../jobs/TrackedJob.js'
 import type { TrackedTask } from '../jobs/TrackedTask.js'
@@ -31,6 +31,8 @@
   private readonly sums = new Map<string, Map<string, PoolRuns>>()
   /** Scheduled jobs, whose occurrences are tracked only once they are due. */
   private readonly scheduledJobs = new Set<TrackedJob>()
+  /** Numbers of due occurrences that are not tracked one by one, by job. */
+  private readonly unopenedByJob = new Map<TrackedJob, number>()
   /** Capacity of the VMs whose runs are not known, by pool. */
   private hiddenByPool: ReadonlyMap<string, Capacity> = new Map()
   private readonly newJobs: TrackedJob[] = []
@@ -108,22 +110,25 @@
   }
 
   private addDueOccurrences (job: TrackedJob, wallClockMs: number): void {
-    const { repeatCount, firstRunMs, intervalMs } = job.accepted.spec
-    for (let index = 0; index < repeatCount && firstRunMs + index * intervalMs <= wallClockMs; index++) {
-      const occurrence = job.getOccurrence(index)
-      if (occurrence !== undefined) this.addOccurrence(occurrence)
-    }
+    job.openDueOccurrences(wallClockMs)
+    for (const occurrence of job.occurrences.values()) this.addOccurrence(occurrence)
+    const unopened = job.countUnopened(wallClockMs)
+    const added = unopened - (this.unopenedByJob.get(job) ?? 0)
+    this.unopenedByJob.set(job, unopened)
+    for (const step of added === 0 ? [] : job.accepted.spec.steps) this.addUnits(job, step, added * step.taskCount * (step.speculative ? 2 : 1))
   }
 
   private setUnits (task: TrackedTask, units: number): void {
-    const { need, fills } = task.step.spec
-    const { team = '', pool } = task.step.occurrence.job.accepted
+    this.addUnits(task.step.occurrence.job, task.step.spec, units - (this.unitsByTask.get(task) ?? 0))
+    this.unitsByTask.set(task, units)
+  }
+
+  private addUnits ({ accepted: { team = '', pool } }: TrackedJob, { need, fills }: StepSpec, units: number): void {
     const pools = this.sums.get(team) ?? new Map<string, PoolRuns>()
     this.sums.set(team, pools)
     const runs = pools.get(pool) ?? { ordinary: createCapacity(), bestEffort: createCapacity() }
     pools.set(pool, runs)
-    addCapacity(fills ? runs.bestEffort : runs.ordinary, need, units - (this.unitsByTask.get(task) ?? 0))
-    this.unitsByTask.set(task, units)
+    addCapacity(fills ? runs.bestEffort : runs.ordinary, need, units)
   }
 
   private settle (): void {
@@ -131,6 +136,7 @@
     this.unitsByTask.clear()
     this.sums.clear()
     this.scheduledJobs.clear()
+    this.unopenedByJob.clear()
   }
 }
 
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -48,6 +48,8 @@
    * out. A successor trusts it, so the VM gets no leases while it is set.
    */
   recordedLeaseEndMs: number | undefined
+  /** True if the store rejects the VM's roster row, so that the VM gets no tasks. */
+  recordRejected = false
   /** True if the last write of `recordedLeaseEndMs` failed or had an unknown outcome. */
   recordUnconfirmed = false
   /** Time from which a VM that the store listed at the takeover certainly has no runs of previous owners, if that was recorded. */
--- a/packages/policy/src/lib/vms/rosterRecords.ts
+++ b/packages/policy/src/lib/vms/rosterRecords.ts
@@ -40,6 +40,7 @@
  * @param leaseExpiryMs - time on the owner's clock from which the VM, if it is unresponsive, certainly has no runs.
  */
 export function planRosterWrite (vm: TrackedVm, leaseExpiryMs: number, clocks: RosterClocks): RosterWrite | undefined {
+  if (vm.recordRejected) return undefined
   const leaseEndMs = vm.unresponsiveSinceMs === undefined ? undefined : vm.recordedLeaseEndMs ?? toStoreLeaseEnd(vm, vm.unresponsiveSinceMs, leaseExpiryMs, clocks)
   if (vm.recorded && !vm.recordUnconfirmed && leaseEndMs === vm.recordedLeaseEndMs) return undefined
   // A recorded end is withdrawn only once the VM has answered this owner.
--- a/packages/ports/src/lib/jobs/RowStore.ts
+++ b/packages/ports/src/lib/jobs/RowStore.ts
@@ -55,11 +55,12 @@
 
 /**
  * A failed call to the store; `rows` are the present rows that its conditions refer to. `busy` is true if the store refused the call
- * as it has too many, and `unanswered` if it was not reached, or did not answer a read. @public
+ * as it has too many, `unanswered` if it was not reached, or did not answer a read, and `rejected` if it would refuse the same call
+ * again, for example because a row is too large. @public
  */
 export type StoreFailure =
   | { readonly kind: StoreFailureKind.Conflict, readonly rows: readonly StoredRow[] }
-  | { readonly kind: StoreFailureKind.NotDone | StoreFailureKind.Unknown | StoreFailureKind.HistoryGone, readonly reason: string, readonly busy?: boolean, readonly unanswered?: boolean }
+  | { readonly kind: StoreFailureKind.NotDone | StoreFailureKind.Unknown | StoreFailureKind.HistoryGone, readonly reason: string, readonly busy?: boolean, readonly unanswered?: boolean, readonly rejected?: boolean }
 
 /** Result of an executed transaction. @public */
 export interface RowCommit {
