Believe no registration against a VM that answers

Cause: any registration with the machine of a tracked VM and a later start time counted as proof that the VM had ended.

Change: registrations for pools that are not configured are kept aside until they are. A VM ends by a later registration on its machine only if it is silent, or once another VM on the machine answers a call that was sent after its own last answer, which needs no order of start times. A registration with a lower start time than that of a silent predecessor is tracked instead of ignored.

--- a/packages/daemon/src/lib/jobs/ConfigurationWatcher.ts
+++ b/packages/daemon/src/lib/jobs/ConfigurationWatcher.ts
@@ -28,6 +28,7 @@
   readonly waves = new Map<number, MaintenanceWave>()
   private configuration: OperatorConfiguration | undefined
   private keyIndex = KeyIndex.create([])
+  private pools: ReadonlySet<string> | undefined
   /** Time at which the latest read that proved the configuration current was sent. */
   private provedAt: ClockReading | undefined
   /** Queues of each host, those with the longest path prefix first. */
@@ -45,6 +46,11 @@
     return this.configuration
   }
 
+  /** Names of the pools of the configuration in force, or undefined if none has been read yet. */
+  get poolNames (): ReadonlySet<string> | undefined {
+    return this.pools
+  }
+
   /** API keys of the configuration in force. */
   get keys (): KeyIndex {
     return this.keyIndex
@@ -141,6 +147,7 @@
   private applyConfiguration (configuration: OperatorConfiguration): void {
     if (this.configuration !== undefined && configuration.version <= this.configuration.version) return
     this.configuration = configuration
+    this.pools = new Set(configuration.pools.map(({ name }) => name))
     this.keyIndex = KeyIndex.create(configuration.teams)
     this.queuesByHost.clear()
     const longestFirst = [...configuration.queues].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
--- a/packages/daemon/src/lib/jobs/MachineDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MachineDirectory.ts
@@ -20,7 +20,7 @@
 export class MachineDirectory {
   /** Machines by id, as of the last list; a finished move updates the pool. */
   private readonly machinesById = new Map<string, Machine>()
-  /** First VM on each machine, see `indexVms`. */
+  /** The VM on each machine that answered last, see `indexVms`. */
   private readonly vmsByMachine = new Map<string, TrackedVm>()
   /** Time at which the last list was requested, or minus infinity before the first one. */
   listedAtMs = -Infinity
@@ -64,7 +64,8 @@
     this.vmsByMachine.clear()
     for (const vm of this.options.scheduler.state.vms.values()) {
       const { machine } = vm.entry
-      if (machine !== undefined && !this.vmsByMachine.has(machine)) this.vmsByMachine.set(machine, vm)
+      const other = machine && this.vmsByMachine.get(machine)
+      if (machine !== undefined && (!other || other.lastReportSentAtMs < vm.lastReportSentAtMs)) this.vmsByMachine.set(machine, vm)
     }
   }
 
--- a/packages/daemon/src/lib/jobs/OwnerQueries.ts
+++ b/packages/daemon/src/lib/jobs/OwnerQueries.ts
@@ -3,6 +3,7 @@
  */
 import type { TimerService } from '@vanillathread/kernel'
 import type { JobState } from '@vanillathread/model'
+import { countPendingJobs } from '@vanillathread/policy'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { clientOptions } from './jobOptions.js'
@@ -70,7 +71,7 @@
     if (owner === undefined || !owner.isLoaded) return {}
     return {
       state: jobQuery.job === undefined ? undefined : owner.scheduler.getState(jobQuery.job),
-      pending: jobQuery.queue === undefined ? undefined : owner.scheduler.countPending(jobQuery.queue),
+      pending: jobQuery.queue === undefined ? undefined : countPendingJobs(owner.scheduler.state, jobQuery.queue),
     }
   }
 
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -199,8 +199,8 @@
       const version = content.versions.get(formatRowName({ table: Table.Rosters, part: this.shard, key: record.entry.id })) ?? 0
       scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks)
     }
+    scheduler.setPools(options.configuration.poolNames, nowMs)
     for (const change of vms) {
-      // A registration may prove that a VM of the roster has ended.
       if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
     }
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
@@ -250,6 +250,8 @@
   private plan (): void {
     const { timers, rows, configuration } = this.options
     this.scheduler.setTeams(configuration.current?.teams)
+    this.scheduler.setPools(configuration.poolNames, timers.now())
+    this.sessions.openMissing()
     const clocks = { nowMs: timers.now(), storeNowMs: rows.getStoreClockMs(), wallClockMs: timers.wallClock() }
     const orders = this.advice.runPlan((getTickets) => this.scheduler.plan(clocks, getTickets))
     for (const order of orders) this.sessions.execute(order)
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -138,7 +138,7 @@
   VmRestarted = 726,
   /** A VM gets no new tasks for `pauseMs`, as tasks of several jobs failed or are overdue there. */
   VmAvoided = 727,
-  /** The registration of a VM cannot be decoded and is ignored. */
+  /** The registration of a VM cannot be decoded, or names a `pool` that is not configured, and is ignored. */
   VmEntryInvalid = 728,
   /**
    * The registration of a VM names the incarnation `bornMs`, and the VM last answered as `knownBornMs`, `answeredAgoMs` ago. The registration
@@ -295,7 +295,7 @@
   [EventCode.VmRestarted]: { level: EventLevel.Warn, message: 'VM restarted and its former runs have ended' },
   [EventCode.VmAvoided]: { level: EventLevel.Warn, message: 'VM gets no new tasks for a while because tasks of several jobs failed or are overdue on it' },
   [EventCode.VmRegistrationUnconfirmed]: { level: EventLevel.Info, message: 'VM registration names another incarnation than the VM and is kept aside' },
-  [EventCode.VmEntryInvalid]: { level: EventLevel.Warn, message: 'VM registration cannot be read and is ignored' },
+  [EventCode.VmEntryInvalid]: { level: EventLevel.Warn, message: 'VM registration names no VM that can be used and is ignored' },
   [EventCode.StartsWait]: { level: EventLevel.Warn, message: 'starts in a pool wait until the runs of VMs are known' },
   [EventCode.ShardTaken]: { level: EventLevel.Info, message: 'daemon has become the owner of a shard' },
   [EventCode.ShardLost]: { level: EventLevel.Warn, message: 'daemon is no longer the owner of a shard' },
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -47,6 +47,7 @@
 export type { RosterClocks, RosterRecord, RosterWrite } from './lib/vms/rosterRecords.js'
 export { SLOW_CLOCK_FACTOR } from './lib/vms/VmRegistry.js'
 export { TrackedVm } from './lib/vms/TrackedVm.js'
+export { countPendingJobs } from './lib/jobs/countPendingJobs.js'
 export { JobScheduler } from './lib/jobs/JobScheduler.js'
 export { DEFAULT_NEAR_PLACE_MAX_WAIT_MS, decideNearPlaceWait, type NearPlaceDecision, type NearPlaceView } from './lib/placement/decideNearPlaceWait.js'
 export { NearPlaces, type NearPlaceCounts, type NearPlaceRequest, type NearPlaceRules, type NearPlacesOptions } from './lib/placement/NearPlaces.js'
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -160,6 +160,7 @@
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
     this.startGate.recordCall(vm.id)
     if (reconcileReport(this.state, vm, report, sentAtMs, nowMs)) this.evacuate(vm.id, nowMs + DRAINING_TASK_GRACE_MS)
+    this.registry.retireReplaced(vm, nowMs)
     this.pacing.control(this.state, vm, nowMs)
   }
 
@@ -169,6 +170,7 @@
     if (vm.unresponsiveSinceMs !== undefined) return
     vm.unresponsiveSinceMs = nowMs
     this.state.logDecision(EventCode.VmSilent, { vm: vm.id, runs: vm.runs.size, leaseOverInMs: Math.round(this.registry.getLeaseExpiryMs(vm) - nowMs) })
+    this.registry.retireReplaced(vm, nowMs)
   }
 
   /** Applies the outcome of a start order. */
@@ -180,8 +182,7 @@
 
   /** Applies the outcome of a stop order. */
   applyStop (run: TrackedRun, answered: boolean, nowMs: number): void {
-    if (!answered) return
-    run.stopAnsweredAtMs ??= nowMs
+    if (answered) run.stopAnsweredAtMs ??= nowMs
   }
 
   /** Records that a VM has answered an order, so that it had not crashed. */
@@ -251,6 +252,11 @@
     return this.state.takeOrders()
   }
 
+  /** Applies the pools of the configuration in force; undefined before one has been read. */
+  setPools (pools: ReadonlySet<string> | undefined, nowMs: number): void {
+    for (const id of this.registry.setPools(pools, nowMs)) this.evacuate(id, nowMs + DRAINING_TASK_GRACE_MS)
+  }
+
   /** Applies the teams of the configuration in force; undefined before one has been read. */
   setTeams (teams: readonly TeamRules[] | undefined): void {
     this.state.teams.setTeams(teams)
@@ -286,15 +292,4 @@
     if (isFinalState(job.storedState)) return job.storedState
     return job.begun ? JobState.Running : JobState.Queued
   }
-
-  /** Returns the number of a queue's open jobs of which no task has begun. */
-  countPending (queue: string): number {
-    let count = 0
-    for (const jobs of this.state.openJobs.values()) {
-      for (const job of jobs) {
-        if (job.accepted.queue === queue && !job.begun) count += 1
-      }
-    }
-    return count
-  }
 }
--- a/packages/policy/src/lib/jobs/reconcileReport.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.ts
@@ -22,6 +22,7 @@
   const wasDraining = vm.entry.draining
   if (report.bornMs !== undefined && report.bornMs !== vm.entry.bornMs) beginIncarnation(state, vm, report.bornMs, nowMs)
   vm.confirmIncarnation(sentAtMs)
+  vm.lastReportSentAtMs = sentAtMs
   vm.answeredAtMs ??= nowMs
   vm.lastAnswerAtMs = nowMs
   vm.unresponsiveSinceMs = undefined
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -62,6 +62,8 @@
   unresponsiveSinceMs: number | undefined
   /** Time of the VM's last answer to this owner. */
   lastAnswerAtMs = 0
+  /** Time at which the call was sent that returned the VM's last report; minus infinity before the first one. */
+  lastReportSentAtMs = -Infinity
   /** Runs of the latest trial: tasks of one step that may crash their VM and were started here without others beside them. */
   trialRuns: readonly TrackedRun[] = []
   /** True while the VM gets no tasks but those of a trial. */
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -34,7 +34,11 @@
   readonly forgotten = new Set<string>()
   /** Incarnations (`bornMs`) of retired VMs that are still registered, by id. Their registrations are ignored. */
   private readonly retired = new Map<string, readonly number[]>()
-
+  /** Registrations for pools that are not configured, by id. */
+  private readonly unassigned = new Map<string, VmEntry>()
+  /** Machines that more than one tracked VM names. */
+  private readonly sharedMachines = new Set<string>()
+  private pools: ReadonlySet<string> | undefined
   private previousLeasesEndAtMs: number
 
   private constructor (private readonly options: VmRegistryOptions) {
@@ -57,12 +61,48 @@
   /** Applies a new or changed registration. @returns true if the VM drains and did not before, as far as this owner knows. */
   apply (entry: VmEntry, nowMs: number): boolean {
     const { state } = this.options
-    if (this.isReplaced(entry)) return false
-    this.retireReplaced(entry, nowMs)
+    if (!state.vms.has(entry.id) && this.pools?.has(entry.pool) === false) {
+      if (!this.unassigned.has(entry.id)) state.logDecision(EventCode.VmEntryInvalid, { vm: entry.id, reason: 'no such pool is configured', pool: entry.pool })
+      this.unassigned.set(entry.id, entry)
+      return false
+    }
+    return this.track(entry, nowMs)
+  }
+
+  /**
+   * Applies the pools of the configuration in force; undefined before one has been read. Registrations for other pools may be those of
+   * other programs. They are kept aside until such a pool is configured.
+   *
+   * @returns the ids of VMs that are tracked from now on and drain.
+   */
+  setPools (pools: ReadonlySet<string> | undefined, nowMs: number): string[] {
+    this.pools = pools
+    return [...this.unassigned.values()].filter((entry) => {
+      if (pools?.has(entry.pool) === false) return false
+      this.unassigned.delete(entry.id)
+      return this.track(entry, nowMs)
+    }).map(({ id }) => id)
+  }
+
+  /**
+   * Retires VMs that an answer or the silence of a VM proves to have ended: a machine runs one VM at a time. Registrations alone prove
+   * nothing about a VM that answers, as another program may have written one.
+   */
+  retireReplaced (vm: TrackedVm, nowMs: number): void {
+    const { machine } = vm.entry
+    if (machine === undefined || !this.sharedMachines.has(machine)) return
+    const vms = [...this.options.state.vms.values()].filter((each) => each.entry.machine === machine)
+    for (const each of vms) this.retireIfReplaced(each, nowMs)
+    if (vms.length < 2) this.sharedMachines.delete(machine)
+  }
+
+  private track (entry: VmEntry, nowMs: number): boolean {
+    const { state } = this.options
     if (this.retired.get(entry.id)?.includes(entry.bornMs) === true) return false
     this.retired.delete(entry.id)
     const vm = state.vms.get(entry.id)
     if (vm === undefined) {
+      this.retirePredecessors(entry, nowMs)
       state.vms.set(entry.id, TrackedVm.create(entry))
       this.forgotten.delete(entry.id)
       state.logDecision(EventCode.VmSeen, { vm: entry.id, machine: entry.machine, pool: entry.pool })
@@ -86,7 +126,7 @@
    * @returns true if the VM drains.
    */
   restore ({ entry, leaseEndMs, runs }: RosterRecord, nowMs: number, storeNowMs: number): boolean {
-    const drains = this.apply(entry, nowMs)
+    const drains = this.track(entry, nowMs)
     const vm = this.options.state.vms.get(entry.id)
     if (vm === undefined) {
       this.forgotten.add(entry.id)
@@ -112,6 +152,7 @@
   /** Records that a VM is no longer registered. Its runs may still go on. */
   unregister (id: string, nowMs: number): void {
     this.retired.delete(id)
+    this.unassigned.delete(id)
     const vm = this.options.state.vms.get(id)
     if (vm === undefined || !vm.registered) return
     vm.unregisteredAtMs = nowMs
@@ -166,12 +207,6 @@
     return Math.min(vm.previousLeaseExpiresAtMs ?? Infinity, this.getPreviousLeaseExpiryMs())
   }
 
-  /** Returns true if a newer VM is tracked on the machine of an entry, which proves that the entry's VM has ended. */
-  private isReplaced (entry: VmEntry): boolean {
-    if (entry.machine === undefined) return false
-    return [...this.options.state.vms.values()].some((vm) => vm.entry.machine === entry.machine && vm.id !== entry.id && vm.entry.bornMs > entry.bornMs)
-  }
-
   /** Applies a time from which every lease of previous owners has expired. The earliest one that is known counts. */
   learnPreviousLeasesEnd (atMs: number): void {
     this.previousLeasesEndAtMs = Math.min(this.previousLeasesEndAtMs, atMs)
@@ -182,13 +217,31 @@
     return Math.max(nowMs + this.options.leaseMs * SLOW_CLOCK_FACTOR, this.getPreviousLeaseExpiryMs())
   }
 
-  /** Retires the VMs that ran on the same machine before: a newer VM there proves that they have ended. */
-  private retireReplaced (entry: VmEntry, nowMs: number): void {
+  /**
+   * Retires VMs that do not answer and whose machine has a later registration. Those that answer are alive whatever is registered; see
+   * `retireReplaced`.
+   */
+  private retirePredecessors (entry: VmEntry, nowMs: number): void {
     if (entry.machine === undefined) return
-    for (const vm of this.options.state.vms.values()) {
-      if (vm.entry.machine !== entry.machine || vm.id === entry.id || vm.entry.bornMs >= entry.bornMs) continue
-      blameCrash(this.options.state, vm, nowMs)
-      this.retire(vm.id, 'its machine runs a newer VM')
+    for (const vm of [...this.options.state.vms.values()]) {
+      if (vm.entry.machine !== entry.machine) continue
+      if (vm.unresponsiveSinceMs === undefined || vm.entry.bornMs >= entry.bornMs) this.sharedMachines.add(entry.machine)
+      else this.retireAsCrashed(vm, 'its machine runs a newer VM', nowMs)
+    }
+  }
+
+  private retireAsCrashed (vm: TrackedVm, reason: string, nowMs: number): void {
+    blameCrash(this.options.state, vm, nowMs)
+    this.retire(vm.id, reason)
+  }
+
+  /** Retires a VM that does not answer if another VM on its machine has answered a call that was sent after its last answer. */
+  private retireIfReplaced (vm: TrackedVm, nowMs: number): void {
+    if (vm.unresponsiveSinceMs === undefined) return
+    for (const other of this.options.state.vms.values()) {
+      if (other.id === vm.id || other.entry.machine !== vm.entry.machine || other.lastReportSentAtMs <= vm.lastAnswerAtMs) continue
+      this.retireAsCrashed(vm, 'its machine runs another VM', nowMs)
+      return
     }
   }
 
