--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -160,8 +160,8 @@
   }
 
   /**
-   * Keeps a row that the store rejects from holding up the others: the rows of a rejected transaction are written one by one, and one that
-   * is rejected alone is not written again until its content changes.
+   * Keeps a row that the store rejects from holding up the others: the rows of a rejected transaction are written one by one, and the job or
+   * VM whose row is rejected alone is given up.
    */
   private isolate (batch: Batch, rowCount: number): void {
     const { scheduler, timers, log } = this.options
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -135,7 +135,7 @@
         return { kind: IngressAnswerKind.Cancelled }
       case WriteOutcome.Cancelled:
       case WriteOutcome.Absent:
-        this.options.log.write(EventCode.JobBarred, { job: id, version })
+        if (version !== undefined) this.options.log.write(EventCode.JobBarred, { job: id, version })
         return { kind: IngressAnswerKind.UnknownJob }
       case WriteOutcome.NotDone: return this.explainLostPermit(req, permit) ?? this.refuseUnsent(id, 'cancel could not be stored')
       case WriteOutcome.Unknown: return { kind: IngressAnswerKind.OutcomeUnknown }
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -102,7 +102,7 @@
   JobGivenUp = 708,
   /** A call was refused because of its key or the age of the configuration, with the result code `code`; `reason` and `ageMs` say why. */
   CallRefused = 709,
-  /** A job that has no row was cancelled; `version` is that of the tombstone that bars it. Without one, the rows of the job were removed. */
+  /** A job that has no row was cancelled; `version` is that of the tombstone that bars it. */
   JobBarred = 748,
   /** The owner sends the start of a run to a VM. */
   TaskStartOrdered = 710,
--- a/packages/policy/src/lib/jobs/IndexRanges.ts
+++ b/packages/policy/src/lib/jobs/IndexRanges.ts
@@ -5,7 +5,7 @@
 /** A range of whole numbers: the first one, and the one after the last. @public */
 export type IndexRange = readonly [from: number, to: number]
 
-/** The set. */
+/** A set of whole numbers that need not be listed one by one. */
 export class IndexRanges {
   private readonly ranges: Array<[from: number, to: number]> = []
   private count = 0
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -256,6 +256,7 @@
     if (!task.step.spec.longRunning && task.failedRuns.size >= this.accepted.maxAttempts) this.failed = true
   }
 
+  /** Fails the job although none of its tasks has reached the limit of attempts. */
   markFailedAsWhole (): void {
     this.failed = true
     this.changed = true
--- a/packages/policy/src/lib/jobs/occurrenceProgress.ts
+++ b/packages/policy/src/lib/jobs/occurrenceProgress.ts
@@ -36,8 +36,8 @@
     if (indexes.length > MAX_DONE_LISTED) doneBits.push([step.index, toBits(indexes, step.tasks.length)])
     else if (indexes.length > 0) done.push([step.index, indexes])
     for (const task of step.tasks) {
-      // Long-running tasks have no limit of attempts, so their failures need not be stored.
-      if (!step.spec.longRunning && task.failedRuns.size > 0) failed.push([step.index, task.index, [...task.failedRuns]])
+      // Long-running tasks have no limit of attempts, and done tasks are not started again, so their failures need not be stored.
+      if (!step.spec.longRunning && !task.done && task.failedRuns.size > 0) failed.push([step.index, task.index, [...task.failedRuns]])
       if (!task.done && task.crashes.length > 0) crashed.push([step.index, task.index, task.crashes])
     }
   }
