Count and stop the runs of occurrences that have ended

A new owner filled a VM on which a copy of a speculative task still ran.

Cause: findTask returned nothing for ended occurrences, so a run that a VM listed after its job had ended elsewhere was neither tracked nor stopped.

Change: such tasks are found; an ended occurrence of a schedule is tracked again until its last run has ended.

--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -131,7 +131,10 @@
   /** Tracks a run that a previous owner recorded for an unresponsive VM, unless the run is not needed any more. */
   restoreRun (taskName: string, number: number, vm: TrackedVm, nowMs: number): void {
     const { task } = this.findTask(taskName)
-    if (task === undefined || task.done || task.step.occurrence.job.isOver) return
+    if (task === undefined) return
+    const { occurrence } = task.step
+    occurrence.job.dropIfEnded(occurrence)
+    if (task.done || occurrence.job.isOver) return
     const run = this.adoptRun(task, vm, number, nowMs)
     run.isOfKnownIncarnation = true
     run.markUnknown(nowMs)
@@ -165,6 +168,7 @@
     task.begun = true
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     this.logDecision(EventCode.TaskEnded, { task: end.task, run: end.run, vm: vm.id, end: end.end, number: end.number })
+    job.dropIfEnded(task.step.occurrence)
     if (job.isOver) return
     if (end.end === 'done') this.applyDone(vm, run, task, nowMs)
     else if (end.end === 'failed') this.applyFailure(vm, task, end.run, nowMs)
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -225,14 +225,24 @@
     this.storedState = progress.state
     for (const { index, crashed = [] } of progress.occurrences) {
       for (const [step, task, crashes] of crashed) {
-        const stored = this.findTask(index, step, task)
+        const stored = this.occurrences.get(index)?.steps[step]?.tasks[task]
         if (stored !== undefined) stored.storedCrashCount = Math.min(crashes.length, stored.crashes.length)
       }
     }
   }
 
+  /** Returns a task, also one of an occurrence that has ended: a VM may still run copies of it. */
   findTask (occurrence: number, step: number, index: number): TrackedTask | undefined {
-    return this.getOccurrence(occurrence)?.steps[step]?.tasks[index]
+    return (this.occurrences.get(occurrence) ?? this.getOccurrence(occurrence) ?? this.trackEnded(occurrence))?.steps[step]?.tasks[index]
+  }
+
+  /** Tracks an occurrence again that has ended, until `dropIfEnded`. */
+  private trackEnded (index: number): TrackedOccurrence | undefined {
+    if (!this.finishedOccurrences.has(index)) return undefined
+    const occurrence = TrackedOccurrence.create(this, index, this.baseRunNumber)
+    for (const step of occurrence.steps) for (const task of step.tasks) step.markDone(task)
+    this.occurrences.set(index, occurrence)
+    return occurrence
   }
 
   /** Marks a task as done; if it belongs to a gang, marks all tasks of its step. */
--- a/packages/policy/src/lib/jobs/reconcileReport.test.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.test.ts
@@ -2,7 +2,7 @@
  * What an owner concludes from reports that are older than its orders, or that name jobs it has not read.
  */
 import { assert, describe } from '@vanillathread/testing'
-import type { RunningEntry } from '@vanillathread/model'
+import { RunEnd, type RunningEntry } from '@vanillathread/model'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import type { JobScheduler } from './JobScheduler.js'
 import { OrderKind, StartOutcome } from './orders.js'
@@ -155,3 +155,25 @@
     })
   })
 })
+
+describe('runs of an occurrence that has ended', ({ it }) => {
+  // Guards against LIMIT: a new owner neither counted nor stopped the copy of a task whose job had ended on another VM.
+  it('occupy their VM and are stopped, whether the job is scheduled or not', () => {
+    for (const schedule of [{}, { repeatCount: 2, firstRunMs: 0, intervalMs: 3_600_000 }]) {
+      const scheduler = createScheduler({ generation: 1 })
+      scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1, speculative: true })], ...schedule }), 0, 0)
+      for (const id of ['a', 'b']) scheduler.restoreVm({ entry: createVmEntry(id) }, { nowMs: 0, storeNowMs: 0 })
+      const [first, second] = ['a', 'b'].map((id) => scheduler.state.vms.get(id))
+      if (first === undefined || second === undefined) throw new Error('VMs were not restored')
+      const task = '00000000000000aa.0.0.0'
+      scheduler.applyReport(first, { clockMs: 0, bornMs: 1, running: [], ends: [{ number: 1, task, run: 1, end: RunEnd.Done, checkpoint: '' }] }, 0, 0)
+      scheduler.applyReport(second, { clockMs: 0, bornMs: 1, running: [{ task, run: 2, checkpoint: '', percent: 100 }], ends: [] }, 0, 10)
+      assert.is(second.freeCpuMillis, 7_000)
+      const orders = scheduler.plan({ ...CLOCKS, nowMs: 20 }, () => undefined)
+      assert.equal(orders.map(({ kind, run }) => [kind, run.key]), [[OrderKind.Stop, `${task}#2`]])
+      scheduler.applyReport(second, { clockMs: 0, bornMs: 1, running: [], ends: [{ number: 1, task, run: 2, end: RunEnd.Stopped, checkpoint: '' }] }, 30, 40)
+      assert.is(second.freeCpuMillis, 8_000)
+      assert.is(scheduler.state.jobs.get('00000000000000aa')?.occurrences.size, 'repeatCount' in schedule ? 0 : 1)
+    }
+  })
+})
