--- a/packages/policy/src/lib/forecast/TurnForecast.ts
+++ b/packages/policy/src/lib/forecast/TurnForecast.ts
@@ -43,11 +43,8 @@
 /** Share of the spacing by which a turn may begin early or late and still count as expected. */
 const TOLERANCE = 0.25
 
-/**
- * Confidence by the reason why a pool is expected next, before hits and misses are counted. A pool that has not followed the last one before is
- * a guess until a forecast has come true: it is checked, and no machines are ordered for it.
- */
-const CONFIDENCE = { followedBefore: 1, onlyOneLeft: 0.9, longestAgo: 0.8, guess: 0.25 } as const
+/** Confidence by the reason why a pool is expected next, before hits and misses are counted. */
+const CONFIDENCE = { followedBefore: 1, onlyOneLeft: 0.9, longestAgo: 0.8 } as const
 
 /** Time without an observation after which a forecast is given up, in milliseconds. */
 const MAX_GAP_MS = 1_000
@@ -208,11 +205,10 @@
     const follower = this.followers.get(last)
     if (follower !== undefined && pools.includes(follower)) return { pool: follower, confidence: CONFIDENCE.followedBefore }
     const left = pools.filter((pool) => !this.turns.some((turn) => turn.pool === pool))
-    const isProven = this.hits > 0
-    if (left.length === 1 && left[0] !== undefined) return { pool: left[0], confidence: isProven ? CONFIDENCE.onlyOneLeft : CONFIDENCE.guess }
+    if (left.length === 1 && left[0] !== undefined) return { pool: left[0], confidence: CONFIDENCE.onlyOneLeft }
     if (left.length > 0) return undefined
     const first = this.turns.filter((turn, index) => this.turns.findLastIndex((each) => each.pool === turn.pool) === index).find(({ pool }) => pool !== last && pools.includes(pool))
-    return first === undefined ? undefined : { pool: first.pool, confidence: isProven ? CONFIDENCE.longestAgo : CONFIDENCE.guess }
+    return first === undefined ? undefined : { pool: first.pool, confidence: CONFIDENCE.longestAgo }
   }
 
   /** Typical time from the start of a turn to the start of the next one; undefined if the turns have no pattern. */
