--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -28,8 +28,8 @@
   /** The VM's registration, with the incarnation that the owner deals with. */
   entry: VmEntry
   /**
-   * The latest registration, if it names an incarnation other than that of `entry`. It may be older or newer: a registration reaches the
-   * owner by way of the store, so only an answer of the VM tells which incarnation is alive.
+   * The latest registration, if it names an incarnation other than that of `entry`. It may be older or newer, as
+   * registrations come from the store; an answer of the VM shows which incarnation is alive.
    */
   unconfirmedEntry: VmEntry | undefined
   /** Time since which the registration names another incarnation and the VM has not answered a call sent later. */
