--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -58,6 +58,7 @@
     rows,
     timers,
     rowBytes: 65_536,
+    onStored: () => {},
     log: MemoryEventLog.create(),
     ownerRow: { table: 'shards', part: 's', key: 'owner', version: 1 },
     versions: new Map(),
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -4,9 +4,10 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import type { JobProgress, JobScheduler, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
+import type { JobProgress, JobScheduler, Moment, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
 import { StoreFailureKind, type RowCondition, type RowKey, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
+import { readMoment } from './OwnershipProver.js'
 import { encodeRow, Table } from './rows.js'
 
 /** Options of {@link CommitLoop.create}. */
@@ -22,6 +23,8 @@
   readonly ownerRow: RowCondition
   /** Versions of the progress and roster rows, by table and key: as read at the takeover, then updated after each commit. */
   readonly versions: Map<string, number>
+  /** Called after each transaction that the store has carried out, with the moment at which it was sent. */
+  onStored (sentAt: Moment): void
   /** Called after each commit, also after one that had nothing to write. */
   onCommitted (): void
   /** Called if the store shows that another daemon owns the shard. */
@@ -139,10 +142,12 @@
     const removes = batch.left.map((vm) => ({ table: Table.Rosters, part: this.options.shard, key: vm }))
     // A late copy must not remove the row of a VM that has registered again since.
     const conditions = [this.options.ownerRow, ...[...puts, ...removes].map(({ table, part, key }) => ({ table, part, key, version: this.options.versions.get(formatRowName({ table, part, key })) ?? 0 }))]
+    const sentAt = readMoment(this.options.timers)
     const res = await this.options.rows.transact({ conditions, puts, removes })
     if (this.disposed) return true
     this.singleRowCommits = Math.max(0, this.singleRowCommits - 1)
     if (res.ok) {
+      this.options.onStored(sentAt)
       for (const put of puts) this.options.versions.set(formatRowName(put), res.value.version)
       for (const remove of removes) this.options.versions.delete(formatRowName(remove))
       for (const vm of batch.left) scheduler.forgottenVms.delete(vm)
--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -7,6 +7,7 @@
 import { shardOptions } from './jobOptions.js'
 import type { MemberDirectory } from './MemberDirectory.js'
 import type { OwnerRecord } from './OwnerRecord.js'
+import { OwnershipProver, readMoment } from './OwnershipProver.js'
 import type { ShardOwner } from './ShardOwner.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
 import type { OwnerTerm, Succession } from './Succession.js'
@@ -29,10 +30,12 @@
 /** Sends heartbeats while this daemon owns the shard. */
 export class OwnerHeartbeats {
   private readonly subscriptions: readonly Subscription[]
+  private readonly prover: OwnershipProver
 
   private constructor (private readonly options: OwnerHeartbeatsOptions) {
     const { context: { timers }, network } = options
     network.on(PeerMessageKind.ShardHeartbeatAck, (message) => this.applyAnswer(message))
+    this.prover = OwnershipProver.create(options)
     this.subscriptions = [
       timers.every(shardOptions.heartbeatPeriodMs, () => this.send()),
       timers.every(shardOptions.storeHeartbeatPeriodMs, () => { this.writeToStore() }),
@@ -45,6 +48,7 @@
 
   dispose (): void {
     for (const subscription of this.subscriptions) subscription.dispose()
+    this.prover.dispose()
   }
 
   /** Sends the next heartbeats to other daemons now. */
@@ -73,9 +77,12 @@
   }
 
   private async writeToStore (): Promise<void> {
-    const { record, getOwner, onSuperseded } = this.options
+    const { context: { timers }, record, getOwner, onSuperseded } = this.options
     const owner = getOwner()
     if (owner === undefined) return
-    if (!await record.writeHeartbeat(owner.fencingToken) && getOwner() === owner) onSuperseded('the store names another owner')
+    const sentAt = readMoment(timers)
+    const outcome = await record.writeHeartbeat(owner.fencingToken)
+    if (outcome === 'written') owner.proof.recordStoreAnswer(sentAt)
+    else if (outcome === 'superseded' && getOwner() === owner) onSuperseded('the store names another owner')
   }
 }
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -66,10 +66,11 @@
     return this.write(value, expectedVersion, false)
   }
 
-  /** Writes a store heartbeat. Returns false if the store shows another owner. */
-  async writeHeartbeat (fencingToken: number): Promise<boolean> {
+  /** Writes a store heartbeat. Returns 'superseded' if the store shows another owner, 'failed' if it does not answer or refuses. */
+  async writeHeartbeat (fencingToken: number): Promise<'written' | 'superseded' | 'failed'> {
     const res = await this.rows.transact({ conditions: [{ ...this.key, version: fencingToken }], puts: [this.createHeartbeat()], removes: [] })
-    return res.ok || res.error.kind !== StoreFailureKind.Conflict
+    if (res.ok) return 'written'
+    return res.error.kind === StoreFailureKind.Conflict ? 'superseded' : 'failed'
   }
 
   /** Reads the store heartbeat, or returns undefined if the store does not answer. */
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -3,39 +3,23 @@
  */
 import { delay, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
-import { JobScheduler } from '@vanillathread/policy'
-import type { Changes, RowCondition, VmChange } from '@vanillathread/ports'
+import { JobScheduler, type DecisionFields, type OwnershipProof } from '@vanillathread/policy'
+import type { Changes, VmChange } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController, type MachineContent } from './MachineController.js'
-import { taskOptions } from './jobOptions.js'
+import { shardOptions, taskOptions } from './jobOptions.js'
 import { loadOrderedMachines } from './loadOrderedMachines.js'
+import { readMoment } from './OwnershipProver.js'
 import { getNearPlaceRules } from './JobsSettings.js'
 import { Table } from './rows.js'
-import type { ShardOwnerContext } from './ShardOwnerContext.js'
+import type { ShardOwnerOptions } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
 import { loadTurnHistory } from './TurnHistoryStore.js'
 import { VmSessions } from './VmSessions.js'
 
-/** Options of {@link ShardOwner.create}. */
-export interface ShardOwnerOptions extends ShardOwnerContext {
-  readonly shard: string
-  /** Number of takeovers of the shard before this one. */
-  readonly generation: number
-  /** The shard's owner row; its version is the fencing token. */
-  readonly ownerRow: RowCondition
-  /** Time after the takeover for which a previous owner may still extend leases of VMs that this owner cannot reach. */
-  readonly previousOwnerRenewalMs: number
-  /** Store version since which the previous owners kept the ends of leases in the roster up to date, if the last one did. */
-  readonly leaseEndsKeptSince: number | undefined
-  /** Time on this daemon's clock from which every lease of previous owners has expired, if the last one recorded or announced it at its release. */
-  readonly previousLeasesEndAtMs: number | undefined
-  /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
-  onSuperseded (reason: string): void
-}
-
 /** Loads a shard from the store, schedules its jobs and commits their progress. */
 export class ShardOwner {
   readonly scheduler: JobScheduler
@@ -63,7 +47,7 @@
       stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
-      logDecision: (code, fields) => log.write(code, fields),
+      logDecision: (code, fields) => log.write(code, this.addProofAge(code, fields)),
       nearPlaces: getNearPlaceRules(options.settings),
     })
     this.sessions = VmSessions.create({
@@ -81,6 +65,11 @@
     return new ShardOwner(options)
   }
 
+  /** Proofs of this ownership. */
+  get proof (): OwnershipProof {
+    return this.options.proof
+  }
+
   get fencingToken (): number {
     return this.options.ownerRow.version
   }
@@ -186,6 +175,7 @@
       rowBytes: options.settings.rowBytes,
       scheduler,
       versions: content.versions,
+      onStored: (sentAt) => options.proof.recordStoreAnswer(sentAt),
       onCommitted: () => {
         this.sessions.resumeAfterCommit()
         this.requestPlan()
@@ -247,6 +237,13 @@
     })
   }
 
+  /** Adds to a decision that a superseded owner must not take how long ago the ownership was last proven, if that is not recent. */
+  private addProofAge (code: EventCode, fields: DecisionFields): DecisionFields {
+    if (code !== EventCode.TaskStartOrdered && code !== EventCode.TaskLost) return fields
+    const provenAgoMs = Math.round(this.options.proof.getAgeMs(readMoment(this.options.timers)))
+    return provenAgoMs < shardOptions.storeHeartbeatTimeoutMs ? fields : { ...fields, provenAgoMs }
+  }
+
   private plan (): void {
     const { timers, rows, configuration } = this.options
     this.scheduler.setTeams(configuration.current?.teams)
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -3,12 +3,14 @@
  */
 import type { Subscription } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
+import { OwnershipProof } from '@vanillathread/policy'
 import { StoreFailureKind } from '@vanillathread/ports'
 import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
 import { shardOptions, watchOptions } from './jobOptions.js'
 import { OwnerHeartbeats } from './OwnerHeartbeats.js'
 import { OwnerRecord, type KnownOwner, type VersionedOwner } from './OwnerRecord.js'
 import { OwnerWatch } from './OwnerWatch.js'
+import { readMoment } from './OwnershipProver.js'
 import type { ReportedPeer } from './RelayedRowStore.js'
 import { RelayedVmClients } from './RelayedVmClients.js'
 import { ReleaseNotices, type FinishedOwner } from './ReleaseNotices.js'
@@ -183,6 +185,7 @@
     const former = this.row?.value
     const generation = former === undefined ? 0 : former.generation + 1
     const value: OwnerRow = { owner: this.name, ...settings.peer, generation, leaseEndsKeptSince: former?.leaseEndsKeptSince ?? this.knownFencingToken }
+    const sentAt = readMoment(context.timers)
     const res = await this.record.write(value, this.knownFencingToken, true)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
@@ -202,6 +205,7 @@
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
       leaseEndsKeptSince: former?.leaseEndsKeptSince,
       previousLeasesEndAtMs: this.notices.getLeasesEndAtMs(former, context.rows.getStoreClockMs()),
+      proof: OwnershipProof.create({ provenAt: sentAt, validMs: shardOptions.previousOwnerRenewalMs }),
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -48,6 +48,8 @@
   probeTimeoutMs: 400,
   /** Time after a takeover for which a superseded owner that no other daemon can reach may still extend VM leases. */
   previousOwnerRenewalMs: 2_000,
+  /** Period of checking the age of an owner's last proof of its ownership. */
+  proofCheckPeriodMs: 100,
 } as const
 
 /** Constants for running tasks. */
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -224,6 +224,10 @@
   HandlerFailed = 763,
   /** The reader of the standard output did not keep up, so that `lines` log lines were dropped. */
   LogReaderSlow = 764,
+  /** An owner has had no proof for `provenAgoMs` that no other daemon has taken its shard over; `storeSilentMs` tells since when the store is silent. */
+  OwnershipUnproven = 765,
+  /** An owner has a proof of its ownership again, after `unprovenForMs`. */
+  OwnershipProven = 766,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -331,4 +335,6 @@
   [EventCode.LogLinesDropped]: { level: EventLevel.Warn, message: 'event is logged up to a limit per second, and further log lines were dropped' },
   [EventCode.HandlerFailed]: { level: EventLevel.Error, message: 'internal operation failed' },
   [EventCode.LogReaderSlow]: { level: EventLevel.Warn, message: 'log lines were dropped as the reader of the log did not keep up' },
+  [EventCode.OwnershipUnproven]: { level: EventLevel.Warn, message: 'owner has no proof that it still owns the shard' },
+  [EventCode.OwnershipProven]: { level: EventLevel.Info, message: 'owner has proof again that it owns the shard' },
 }
