--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -6,9 +6,11 @@
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
 import { IngressAnswerKind, type ClientApi } from '@vanillathread/ports'
 import { RandomSource } from '@vanillathread/policy'
-import { FleetFeedsStandIn, FleetStandIn, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
-import { countCalls, createNaiveClients, type NaiveOwner } from './labVmClients.js'
+import { FleetFeedsStandIn, FleetStandIn, StoreFault, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
+import { countCalls, createNaiveClients, cutCalls, type NaiveOwner } from './labVmClients.js'
+import { createSettings } from './labSettings.js'
 import { JobHistory } from './JobHistory.js'
+import { LabPartition } from './LabPartition.js'
 import type { SubmittedJob } from './SubmittedJob.js'
 import { MemoryPeerNetwork } from './MemoryPeerNetwork.js'
 
@@ -59,6 +61,7 @@
   readonly fleet: FleetStandIn
   readonly peers: MemoryPeerNetwork
   readonly history: JobHistory
+  readonly partition: LabPartition
   readonly daemons: LabDaemon[] = []
   /** Number of calls to VMs by the daemon that made them. */
   readonly vmCalls = new Map<string, number>()
@@ -81,6 +84,7 @@
       onResize: (vm, former) => this.history.recordResize(vm, former),
       onCrash: (runs, cause) => this.history.recordCrash(runs, cause),
     })
+    this.partition = LabPartition.create(this)
   }
 
   static create (options: JobLabOptions): JobLab {
@@ -107,6 +111,7 @@
     if (entry === undefined) return
     const { timers, store, fleet, history, peers } = this
     entry.store = store.connect()
+    if (this.partition.isIsolated(entry.name)) entry.store.fault = StoreFault.Unresponsive
     entry.daemon = JobsDaemon.create({
       settings: { ...createSettings(entry), speed: this.options.speeds?.[index] ?? 1, ...this.options.settings },
       timers,
@@ -115,7 +120,7 @@
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
         openFeeds: (rows) => FleetFeedsStandIn.create(rows, history),
-        vms: countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)),
+        vms: cutCalls(countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)), timers, (vm) => this.partition.isCut(entry.name, vm)),
         machines: fleet,
         network: peers.connect(entry.address),
         openIngress: (api) => {
@@ -279,23 +284,3 @@
     maxBodyBytes: 262_144,
   }
 }
-
-function createSettings (daemon: LabDaemon): JobsSettings {
-  return {
-    name: daemon.name,
-    zone: 'a',
-    speed: 1,
-    peer: daemon.address,
-    metrics: daemon.address,
-    maxLeaseMs: 6_000,
-    stopMs: 200,
-    orderLeaseMs: 3_000,
-    fencingEnforced: true,
-    graceMs: 6_000,
-    maintenanceMs: 2_000,
-    moveMs: 1_500,
-    stateKeptMs: 120_000,
-    rowBytes: 65_536,
-    configurationApplyMs: 2_000,
-  }
-}
--- a/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
+++ b/packages/integration/src/lib/jobs/MemoryPeerNetwork.ts
@@ -12,6 +12,8 @@
 export class MemoryPeerNetwork {
   /** Addresses, as `host:port`, of the daemons that are cut off from all others. */
   readonly cutAddresses = new Set<string>()
+  /** Addresses, as `host:port`, of the daemons that a partition separates from all others but not from each other. */
+  private readonly isolatedAddresses = new Set<string>()
   /** Kinds of messages that are lost. */
   readonly lostKinds = new Set<`${PeerMessageKind}`>()
   /** Time until a connection to a closed address is known to be refused. */
@@ -43,6 +45,21 @@
     return this.openPeers.has(formatAddress(address))
   }
 
+  /** Separates a daemon from all others that are not isolated. */
+  isolate (address: Address): void {
+    this.isolatedAddresses.add(formatAddress(address))
+  }
+
+  reconnect (address: Address): void {
+    this.isolatedAddresses.delete(formatAddress(address))
+  }
+
+  /** Returns true if no message arrives from one address at another. */
+  isCut (from: Address, to: Address): boolean {
+    const [sender, receiver] = [formatAddress(from), formatAddress(to)]
+    return this.cutAddresses.has(sender) || this.cutAddresses.has(receiver) || this.isolatedAddresses.has(sender) !== this.isolatedAddresses.has(receiver)
+  }
+
   /** Returns the number of messages, of one kind if that is given, that were sent to an address, delivered or not. */
   countSentTo (address: Address, kind?: `${PeerMessageKind}`): number {
     return this.sentCounts.get(kind === undefined ? formatAddress(address) : `${formatAddress(address)} ${kind}`) ?? 0
@@ -52,7 +69,7 @@
     this.sentCounts.set(formatAddress(to), this.countSentTo(to) + 1)
     this.sentCounts.set(`${formatAddress(to)} ${message.kind}`, this.countSentTo(to, message.kind) + 1)
     this.timers.after(MESSAGE_MS, () => {
-      if (this.lostKinds.has(message.kind) || this.cutAddresses.has(formatAddress(from)) || this.cutAddresses.has(formatAddress(to))) return
+      if (this.lostKinds.has(message.kind) || this.isCut(from, to)) return
       this.openPeers.get(formatAddress(to))?.receive(message, from)
     })
   }
@@ -86,7 +103,7 @@
 
   async isConnectionRefused (address: Address): Promise<boolean> {
     if (this.network.refusalMs > 0) await delay(this.network.timers, this.network.refusalMs)
-    return !this.network.cutAddresses.has(formatAddress(address)) && !this.network.cutAddresses.has(formatAddress(this.address)) && !this.network.has(address)
+    return !this.network.isCut(this.address, address) && !this.network.has(address)
   }
 
   async dispose (): Promise<void> {
--- a/packages/integration/src/lib/jobs/labVmClients.ts
+++ b/packages/integration/src/lib/jobs/labVmClients.ts
@@ -1,7 +1,8 @@
 /**
- * Clients of VMs for simulations: with the calls of an incorrect owner, and with a count of the calls.
+ * Clients of VMs for simulations: with the calls of an incorrect owner, with a count of the calls, and with paths that are cut.
  */
-import { VmAnswerKind, type VmClient, type VmClients } from '@vanillathread/ports'
+import { delay, type TimerService } from '@vanillathread/kernel'
+import { VmAnswerKind, type VmAnswer, type VmClient, type VmClients } from '@vanillathread/ports'
 
 /** Deliberately incorrect behaviours of the owner, which the history must detect. */
 export enum NaiveOwner {
@@ -38,6 +39,31 @@
   }
 }
 
+/** Timeout of a call on a path that is cut. */
+const CALL_TIMEOUT_MS = 600
+
+/** Wraps clients so that a call on a path that is cut is not carried out and times out, and an answer is lost if the path is cut meanwhile. */
+export function cutCalls (vms: VmClients, timers: TimerService, isCut: (vmId: string) => boolean): VmClients {
+  return {
+    open: (entry) => {
+      const client = vms.open(entry)
+      const cut = <A, T>(call: (argument: A) => Promise<VmAnswer<T>>) => async (argument: A): Promise<VmAnswer<T>> => {
+        const answer = isCut(entry.id) ? undefined : await call(argument)
+        if (answer !== undefined && !isCut(entry.id)) return answer
+        await delay(timers, CALL_TIMEOUT_MS)
+        return { kind: VmAnswerKind.Unknown, reason: 'no answer' }
+      }
+      return {
+        start: cut((call) => client.start(call)),
+        stop: cut((call) => client.stop(call)),
+        pace: cut((call) => client.pace(call)),
+        renew: cut((call) => client.renew(call)),
+        dispose: () => client.dispose(),
+      }
+    },
+  }
+}
+
 /** Wraps a VM client so that its calls are those of an owner with the given incorrect behaviour. */
 function createNaiveClient (client: VmClient, naive: NaiveOwner): VmClient {
   const getToken = (call: { fencingToken: number }): number => naive === NaiveOwner.WithoutFencingToken ? 1 : call.fencingToken
