--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -31,6 +31,8 @@
 export class OwnerHeartbeats {
   private readonly subscriptions: readonly Subscription[]
   private readonly prover: OwnershipProver
+  /** Number of store heartbeats under way. */
+  private writes = 0
 
   private constructor (private readonly options: OwnerHeartbeatsOptions) {
     const { context: { timers }, network } = options
@@ -68,6 +70,11 @@
     succession.updateRelays(owner.scheduler.state.vms.size)
   }
 
+  /** Writes a store heartbeat now, unless one is under way: its success proves the ownership. */
+  prove (): void {
+    if (this.writes === 0) this.writeToStore()
+  }
+
   private applyAnswer ({ name, fencingToken, storeSilentMs }: PeerMessageOf<PeerMessageKind.ShardHeartbeatAck>): void {
     const { members, succession, getOwner, onSuperseded } = this.options
     members.recordAnswer(name)
@@ -81,8 +88,9 @@
     const owner = getOwner()
     if (owner === undefined) return
     const sentAt = readMoment(timers)
-    const outcome = await record.writeHeartbeat(owner.fencingToken)
-    if (outcome === 'written') owner.proof.recordStoreAnswer(sentAt)
+    this.writes += 1
+    const outcome = await record.writeHeartbeat(owner.fencingToken).finally(() => { this.writes -= 1 })
+    if (outcome === 'written') owner.proof.record(sentAt)
     else if (outcome === 'superseded' && getOwner() === owner) onSuperseded('the store names another owner')
   }
 }
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -30,6 +30,9 @@
 
 /** Reads and writes the records of one shard's owner. */
 export class OwnerRecord {
+  /** Version on whose condition a takeover is being written, or was written with an unknown outcome. */
+  private openTakeover: number | undefined
+
   private constructor (private readonly rows: RowStore, private readonly shard: string) {}
 
   static create (options: { rows: RowStore, shard: string }): OwnerRecord {
@@ -50,10 +53,18 @@
     return stored === undefined || value === undefined ? undefined : { value, version: stored.version }
   }
 
-  /** Writes the owner row, with the first store heartbeat of a new owner, on condition that it has the expected version. */
-  write (value: OwnerRow, expectedVersion: number, withHeartbeat: boolean): Promise<Result<RowCommit, StoreFailure>> {
-    const puts = [{ ...this.key, value: encodeRow(value) }, ...(withHeartbeat ? [this.createHeartbeat()] : [])]
-    return this.rows.transact({ conditions: [{ ...this.key, version: expectedVersion }], puts, removes: [] })
+  /** Writes the row of a new owner, with its first store heartbeat, on condition that the row has the expected version. */
+  async takeOver (value: OwnerRow, expectedVersion: number): Promise<Result<RowCommit, StoreFailure>> {
+    this.openTakeover = expectedVersion
+    const res = await this.write(value, expectedVersion, [this.createHeartbeat()])
+    // A takeover with an unknown outcome may yet be carried out, as long as the row has this version.
+    if (res.ok || res.error.kind !== StoreFailureKind.Unknown) this.openTakeover = undefined
+    return res
+  }
+
+  /** Returns true if this daemon has taken over from the owner with the given token, or may have, without knowing. */
+  mayHaveTakenOver (fencingToken: number): boolean {
+    return this.openTakeover === fencingToken
   }
 
   /**
@@ -63,7 +74,7 @@
    */
   release (former: OwnerRow | undefined, expectedVersion: number, leasesEndMs: number | undefined): Promise<Result<RowCommit, StoreFailure>> {
     const value = { owner: '', host: '', port: 0, generation: former?.generation ?? 0, leaseEndsKeptSince: former?.leaseEndsKeptSince, leasesEndMs }
-    return this.write(value, expectedVersion, false)
+    return this.write(value, expectedVersion, [])
   }
 
   /** Writes a store heartbeat. Returns 'superseded' if the store shows another owner, 'failed' if it does not answer or refuses. */
@@ -96,6 +107,10 @@
     return Math.ceil(reading.clockMs + reading.sentAgoMs + atMs - nowMs)
   }
 
+  private write (value: OwnerRow, expectedVersion: number, more: readonly RowPut[]): Promise<Result<RowCommit, StoreFailure>> {
+    return this.rows.transact({ conditions: [{ ...this.key, version: expectedVersion }], puts: [{ ...this.key, value: encodeRow(value) }, ...more], removes: [] })
+  }
+
   private createHeartbeat (): RowPut {
     return { table: Table.StoreHeartbeats, part: this.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.rows.getStoreClockMs()) }) }
   }
--- a/packages/daemon/src/lib/jobs/OwnershipProver.ts
+++ b/packages/daemon/src/lib/jobs/OwnershipProver.ts
@@ -1,34 +1,55 @@
 /**
- * Follows the proofs of an owner's ownership, and logs since when it has had none.
+ * Seeks proofs of an owner's ownership from the other daemons while the store does not answer, answers such questions of other owners, and logs
+ * since when an owner has had no proof.
  */
 import type { Subscription, TimerService } from '@vanillathread/kernel'
-import { EventCode } from '@vanillathread/model'
+import { EventCode, type Address } from '@vanillathread/model'
 import type { Moment } from '@vanillathread/policy'
+import { PeerMessageKind, type PeerMessageOf } from '../peer/messages.js'
+import type { PeerTransport, Reply } from '../peer/PeerTransport.js'
 import { shardOptions } from './jobOptions.js'
+import type { MemberDirectory } from './MemberDirectory.js'
+import type { OwnerRecord } from './OwnerRecord.js'
 import type { ShardOwner } from './ShardOwner.js'
 import type { ShardOwnerContext } from './ShardOwnerContext.js'
+import type { OwnerTerm } from './Succession.js'
 
 /** Options of {@link OwnershipProver.create}. */
 export interface OwnershipProverOptions {
   readonly shard: string
   readonly context: ShardOwnerContext
+  readonly network: PeerTransport
+  readonly members: MemberDirectory
+  readonly record: OwnerRecord
   /** Returns this daemon's ownership, or undefined if it does not own the shard. */
   getOwner (): ShardOwner | undefined
+  getOwnerTerm (): OwnerTerm
 }
 
+/** Number of rounds whose answers still count; older ones would prove too little. */
+const KEPT_ROUNDS = 4
+
 /** Reads both clocks of a daemon. */
 export function readMoment (timers: TimerService): Moment {
   return { nowMs: timers.now(), wallClockMs: timers.wallClock() }
 }
 
-/** Watches the age of the proofs while this daemon owns the shard. */
+/** Watches the age of the proofs while this daemon owns the shard, and asks the other daemons if it is too high. */
 export class OwnershipProver {
   private readonly subscription: Subscription
   /** The owner that has no proof, and the time of its last one. */
   private unproven: { readonly owner: ShardOwner, readonly provenAtMs: number } | undefined
+  /** Moments at which the last rounds began, by number. */
+  private readonly rounds = new Map<number, Moment>()
+  private lastRound = 0
+  /** Daemons that have answered since the last round began; undefined if there was none for some time. */
+  private answered: Set<string> | undefined
 
   private constructor (private readonly options: OwnershipProverOptions) {
-    this.subscription = options.context.timers.every(shardOptions.proofCheckPeriodMs, () => this.check())
+    const { context, network } = options
+    network.on(PeerMessageKind.ShardClaim, (message, reply) => this.answer(message, reply))
+    network.on(PeerMessageKind.ShardClaimAck, (message) => this.applyAnswer(message))
+    this.subscription = context.timers.every(shardOptions.proofCheckPeriodMs, () => this.check())
   }
 
   static create (options: OwnershipProverOptions): OwnershipProver {
@@ -43,7 +64,49 @@
     const { context, getOwner } = this.options
     const owner = getOwner()
     if (this.unproven !== undefined && this.unproven.owner !== owner) this.unproven = undefined
-    if (owner !== undefined) this.logChange(owner, readMoment(context.timers))
+    if (owner === undefined) return
+    const now = readMoment(context.timers)
+    this.logChange(owner, now)
+    const lastRoundAgoMs = now.nowMs - (this.rounds.get(this.lastRound)?.nowMs ?? -Infinity)
+    if (owner.proof.isRefreshDue(now) && lastRoundAgoMs >= shardOptions.claimPeriodMs) this.beginRound(owner, now, lastRoundAgoMs)
+  }
+
+  /** Asks all other daemons, and checks whether the processes of those that did not answer the last round have ended. */
+  private beginRound (owner: ShardOwner, now: Moment, lastRoundAgoMs: number): void {
+    const { shard, network, members: { others } } = this.options
+    const answered = lastRoundAgoMs < shardOptions.previousOwnerRenewalMs ? this.answered : undefined
+    this.answered = new Set()
+    this.lastRound += 1
+    this.rounds.set(this.lastRound, now)
+    this.rounds.delete(this.lastRound - KEPT_ROUNDS)
+    if (others.length === 0) owner.proof.record(now)
+    for (const { name, address } of others) {
+      network.sendExpectingReply(address, { kind: PeerMessageKind.ShardClaim, shard, fencingToken: owner.fencingToken, seq: this.lastRound })
+      if (answered?.has(name) === false) this.checkProcess(owner, name, address, now)
+    }
+  }
+
+  private async checkProcess (owner: ShardOwner, name: string, address: Address, now: Moment): Promise<void> {
+    if (await this.options.network.isConnectionRefused(address, shardOptions.probeTimeoutMs)) this.recordPeer(owner, name, now)
+  }
+
+  /** Answers the owner unless a newer one is known here, or this daemon may have taken over itself. */
+  private answer ({ shard, fencingToken, seq }: PeerMessageOf<PeerMessageKind.ShardClaim>, reply: Reply): void {
+    const { record, context, getOwnerTerm } = this.options
+    if (shard !== this.options.shard || fencingToken < getOwnerTerm().fencingToken || record.mayHaveTakenOver(fencingToken)) return
+    reply({ kind: PeerMessageKind.ShardClaimAck, shard, name: context.settings.name, seq })
+  }
+
+  private applyAnswer ({ shard, name, seq }: PeerMessageOf<PeerMessageKind.ShardClaimAck>): void {
+    const owner = this.options.getOwner()
+    const sentAt = this.rounds.get(seq)
+    if (owner === undefined || shard !== this.options.shard || sentAt === undefined) return
+    this.answered?.add(name)
+    this.recordPeer(owner, name, sentAt)
+  }
+
+  private recordPeer (owner: ShardOwner, name: string, moment: Moment): void {
+    owner.proof.recordPeer(name, moment, this.options.members.others.map((member) => member.name))
   }
 
   private logChange (owner: ShardOwner, now: Moment): void {
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -175,7 +175,7 @@
       rowBytes: options.settings.rowBytes,
       scheduler,
       versions: content.versions,
-      onStored: (sentAt) => options.proof.recordStoreAnswer(sentAt),
+      onStored: (sentAt) => options.proof.record(sentAt),
       onCommitted: () => {
         this.sessions.resumeAfterCommit()
         this.requestPlan()
@@ -254,6 +254,7 @@
     for (const order of orders) this.sessions.execute(order)
     this.sessions.closeForgotten()
     if (this.scheduler.state.jobsToRead.size > 0) this.readUnknownJobs()
+    if (this.scheduler.ownership.isProofWanted) this.options.requestProof()
     if (this.scheduler.listJobsToStore().length > 0) this.commitLoop?.request()
   }
 
--- a/packages/daemon/src/lib/jobs/ShardOwnerContext.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnerContext.ts
@@ -38,6 +38,8 @@
   readonly previousLeasesEndAtMs: number | undefined
   /** Proofs of this ownership. */
   readonly proof: OwnershipProof
+  /** Called if a decision waits for a proof of the ownership that is not older than now. */
+  requestProof (): void
   /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
   onSuperseded (reason: string): void
 }
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -180,17 +180,16 @@
   /** Takes the shard over by writing the owner row, on condition that it is still the known one. */
   private async takeOver (reason: TakeoverReason): Promise<void> {
     if (this.stopping) return
-    const { context, shard } = this.options
-    const { settings, log } = context
+    const { context, context: { settings, log }, shard } = this.options
     const former = this.row?.value
     const generation = former === undefined ? 0 : former.generation + 1
     const value: OwnerRow = { owner: this.name, ...settings.peer, generation, leaseEndsKeptSince: former?.leaseEndsKeptSince ?? this.knownFencingToken }
-    const sentAt = readMoment(context.timers)
-    const res = await this.record.write(value, this.knownFencingToken, true)
+    const proof = OwnershipProof.create({ provenAt: readMoment(context.timers), validMs: shardOptions.previousOwnerRenewalMs, refreshMs: shardOptions.proofRefreshMs })
+    const res = await this.record.takeOver(value, this.knownFencingToken)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
       log.write(EventCode.StoreCallFailed, { call: 'take shard', shard, outcome: res.error.kind })
-      if (res.error.kind !== StoreFailureKind.NotDone) this.rowCurrent = false
+      this.rowCurrent &&= res.error.kind === StoreFailureKind.NotDone
       return
     }
     log.write(EventCode.ShardTaken, { shard, fencingToken: res.value.version, generation, former: former?.owner, reason })
@@ -205,7 +204,8 @@
       previousOwnerRenewalMs: this.watch.getPreviousOwnerRenewalMs(reason),
       leaseEndsKeptSince: former?.leaseEndsKeptSince,
       previousLeasesEndAtMs: this.notices.getLeasesEndAtMs(former, context.rows.getStoreClockMs()),
-      proof: OwnershipProof.create({ provenAt: sentAt, validMs: shardOptions.previousOwnerRenewalMs }),
+      proof,
+      requestProof: () => this.heartbeats.prove(),
       onSuperseded: (why) => this.stepDown(why),
     })
     this.heartbeats.send()
--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -6,6 +6,7 @@
 import { OrderKind, RunPhase, StartOutcome, TRIAL_MS, type JobScheduler, type Order, type TrackedRun, type TrackedVm } from '@vanillathread/policy'
 import { VmAnswerKind, type RunReference, type VmAnswer, type VmClient } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
+import { readMoment } from './OwnershipProver.js'
 
 /** Options of {@link VmSession.create}. */
 export interface VmSessionOptions {
@@ -81,7 +82,7 @@
     const sentAtMs = timers.now()
     const answer = await client.renew({
       fencingToken,
-      leaseUntilMs: vm.knowsClock && vm.mayBeLeased ? vm.extendLease(sentAtMs, leaseMs) : undefined,
+      leaseUntilMs: vm.knowsClock && vm.mayBeLeased && scheduler.ownership.mayAct(readMoment(timers)) ? vm.extendLease(sentAtMs, leaseMs) : undefined,
       acknowledgedEnd: vm.acknowledgedEnd,
       waitMs: this.lostRenewals > 0 ? 0 : this.getPollWaitMs(),
     })
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -46,8 +46,18 @@
   relayStoreSilentMs: 1_500,
   /** Timeout for opening a connection to a suspected owner. */
   probeTimeoutMs: 400,
-  /** Time after a takeover for which a superseded owner that no other daemon can reach may still extend VM leases. */
+  /**
+   * Time after a takeover for which a superseded owner that no other daemon can reach may still extend VM leases and start tasks. An owner
+   * stops both once its last proof of its ownership is older.
+   */
   previousOwnerRenewalMs: 2_000,
+  /**
+   * Age of an owner's last proof of its ownership from which it asks the other daemons for one: longer than a store heartbeat takes,
+   * and short enough for two rounds before the proof is no longer valid, after `previousOwnerRenewalMs`.
+   */
+  proofRefreshMs: 1_000,
+  /** Time between two rounds of asking the other daemons. */
+  claimPeriodMs: 400,
   /** Period of checking the age of an owner's last proof of its ownership. */
   proofCheckPeriodMs: 100,
 } as const
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -27,6 +27,9 @@
   ShardHeartbeat = 'shard-beat',
   /** Answer to a shard's heartbeat, with the latest fencing token that the sender knows and the time since the store last answered the sender on its own connections. */
   ShardHeartbeatAck = 'shard-beat-ack',
+  /** Question of an owner without an answer from the store whether the receiver has taken its shard over, and the answer of one that has not. */
+  ShardClaim = 'shard-claim',
+  ShardClaimAck = 'shard-claim-ack',
   /** Sent by an owner that has given up its shard, also before the store has recorded that. */
   ShardReleased = 'shard-released',
   /** A job that was just stored, sent to the owner of its shard. */
@@ -115,6 +118,8 @@
     storeSilentMs: z.number(),
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardClaim), shard: z.string(), fencingToken: nonNegativeInt, seq: nonNegativeInt }),
+  z.strictObject({ kind: z.literal(PeerMessageKind.ShardClaimAck), shard: z.string(), name: z.string(), seq: nonNegativeInt }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.ShardReleased),
     shard: z.string(),
--- a/packages/integration/src/jobVms.test.ts
+++ b/packages/integration/src/jobVms.test.ts
@@ -83,8 +83,9 @@
     const simulate = async (naive?: NaiveOwner): Promise<JobLab> => {
       const lab = JobLab.create({ seed: 1, naive })
       await lab.start()
-      const slow = () => createStep({ estimateMs: 3_500 })
-      for (let job = 0; job < 3; job++) lab.submit(createJob(slow(), { ...slow(), after: [0] }))
+      // Steps end all the time, also shortly after the takeover, while the former owner may still act.
+      const steps = Array.from({ length: 12 }, (_step, index) => createStep({ taskCount: 2, estimateMs: 300, after: index === 0 ? [] : [index - 1] }))
+      for (let job = 0; job < 6; job++) lab.submit(createJob(...steps))
       await lab.run(500)
       const owner = lab.daemons[lab.findOwner()]
       if (owner === undefined) throw new Error('no owner')
--- a/packages/integration/src/lab.ts
+++ b/packages/integration/src/lab.ts
@@ -2,6 +2,7 @@
  * Command that simulates days of random load and faults: `npm run lab -- --days N --seed S`.
  * With `--owner-cuts` it cuts the owner's own connections to the store, and prints what callers notice.
  * With `--take-overs` it loses the owner of a shard in several ways instead, and prints the times to the steps of the takeover.
+ * With `--partitions` each day has a partition beside another fault.
  * With `--silence` the store fails for 7 s in the middle of a burst, and it prints what clients got.
  */
 import { Command } from 'commander'
@@ -9,7 +10,7 @@
 import { measureOwnerCut } from './lib/jobs/measureOwnerCut.js'
 import { LOSSES, measureTakeover, type TakeoverTimes } from './lib/jobs/measureTakeover.js'
 import { playSilence, summarizeSilence } from './lib/jobs/playSilence.js'
-import { simulateRandomDay } from './lib/jobs/simulateRandomDay.js'
+import { simulatePartitionDay, simulateRandomDay } from './lib/jobs/simulateRandomDay.js'
 
 const command = new Command('lab')
   .description('Simulates days of random load and faults in one process on a fake clock.')
@@ -17,9 +18,10 @@
   .option('--seed <number>', 'seed of the first day; each further day uses the next number', '1')
   .option('--take-overs', 'measure the times from each kind of loss of the owner to the steps of the takeover, with --days as the number of seeds')
   .option('--owner-cuts', 'measure the times from the end of a job to its shown final state, and to first starts, while the owner alone is cut off from the store for 7 s')
+  .option('--partitions', 'simulate days with a partition and another fault')
   .option('--silence', 'measure what clients get while the store is silent, stalled, slow or loses answers for 7 s, with --days as the number of seeds')
 command.parse()
-const { days, seed, takeOvers, ownerCuts, silence } = command.opts<{ days: string, seed: string, takeOvers?: boolean, ownerCuts?: boolean, silence?: boolean }>()
+const { days, seed, takeOvers, ownerCuts, partitions, silence } = command.opts<{ days: string, seed: string, takeOvers?: boolean, ownerCuts?: boolean, partitions?: boolean, silence?: boolean }>()
 if (ownerCuts === true) {
   await printOwnerCutTimes()
   process.exit(0)
@@ -34,7 +36,7 @@
 }
 let brokenDays = 0
 for (let index = 0; index < Number(days); index++) {
-  const day = await simulateRandomDay(Number(seed) + index)
+  const day = await (partitions === true ? simulatePartitionDay : simulateRandomDay)(Number(seed) + index)
   const isBroken = day.violations.length > 0 || day.incompleteWaves.length > 0
   if (isBroken) brokenDays += 1
   console.log(`seed ${day.seed}: ${day.accepted} of ${day.submitted} accepted, ${day.starts} starts, ${isBroken ? 'BROKEN' : 'passed'}; ${day.faults.join('; ')}`)
--- a/packages/integration/src/lib/jobs/simulateRandomDay.ts
+++ b/packages/integration/src/lib/jobs/simulateRandomDay.ts
@@ -112,17 +112,35 @@
 /** Faults that are planned work or harm no long-running task. All others disrupt, as the platform's rules say. */
 const PLANNED_FAULTS: ReadonlySet<string> = new Set(['daemon stopped and started', 'rolling restart', 'VM drains and leaves', 'VM drains, leaves and unregisters', 'VM leaves with its tasks', 'store drops its history', 'wave'])
 
-/** Longest time after a fault for which it has effects that the rule LOST does not know: the pause of a VM that failed tasks. */
+/** Longest such time of a VM that fails tasks: the pause of a VM that failed tasks. */
 const MAX_AFTER_EFFECT_MS = 12_000
 
-/** Names of all faults. */
+/** Names of the faults that random days are drawn from. */
 export const FAULT_NAMES: readonly string[] = Object.keys(FAULTS)
 
+/** Added to the duration of a partition, so that it is longer than a takeover and the waits of the successor for most seeds. */
+const EXTRA_PARTITION_MS = 6_000
+
+/** Partitions that separate daemons and VMs from the store and from all others. */
+const PARTITIONS: Readonly<Record<string, FaultInjector>> = {
+  'owner isolated with half of the VMs': (lab, random, forMs) => isolate(lab, random, [lab.findOwner()], forMs),
+  'owner and another daemon isolated with half of the VMs': (lab, random, forMs) => isolate(lab, random, [lab.findOwner(), random.nextBelow(lab.daemons.length)], forMs),
+  'daemon isolated with half of the VMs': (lab, random, forMs) => isolate(lab, random, [random.nextBelow(lab.daemons.length)], forMs),
+}
+
+/** Names of all partitions. */
+export const PARTITION_NAMES: readonly string[] = Object.keys(PARTITIONS)
+
 /** Simulates a day with two to four random faults. */
 export async function simulateRandomDay (seed: number): Promise<DayResult> {
   return simulateDay(seed, (random) => Array.from({ length: 2 + random.nextBelow(3) }, () => random.sample(FAULT_NAMES, 1)[0] ?? ''))
 }
 
+/** Simulates a day with a random partition and another random fault. */
+export async function simulatePartitionDay (seed: number): Promise<DayResult> {
+  return simulateDay(seed, (random) => [random.sample(PARTITION_NAMES, 1)[0] ?? '', random.sample(FAULT_NAMES, 1)[0] ?? ''])
+}
+
 /** Simulates a day with the chosen faults at random times. */
 export async function simulateDay (seed: number, chooseFaults: (random: RandomSource) => readonly string[]): Promise<DayResult> {
   const lab = JobLab.create({ seed })
@@ -135,9 +153,9 @@
     const atMs = random.nextBelow(LOAD_MS)
     const forMs = 500 + random.nextBelow(MAX_EXTRA_FAULT_MS)
     const nowMs = lab.timers.now()
-    if (!PLANNED_FAULTS.has(name)) disruptions.push({ fromMs: nowMs + atMs, toMs: nowMs + atMs + forMs + (name === 'VM fails tasks' ? MAX_AFTER_EFFECT_MS : LEASE_MS) })
+    if (!PLANNED_FAULTS.has(name)) disruptions.push({ fromMs: nowMs + atMs, toMs: nowMs + atMs + forMs + getAfterEffectMs(name) })
     names.push(`${name} at ${atMs} for ${forMs} ms`)
-    lab.timers.after(atMs, () => FAULTS[name]?.(lab, random, forMs))
+    lab.timers.after(atMs, () => (FAULTS[name] ?? PARTITIONS[name])?.(lab, random, forMs))
   }
   for (let atMs = 0; atMs < LOAD_MS; atMs += JOB_INTERVAL_MS) {
     submitRandomJob(lab, random)
@@ -156,6 +174,18 @@
   }
 }
 
+/** Returns the time after a fault's duration for which it has effects that the rule LOST does not know. */
+function getAfterEffectMs (name: string): number {
+  if (name in PARTITIONS) return EXTRA_PARTITION_MS + LEASE_MS
+  return name === 'VM fails tasks' ? MAX_AFTER_EFFECT_MS : LEASE_MS
+}
+
+/** Isolates daemons, by index, with a random half of the VMs. */
+function isolate (lab: JobLab, random: RandomSource, daemons: readonly number[], forMs: number): void {
+  const { vms } = lab.fleet
+  lab.partition.isolate(lab.daemons.filter((_daemon, index) => daemons.includes(index)), random.sample(vms, Math.ceil(vms.length / 2)), forMs + EXTRA_PARTITION_MS)
+}
+
 function submitRandomJob (lab: JobLab, random: RandomSource): void {
   const queue = random.nextBelow(2)
   const kind = random.nextBelow(20)
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -3,6 +3,7 @@
  */
 import { EventCode, isFinalState, JobState, type AcceptedJob, type TeamRules, type VmEntry, type VmReport } from '@vanillathread/model'
 import type { RosterClocks, RosterRecord, RosterWrite } from '../vms/rosterRecords.js'
+import { OwnershipGate } from '../ownership/OwnershipGate.js'
 import { StartGate } from '../vms/StartGate.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { SLOW_CLOCK_FACTOR, VmRegistry } from '../vms/VmRegistry.js'
@@ -42,6 +43,8 @@
 /** Scheduler of one shard. @public */
 export class JobScheduler {
   readonly state: SchedulerState
+  /** What the proofs of the ownership allow. */
+  readonly ownership: OwnershipGate
   private readonly registry: VmRegistry
   private readonly pacing = PaceController.create()
   /** Time of the last checks that depend on time alone. */
@@ -61,6 +64,7 @@
     const endedJobRunMs = leaseMs * SLOW_CLOCK_FACTOR + previousOwnerRenewalMs + stopMs
     this.state = SchedulerState.create(logDecision, stopMs, TeamScheduling.create({ previousOwnerUntilMs, endedJobRunMs, startedAtMs, logDecision }), options.nearPlaces)
     this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
+    this.ownership = OwnershipGate.create({ registry: this.registry, proof: options.proof })
     this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
 
@@ -234,7 +238,7 @@
     const isCheckDue = nowMs - this.checkedAtMs >= CHECK_PERIOD_MS
     if (isCheckDue) {
       this.checkedAtMs = nowMs
-      this.registry.handleExpiredLeases(nowMs)
+      this.ownership.handleExpiredLeases(nowMs)
     }
     for (const [vmId, stopFiniteAtMs] of this.evacuations) {
       const vm = this.state.vms.get(vmId)
@@ -243,7 +247,7 @@
     if (isCheckDue) restartOverdue(this.state, nowMs)
     const vmsByPool = this.state.groupVmsByPool()
     this.state.teams.beginPlan(vmsByPool, clocks)
-    for (const pool of this.state.openJobs.keys()) {
+    for (const pool of this.ownership.mayAct(clocks) ? this.state.openJobs.keys() : []) {
       const vms = vmsByPool.get(pool) ?? []
       const mayStart = this.startGate.createCheck(pool, vms, nowMs)
       placeTasks(this.state, pool, { ...clocks, vms, getTickets, mayStart })
--- a/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
+++ b/packages/policy/src/lib/jobs/JobSchedulerOptions.ts
@@ -1,6 +1,7 @@
 /**
  * What a scheduler is created with, and the clocks that it plans by.
  */
+import type { OwnershipProof } from '../ownership/OwnershipProof.js'
 import type { NearPlaceRules } from '../placement/NearPlaces.js'
 import type { DecisionLogger } from './SchedulerState.js'
 
@@ -20,6 +21,8 @@
   readonly startedAtMs: number
   /** Time from which every lease of previous owners has expired, if the last one recorded it. */
   readonly previousLeasesEndAtMs?: number
+  /** Proofs of the ownership; without them, the owner counts as the only one that there can be. */
+  readonly proof?: OwnershipProof
   readonly logDecision: DecisionLogger
   /** Rules for waits for places near the data; without them, no task waits for one. */
   readonly nearPlaces?: NearPlaceRules
--- a/packages/policy/src/lib/jobs/testSupport.ts
+++ b/packages/policy/src/lib/jobs/testSupport.ts
@@ -2,6 +2,7 @@
  * Builders and helpers for tests of the scheduler.
  */
 import { STEP_DEFAULTS, type AcceptedJob, type JobSpec, type StepSpec, type VmEntry } from '@vanillathread/model'
+import type { OwnershipProof } from '../ownership/OwnershipProof.js'
 import type { NearPlaceRules } from '../placement/NearPlaces.js'
 import { JobScheduler } from './JobScheduler.js'
 import { OrderKind, StartOutcome, type Order } from './orders.js'
@@ -55,9 +56,9 @@
   }
 }
 
-export function createScheduler (options: { generation?: number, nearPlaces?: NearPlaceRules } = {}): JobScheduler {
+export function createScheduler (options: { generation?: number, nearPlaces?: NearPlaceRules, proof?: OwnershipProof } = {}): JobScheduler {
   return JobScheduler.create({
-    generation: options.generation ?? 0, fencingToken: 1, leaseMs: LEASE_MS, stopMs: STOP_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {}, nearPlaces: options.nearPlaces,
+    generation: options.generation ?? 0, fencingToken: 1, leaseMs: LEASE_MS, stopMs: STOP_MS, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {}, nearPlaces: options.nearPlaces, proof: options.proof,
   })
 }
 
--- a/packages/policy/src/lib/ownership/OwnershipProof.ts
+++ b/packages/policy/src/lib/ownership/OwnershipProof.ts
@@ -1,7 +1,10 @@
 /**
- * What an owner knows of its own ownership: the latest time at which certainly no other daemon had taken its shard over.
+ * What an owner knows of its own ownership: the latest time at which certainly no other daemon had acted as its successor.
  *
- * It answers partitions: an owner that is cut off from the store and from its successor hears of neither.
+ * It answers partitions and outages of the store. An owner that is cut off from the store and from its successor hears of neither, so it may act
+ * only for as long as its successors wait for it. A proof is a transaction that the store has carried out on condition of the owner row, or the
+ * statements of all other daemons that they have not taken over, as while the store answers nobody. That all VMs answer the owner proves nothing: a
+ * successor may have got machines whose VMs the owner does not know.
  */
 
 /** Readings of a daemon's clocks at one moment, in milliseconds. @public */
@@ -18,28 +21,48 @@
   readonly provenAt: Moment
   /** Time after a proof for which the owner may act: its successors wait that long, from their takeover, for what it still does. */
   readonly validMs: number
+  /** Age of a proof, below `validMs`, from which the other daemons are asked for a new one. */
+  readonly refreshMs: number
 }
 
 /** Proofs of one owner's ownership. @public */
 export class OwnershipProof {
   private provenAt: Moment
+  /** Latest moments at which other daemons had certainly not taken the shard over, by name. */
+  private readonly peers = new Map<string, Moment>()
 
-  private constructor (private readonly validMs: number, provenAt: Moment) {
-    this.provenAt = provenAt
+  private constructor (private readonly options: OwnershipProofOptions) {
+    this.provenAt = options.provenAt
   }
 
-  static create ({ provenAt, validMs }: OwnershipProofOptions): OwnershipProof {
-    return new OwnershipProof(validMs, provenAt)
+  static create (options: OwnershipProofOptions): OwnershipProof {
+    return new OwnershipProof(options)
   }
 
-  /** Time on the steady clock at which certainly no other daemon had taken the shard over. */
+  /** Time on the steady clock at which certainly no other daemon acted as the owner. */
   get provenAtMs (): number {
     return this.provenAt.nowMs
   }
 
-  /** Records that the store has carried out a transaction that was sent at a given moment and is conditional on the owner row. */
-  recordStoreAnswer (sentAt: Moment): void {
-    this.extend(sentAt)
+  /** Records that the shard had no other owner at a given moment, as a transaction sent then was carried out on condition of the owner row. */
+  record (moment: Moment): void {
+    if (moment.nowMs > this.provenAt.nowMs) this.provenAt = moment
+  }
+
+  /**
+   * Records that a daemon had not taken the shard over at a given moment: it said so, or its process had ended.
+   *
+   * @param peers - names of all other daemons that are known now. It is a proof once each of them had not taken over.
+   */
+  recordPeer (name: string, moment: Moment, peers: readonly string[]): void {
+    this.peers.set(name, moment)
+    let earliest = moment
+    for (const peer of peers) {
+      const known = this.peers.get(peer)
+      if (known === undefined) return
+      if (known.nowMs < earliest.nowMs) earliest = known
+    }
+    this.record(earliest)
   }
 
   /** Time since the last proof, in milliseconds: that of the wall clock if the daemon's VM was suspended meanwhile. */
@@ -47,12 +70,13 @@
     return Math.max(now.nowMs - this.provenAt.nowMs, now.wallClockMs - this.provenAt.wallClockMs)
   }
 
-  /** Returns true if the owner may grant leases and start tasks: no successor has certainly had the time to rely on its silence. */
-  mayAct (now: Moment): boolean {
-    return this.getAgeMs(now) <= this.validMs
+  /** Returns true if the other daemons are to be asked for a new proof. */
+  isRefreshDue (now: Moment): boolean {
+    return this.getAgeMs(now) >= this.options.refreshMs
   }
 
-  private extend (moment: Moment): void {
-    if (moment.nowMs > this.provenAt.nowMs) this.provenAt = moment
+  /** Returns true if the owner may grant leases and start tasks: no successor can rely on its silence yet. */
+  mayAct (now: Moment): boolean {
+    return this.getAgeMs(now) <= this.options.validMs
   }
 }
--- a/packages/policy/src/lib/vms/VmRegistry.ts
+++ b/packages/policy/src/lib/vms/VmRegistry.ts
@@ -183,21 +183,31 @@
    * Records the runs of an unresponsive VM as lost once its lease has expired, and forgets the VM if it is not registered.
    * A registered VM that has not answered this owner counts as reconciled, without runs, once all leases of previous owners
    * have expired.
+   *
+   * @param provenAtMs - time at which this owner certainly had no successor, which could have extended a lease.
+   * @returns true if a lease has expired since then.
    */
-  handleExpiredLeases (nowMs: number): void {
-    const { state } = this.options
+  handleExpiredLeases (nowMs: number, provenAtMs: number): boolean {
+    const { state, startedAtMs } = this.options
+    let unproven = false
     for (const vm of [...state.vms.values()]) {
+      if (vm.unresponsiveSinceMs === undefined && (vm.registered || vm.isReconciled)) continue
+      const expiryMs = this.getLeaseExpiryMs(vm)
+      if (Math.max(provenAtMs, startedAtMs) < expiryMs) {
+        unproven ||= nowMs >= expiryMs
+        continue
+      }
       if (vm.isReconciled) {
-        if (vm.unresponsiveSinceMs === undefined || nowMs < vm.leaseExpiresAtMs) continue
         if (vm.runs.size > 0) state.loseRuns(vm, vm.runs.values(), 'lease is over and the VM does not answer')
         if (!vm.registered) this.forget(vm.id, 'not registered and its lease has expired')
-      } else if (!vm.registered && nowMs >= this.getLeaseExpiryMs(vm)) {
+      } else if (!vm.registered) {
         this.forget(vm.id, 'not registered and every former lease is over')
-      } else if (vm.unresponsiveSinceMs !== undefined && nowMs >= this.getLeaseExpiryMs(vm)) {
+      } else {
         // Every lease of a previous owner has expired, so the VM has no runs. `isReconciled` is set although the VM did not answer.
         vm.isReconciled = true
       }
     }
+    return unproven
   }
 
   /** Returns the time from which every lease of a VM that does not answer has certainly expired. */
