Reject registrations that name no VM a client can be opened for

Callers: one entry of another program in the table `servers`, otherwise well-formed, with a port out of range.

Cause: decodeVm took any 1 to 5 digits as a port and any text without a colon as a host. The pool of connections to the VM throws `TypeError: Invalid URL` (`InvalidArgumentError` for a path or a query in the host) when the first call opens it, which ends the VM's session. The VM was in the roster by then. After a restart, tasks wait until each VM of the roster has been called once, and a VM whose session has ended never is.

Now decodeVmEntry in the model is the only place that decides what a registration must be: a host that a URL names as it is written, a port from 1 to 65535, an id that a header can carry, bounded numbers, texts and lists. decodeVm of the platform reads the wire form and leaves the rest to it. No decoder throws: a value on which the schema itself fails is rejected by itself (decodeBySchema), with a reason of 300 characters at the most, which quotes nothing.

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export { Result, type Err, type Ok } from './lib/result/Result.js'
+export { decodeBySchema } from './lib/result/decodeBySchema.js'
 export { exhaustiveSwitchError } from './lib/result/exhaustiveSwitchError.js'
 export { Execution, RESULT_CODES, ResultCode, type ResultCodeInfo } from './lib/result/ResultCode.js'
 export { EventCode, EventLevel, EVENTS, type EventInfo } from './lib/events/EventCode.js'
@@ -26,4 +27,5 @@
 } from './lib/jobs/JobSpec.js'
 export type { TeamRules } from './lib/teams/TeamRules.js'
 export { OrderRefusal, RunEnd, type EndEntry, type RunningEntry, type VmEntry, type VmReport } from './lib/jobs/Vm.js'
+export { decodeVmEntry, isUsableAddress } from './lib/jobs/decodeVmEntry.js'
 export { formatStepName, formatTaskName, parseTaskName, type TaskName } from './lib/jobs/taskName.js'
