Keep an error in the calls to one VM from ending those to all others

With an entry for which no client can be opened, jobs are not run after a restart of all daemons, and in a fleet of 100 VMs and more the daemons that make calls for the owner end, one after another.

Cause: an error that a VM client throws was handled nowhere. - The session with the VM ended with a rejection that no one handled. Such a VM is never counted as called, and tasks wait until each VM of the roster has been called once. - A relay opens the client in the handler of a message, so that the error is an uncaught exception, which ends the process; the rest of the batch is not called. The owner then sends the calls through the next relay. - An error in the handling of a list of registrations ended the feed of VMs, and one in the restoring of a roster row or the applying of a registration ended the takeover half-way.

Now GuardedVmClients, around the platform's clients in owners and relays, makes such a VM one that does not answer: a client that cannot be opened refuses all calls as not sent and is not opened again, and a call that throws has an unknown outcome. A report that cannot be applied makes its VM count as unresponsive, at the pace of renewals to those. VmRegistrations applies registrations and roster rows one by one, and the feeds of VMs and jobs go on after a change that cannot be applied. Each failure is logged once with the VM's id and the reason (event 765, new; 728 for registrations, 763 for feeds), not once for each renewal.

Evidence: integration oddVms.test.ts plays a VM whose client cannot be opened, throws, rejects or returns a report that cannot be applied, with 3 daemons and 12 machines and with relays (5 daemons, 180 machines), before and after a restart of all daemons. JobLab has a new option that replaces the VM clients; no existing test has changed.

--- a/packages/daemon/src/lib/jobs/ShardFeeds.ts
+++ b/packages/daemon/src/lib/jobs/ShardFeeds.ts
@@ -86,14 +86,17 @@
 
   private applyJobRows (rows: readonly StoredRow[]): void {
     for (const row of rows) {
-      if (row.part !== this.options.shard) continue
-      const change = decodeJobChange(row, this.options.log)
-      if (change?.job !== undefined) this.options.onJob(change.job, row.version)
-      else if (change?.tombstone !== undefined) this.options.onTombstone(change.tombstone)
-      else if (change !== undefined) this.options.onCancel(change.id)
+      if (row.part === this.options.shard) this.attempt('apply job', () => this.applyJobRow(row))
     }
   }
 
+  private applyJobRow (row: StoredRow): void {
+    const change = decodeJobChange(row, this.options.log)
+    if (change?.job !== undefined) this.options.onJob(change.job, row.version)
+    else if (change?.tombstone !== undefined) this.options.onTombstone(change.tombstone)
+    else if (change !== undefined) this.options.onCancel(change.id)
+  }
+
   private async followVms (): Promise<void> {
     const { feeds, timers, log, onVms } = this.options
     let version = this.options.vmsVersion
@@ -103,7 +106,7 @@
       if (this.disposed) return
       if (res.ok) {
         version = res.value.version
-        if (res.value.values.length > 0) onVms(res.value.values, false)
+        if (res.value.values.length > 0) this.attempt('apply registrations', () => onVms(res.value.values, false))
         continue
       }
       const isHistoryGone = res.error.kind === StoreFailureKind.HistoryGone
@@ -115,7 +118,16 @@
       const all = await feeds.readRegistrations()
       if (this.disposed || !all.ok) continue
       version = all.value.version
-      onVms(all.value.values, true)
+      this.attempt('apply registrations', () => onVms(all.value.values, true))
+    }
+  }
+
+  /** Applies changes. A failure is logged, and the feed goes on after these changes: read again, they would fail again. */
+  private attempt (operation: string, apply: () => void): void {
+    try {
+      apply()
+    } catch (err) {
+      this.options.log.write(EventCode.HandlerFailed, { operation, reason: String(err) })
     }
   }
 }
--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -17,6 +17,7 @@
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
 import { loadTurnHistory } from './TurnHistoryStore.js'
+import { VmRegistrations } from './VmRegistrations.js'
 import { VmSessions } from './VmSessions.js'
 
 /** Options of {@link ShardOwner.create}. */
@@ -40,6 +41,7 @@
 export class ShardOwner {
   readonly scheduler: JobScheduler
   private readonly sessions: VmSessions
+  private readonly registrations: VmRegistrations
   /** Admission tickets. */
   private readonly advice: TicketCache
   private commitLoop: CommitLoop | undefined
@@ -74,6 +76,7 @@
       onChange: () => this.onChange(),
       onTicketRefused: (run, ticket) => this.advice.rejectTicket(run, ticket),
     })
+    this.registrations = VmRegistrations.create({ timers, log, scheduler: this.scheduler })
     this.advice = TicketCache.create({ timers, log, scheduler: this.scheduler, admissionService: options.admissionService, onChange: () => this.requestPlan() })
   }
 
@@ -197,12 +200,10 @@
     const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
     for (const record of content.roster) {
       const version = content.versions.get(formatRowName({ table: Table.Rosters, part: this.shard, key: record.entry.id })) ?? 0
-      scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks)
+      this.registrations.attempt(record.entry.id, () => scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks))
     }
     scheduler.setPools(options.configuration.poolNames, nowMs)
-    for (const change of vms) {
-      if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
-    }
+    this.registrations.apply(vms.filter((change) => change.entry !== undefined))
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
     for (const { entry } of content.roster) {
       if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
@@ -267,12 +268,7 @@
 
   /** Applies changes of registrations, and opens a session to each VM that has none. */
   private applyVms (changes: readonly VmChange[]): void {
-    const { log, timers } = this.options
-    for (const change of changes) {
-      if (change.entry !== undefined) this.scheduler.applyRegistration(change.entry, timers.now())
-      else this.scheduler.unregisterVm(change.id, timers.now())
-      if (change.fault !== undefined) log.write(EventCode.VmEntryInvalid, { vm: change.id, reason: change.fault })
-    }
+    this.registrations.apply(changes)
     this.sessions.openMissing()
     this.machineController?.evacuateNewVms()
     this.onChange()
@@ -280,10 +276,7 @@
 
   /** Applies changes of registrations. If the list is complete, VMs missing from it are no longer registered. */
   private onVms (changes: readonly VmChange[], complete: boolean): void {
-    const listed = new Set(changes.map((change) => change.id))
-    for (const id of complete ? this.scheduler.state.vms.keys() : []) {
-      if (!listed.has(id)) this.scheduler.unregisterVm(id, this.options.timers.now())
-    }
+    if (complete) this.registrations.unregisterMissing(changes)
     this.applyVms(changes)
   }
 
--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -1,8 +1,8 @@
 /**
  * The owner's connection to one VM: renews the VM's lease, receives its reports and sends it orders.
  */
-import { delay, type TimerService } from '@vanillathread/kernel'
-import { exhaustiveSwitchError, OrderRefusal } from '@vanillathread/model'
+import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
+import { EventCode, exhaustiveSwitchError, OrderRefusal } from '@vanillathread/model'
 import { OrderKind, RunPhase, StartOutcome, TRIAL_MS, type JobScheduler, type Order, type TrackedRun, type TrackedVm } from '@vanillathread/policy'
 import { VmAnswerKind, type RunReference, type VmAnswer, type VmClient } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
@@ -13,6 +13,7 @@
   readonly client: VmClient
   readonly scheduler: JobScheduler
   readonly timers: TimerService
+  readonly log: EventLog
   readonly fencingToken: number
   readonly leaseMs: number
   /** Called after a change that planning or committing may act on. */
@@ -32,6 +33,8 @@
   private disposed = false
   /** Number of consecutive renewals that failed. */
   private lostRenewals = 0
+  /** True if the handling of the last answer to a renewal failed. */
+  private handlingFailed = false
   /** Ends the wait for a commit, if there is one. */
   private resolveCommitWait: (() => void) | undefined
 
@@ -45,7 +48,7 @@
   async run (): Promise<void> {
     const { vm, timers } = this.options
     while (!this.disposed) {
-      await this.renew()
+      await this.renewOrDoubt()
       if (this.disposed) return
       // A VM lists its end entries again until they are acknowledged, so the next long poll waits for their commit.
       // The VM gets no lease until the recorded end of its former one is withdrawn.
@@ -76,6 +79,22 @@
     this.options.client.dispose()
   }
 
+  /**
+   * Renews the lease. If the handling of the answer fails, the VM counts as unresponsive: its runs end with its lease, and starts in its
+   * pool do not wait for it. The renewals go on at the pace of those to a VM that does not answer.
+   */
+  private async renewOrDoubt (): Promise<void> {
+    const { vm, log, scheduler, timers } = this.options
+    try {
+      await this.renew()
+      this.handlingFailed = false
+    } catch (err) {
+      if (!this.handlingFailed) log.write(EventCode.VmCallFailed, { vm: vm.id, call: 'renew', reason: String(err) })
+      this.handlingFailed = true
+      if (!this.disposed) scheduler.markUnresponsive(vm, timers.now())
+    }
+  }
+
   private async renew (): Promise<void> {
     const { vm, client, scheduler, timers, fencingToken, leaseMs } = this.options
     const sentAtMs = timers.now()
--- a/packages/daemon/src/lib/jobs/VmSessions.ts
+++ b/packages/daemon/src/lib/jobs/VmSessions.ts
@@ -51,7 +51,8 @@
 
   /** Sends an order. A forgotten VM has no session and no runs, so an order for it is dropped. */
   execute (order: Order): void {
-    this.sessions.get(order.run.vmId)?.execute(order)
+    const { vmId } = order.run
+    this.sessions.get(vmId)?.execute(order).catch((err: unknown) => this.logFailure(vmId, order.kind, err))
   }
 
   resumeAfterCommit (): void {
@@ -78,6 +79,10 @@
       onResponsive: (vmId, unresponsiveForMs) => log.write(EventCode.VmAnswers, { vm: vmId, silentMs: Math.round(unresponsiveForMs) }),
     })
     this.sessions.set(vm.id, session)
-    session.run()
+    session.run().catch((err: unknown) => this.logFailure(vm.id, 'session', err))
+  }
+
+  private logFailure (vm: string, call: string, err: unknown): void {
+    this.options.log.write(EventCode.VmCallFailed, { vm, call, reason: String(err) })
   }
 }
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -6,6 +6,7 @@
 import { PeerNetwork } from '../peer/PeerNetwork.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { ConfigurationWatcher } from './ConfigurationWatcher.js'
+import { GuardedVmClients } from './GuardedVmClients.js'
 import { HedgedRowStore } from './HedgedRowStore.js'
 import { JobGateway } from './JobGateway.js'
 import { DIRECT_ROWS, JOBS_PLATFORM, JOBS_SETTINGS, METRICS_TEXT } from './JobsDaemon.js'
@@ -99,7 +100,8 @@
   private readonly relay: VmCallRelay
 
   constructor (private readonly kernel: Kernel) {
-    const { vms, admissionService, machines } = kernel.get(JOBS_PLATFORM)
+    const { vms: unguarded, admissionService, machines } = kernel.get(JOBS_PLATFORM)
+    const vms = GuardedVmClients.create({ vms: unguarded, log: kernel.log })
     const rows = kernel.get(OWNER_ROWS)
     const feeds = kernel.get(OWNER_FEEDS)
     this.ownership = ShardOwnership.create({
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -4,7 +4,7 @@
 import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { JobState, parseTaskName, STEP_DEFAULTS, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
-import { IngressAnswerKind, type ClientApi } from '@vanillathread/ports'
+import { IngressAnswerKind, type ClientApi, type VmClients } from '@vanillathread/ports'
 import { RandomSource } from '@vanillathread/policy'
 import { FleetFeedsStandIn, FleetStandIn, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
 import { countCalls, createNaiveClients, type NaiveOwner } from './labVmClients.js'
@@ -18,6 +18,8 @@
   /** Number of daemons; 3 if not given. */
   readonly daemons?: number
   readonly naive?: NaiveOwner
+  /** Replaces the clients of the VMs of all daemons. */
+  wrapVms? (vms: VmClients): VmClients
   /** Number of machines, a third of them in each pool and in standby; 12 if not given. */
   readonly machines?: number
   /** Speeds of the daemons, in their order; 1 if not given. */
@@ -115,7 +117,7 @@
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
         openFeeds: (rows) => FleetFeedsStandIn.create(rows, history),
-        vms: countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)),
+        vms: countCalls(this.wrapVms(), () => this.countCall(entry.name)),
         machines: fleet,
         network: peers.connect(entry.address),
         openIngress: (api) => {
@@ -202,6 +204,12 @@
     return [...this.waves].some(([wave, machines]) => !this.history.completeWaves.has(wave) && machines.includes(machine))
   }
 
+  private wrapVms (): VmClients {
+    const { naive, wrapVms } = this.options
+    const vms = naive === undefined ? this.fleet : createNaiveClients(this.fleet, naive)
+    return wrapVms?.(vms) ?? vms
+  }
+
   private countCall (daemon: string): void {
     this.vmCalls.set(daemon, (this.vmCalls.get(daemon) ?? 0) + 1)
   }
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -224,6 +224,8 @@
   HandlerFailed = 763,
   /** The reader of the standard output did not keep up, so that `lines` log lines were dropped. */
   LogReaderSlow = 764,
+  /** A client of a VM could not be opened, or a call to the VM or the handling of its answer failed with an unexpected error; `call` says which. */
+  VmCallFailed = 765,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -331,4 +333,5 @@
   [EventCode.LogLinesDropped]: { level: EventLevel.Warn, message: 'event is logged up to a limit per second, and further log lines were dropped' },
   [EventCode.HandlerFailed]: { level: EventLevel.Error, message: 'internal operation failed' },
   [EventCode.LogReaderSlow]: { level: EventLevel.Warn, message: 'log lines were dropped as the reader of the log did not keep up' },
+  [EventCode.VmCallFailed]: { level: EventLevel.Error, message: 'call to a VM failed with an unexpected error' },
 }
