Read the list of machines again after an entry that cannot be put in words

Callers: nothing was seen of it here. One entry of the list of machines whose `machine` is an object or a deeply nested list would keep the owner from reading the list ever again: no moves, no maintenance.

Cause: found by looking for other places where one odd entry throws. MachineDirectory.refresh did not reset its flag after an error, so that no list was read any more.

--- a/packages/daemon/src/lib/jobs/MachineDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MachineDirectory.ts
@@ -2,7 +2,7 @@
  * The machines of a shard as the platform last listed them, and the VMs on them.
  */
 import type { EventLog, TimerService } from '@vanillathread/kernel'
-import { EventCode } from '@vanillathread/model'
+import { EventCode, Result } from '@vanillathread/model'
 import type { JobScheduler, TrackedVm } from '@vanillathread/policy'
 import type { Machine, MachineService } from '@vanillathread/ports'
 
@@ -75,7 +75,7 @@
     const nowMs = timers.now()
     if (this.listInFlight || nowMs - this.listedAtMs < periodMs) return
     this.listInFlight = true
-    const res = await machines.list()
+    const res = await machines.list().catch((err: unknown) => Result.err(String(err)))
     this.listInFlight = false
     if (this.disposed) return
     if (!res.ok) {
