Take rows with addresses that no socket can be opened for as invalid

A roster row that an earlier build wrote for an odd entry is read back at each takeover, and a daemon's row with such a port would end the process of each daemon that sends it a message.

Cause: rows of the roster were checked for an id and a pool only, rows of daemons for a number as the port. PeerNetwork opens sockets in timers, where the RangeError for a port above 65535 is an uncaught exception.

Now decodeRosterRow asks the predicate of the registrations (isUsableAddress). Such a VM was never called, so it has no runs and leaving its row out starts nothing twice. A daemon's row needs a port up to 65535; its host may still be an IPv6 address without brackets. PeerNetwork logs an address that it cannot open (763) and loses the message, as for a peer that does not answer.

Not done: an invalid row stays in the roster until a VM registers under its id.

--- a/packages/daemon/src/lib/jobs/MemberDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MemberDirectory.ts
@@ -122,7 +122,8 @@
     for (const { key, value, version } of rows) {
       const member = decodeMemberRow(value)
       const known = this.members.get(key)
-      if (member !== undefined && known?.version !== version) this.members.set(key, { ...member, version, seenAtMs: nowMs })
+      if (member === undefined) this.options.log.write(EventCode.JobRowInvalid, { table: Table.Members, key, version })
+      else if (known?.version !== version) this.members.set(key, { ...member, version, seenAtMs: nowMs })
     }
     for (const [name, { seenAtMs }] of this.members) {
       if (!names.has(name) && nowMs - seenAtMs >= watchOptions.memberPeriodMs) this.members.delete(name)
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -3,7 +3,7 @@
  */
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
-import type { AcceptedJob, VmEntry } from '@vanillathread/model'
+import { isUsableAddress, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import type { JobProgress, RosterRecord, TurnHistory } from '@vanillathread/policy'
 
 /** Tables. The rows of a shard have the shard's name as their part. */
@@ -32,6 +32,9 @@
 export const JOB_PREFIX = 'j/'
 export const CANCEL_PREFIX = 'c/'
 
+/** A socket cannot be opened for a higher port: the attempt throws. */
+const MAX_PORT = 65_535
+
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
 
 const ownerRowSchema = z.object({
@@ -52,7 +55,7 @@
 /** Owner of a shard; an empty name means that the shard has no owner. */
 export type OwnerRow = z.infer<typeof ownerRowSchema>
 
-const memberRowSchema = z.object({ host: z.string(), port: z.number(), speed: z.number() })
+const memberRowSchema = z.object({ host: z.string(), port: z.int().min(0).max(MAX_PORT), speed: z.number() })
 
 /** A daemon's address and speed, which is its share of a core multiplied by the core's speed. */
 export type MemberRow = z.infer<typeof memberRowSchema>
@@ -114,10 +117,13 @@
 /** A VM of a roster. The fields of the record stand beside those of the entry, which earlier builds read. */
 export type RosterRow = VmEntry & Omit<RosterRecord, 'entry'>
 
-/** Decodes a VM of a roster. */
+/**
+ * Decodes a VM of a roster. An earlier build may have written the entry of another program here. A VM with an address that no client can
+ * be opened for was never called, so it has no runs and its row is invalid.
+ */
 export function decodeRosterRow (bytes: Uint8Array): RosterRecord | undefined {
   const row = decode(bytes) as RosterRow | undefined
-  if (typeof row?.id !== 'string' || typeof row.pool !== 'string') return undefined
+  if (typeof row?.id !== 'string' || typeof row.pool !== 'string' || !isUsableAddress(row.address)) return undefined
   const { leaseEndMs, runs, ...entry } = row
   return typeof leaseEndMs === 'number' ? { entry, leaseEndMs, runs: Array.isArray(runs) ? runs : undefined } : { entry }
 }
--- a/packages/daemon/src/lib/peer/PeerNetwork.ts
+++ b/packages/daemon/src/lib/peer/PeerNetwork.ts
@@ -3,7 +3,7 @@
  */
 import { connect, createServer, type Server } from 'node:net'
 import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
-import type { Address } from '@vanillathread/model'
+import { EventCode, type Address } from '@vanillathread/model'
 import { peerOptions } from '../options.js'
 import type { PeerMessage, PeerMessageKind } from './messages.js'
 import type { MessageHandler, PeerTransport } from './PeerTransport.js'
@@ -54,19 +54,21 @@
 
   /** Sends a message, which is lost if the peer cannot be reached. */
   send (address: Address, message: PeerMessage): void {
-    this.getLink(address).send(message)
+    this.getLink(address)?.send(message)
   }
 
   /** Sends a message to which the peer replies. If nothing arrives on the link in time, the link is replaced. */
   sendExpectingReply (address: Address, message: PeerMessage): void {
     const link = this.getLink(address)
+    if (link === undefined) return
     link.awaitingReplySinceMs ??= this.options.timers.now()
     link.send(message)
   }
 
   isConnectionRefused (address: Address, limitMs: number): Promise<boolean> {
     return new Promise((resolve) => {
-      const socket = connect({ host: address.host, port: address.port })
+      const socket = this.open(address, () => connect({ host: address.host, port: address.port }))
+      if (socket === undefined) return resolve(false)
       const finish = (refused: boolean): void => {
         socket.destroy()
         resolve(refused)
@@ -84,15 +86,26 @@
     await new Promise<void>((resolve) => { this.server.close(() => resolve()) })
   }
 
-  private getLink (address: Address): PeerLink {
+  /** Returns the link to an address, or undefined if none can be opened. */
+  private getLink (address: Address): PeerLink | undefined {
     const key = `${address.host}:${address.port}`
     const existing = this.outgoing.get(key)
     if (existing !== undefined) return existing
-    const link = PeerLink.connect(address, this.createLinkOptions())
-    this.outgoing.set(key, link)
+    const link = this.open(address, () => PeerLink.connect(address, this.createLinkOptions()))
+    if (link !== undefined) this.outgoing.set(key, link)
     return link
   }
 
+  /** Opens a socket. Returns undefined if the address allows none, for example as its port is out of range, which would end the process. */
+  private open<T> (address: Address, connectTo: () => T): T | undefined {
+    try {
+      return connectTo()
+    } catch (err) {
+      this.options.log.write(EventCode.HandlerFailed, { operation: 'connect to a daemon', remote: address.host, port: address.port, reason: String(err) })
+      return undefined
+    }
+  }
+
   private createLinkOptions (): PeerLinkOptions {
     return {
       log: this.options.log,
