--- a/packages/daemon/src/lib/jobs/MemberDirectory.ts
+++ b/packages/daemon/src/lib/jobs/MemberDirectory.ts
@@ -34,8 +34,12 @@
   private readonly timer: Subscription
   /** Time at which any daemon last answered a heartbeat of this one. */
   private lastAnswerAtMs = -Infinity
-  /** True if this daemon's own row is in the store. */
-  private rowWritten = false
+  /** Version of this daemon's own row in the store, or undefined if there is none. */
+  private ownRowVersion: number | undefined
+  /** Store version at which the rows of all daemons were last read. */
+  private readVersion = 0
+  /** Read of the rows after a hello message, if one is due. */
+  private dueRead: Subscription | undefined
   private disposed = false
 
   private constructor (private readonly options: MemberDirectoryOptions) {
@@ -58,6 +62,16 @@
     return [...this.members].filter(([name]) => name !== this.options.settings.name).map(([name, { host, port }]) => ({ name, address: { host, port } }))
   }
 
+  /** Store version at which the rows of all daemons were last read. */
+  get readAtVersion (): number {
+    return this.readVersion
+  }
+
+  /** Returns true if a daemon that read the rows of all daemons at a store version, if it told one, knows of this daemon's present row. */
+  isKnownAt (version: number | undefined): boolean {
+    return version === undefined || (this.ownRowVersion ?? Infinity) <= version
+  }
+
   /**
    * Writes this daemon's row and reads the others' rows, retrying until both succeed, and then sends a hello message to the
    * other daemons.
@@ -93,24 +107,33 @@
   dispose (): void {
     this.disposed = true
     this.timer.dispose()
+    this.dueRead?.dispose()
   }
 
   /** Writes this daemon's row unless it is stored already, and reads the rows of all daemons. Returns false if either failed. */
   private async refresh (): Promise<boolean> {
     const { rows, settings } = this.options
-    if (!this.rowWritten) {
+    if (this.ownRowVersion === undefined) {
       const res = await rows.transact({ conditions: [], puts: [{ table: Table.Members, part: '', key: settings.name, value: encodeRow({ ...settings.peer, speed: settings.speed }) }], removes: [] })
       if (!res.ok) return false
-      this.rowWritten = true
+      this.ownRowVersion = res.value.version
     }
     const table = await readTable(rows, Table.Members, '')
     if (!table.ok) return false
     this.applyRows(table.value.rows)
+    this.readVersion = table.value.version
     return true
   }
 
   private applyHello (name: string, row: MemberRow): void {
-    this.members.set(name, { ...row, version: this.members.get(name)?.version ?? 0, seenAtMs: this.options.timers.now() })
+    const version = this.members.get(name)?.version ?? 0
+    this.members.set(name, { ...row, version, seenAtMs: this.options.timers.now() })
+    if (version === 0) this.dueRead ??= this.options.timers.after(watchOptions.newMemberReadMs, () => this.readNewMembers())
+  }
+
+  private readNewMembers (): void {
+    this.dueRead = undefined
+    this.refresh()
   }
 
   /** Applies the rows of all daemons. A daemon without a row is forgotten, unless its hello message may have come after the read. */
@@ -118,7 +141,7 @@
     const nowMs = this.options.timers.now()
     const names = new Set(rows.map(({ key }) => key))
     // If another daemon has removed this daemon's row, the next refresh writes it again.
-    this.rowWritten = names.has(this.options.settings.name)
+    this.ownRowVersion = rows.find(({ key }) => key === this.options.settings.name)?.version
     for (const { key, value, version } of rows) {
       const member = decodeMemberRow(value)
       const known = this.members.get(key)
--- a/packages/daemon/src/lib/jobs/OwnerRecord.test.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.test.ts
@@ -10,7 +10,7 @@
 
 function createRecord (outcome: Awaited<ReturnType<RowStore['transact']>>): OwnerRecord {
   const rows = { getStoreClockMs: () => 0, transact: async () => outcome } as unknown as RowStore
-  return OwnerRecord.create({ rows, shard: 'main' })
+  return OwnerRecord.create({ rows, shard: 'main', members: { readAtVersion: 0 } })
 }
 
 describe('takeover', ({ it }) => {
--- a/packages/daemon/src/lib/jobs/OwnerRecord.ts
+++ b/packages/daemon/src/lib/jobs/OwnerRecord.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '@vanillathread/kernel'
 import type { Address, Result } from '@vanillathread/model'
 import { StoreFailureKind, type RowCommit, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
+import type { MemberDirectory } from './MemberDirectory.js'
 import { decodeOwnerRow, decodeStoreHeartbeatRow, encodeRow, Table, type OwnerRow } from './rows.js'
 
 /** Key of a shard's owner row and of its store heartbeat. */
@@ -26,6 +27,15 @@
 export interface StoreHeartbeat {
   readonly version: number
   readonly ageMs: number
+  /** See {@link StoreHeartbeatRow.membersAtVersion}. */
+  readonly membersAtVersion: number | undefined
+}
+
+/** Options of {@link OwnerRecord.create}. */
+export interface OwnerRecordOptions {
+  readonly rows: RowStore
+  readonly shard: string
+  readonly members: Pick<MemberDirectory, 'readAtVersion'>
 }
 
 /** Reads and writes the records of one shard's owner. */
@@ -33,10 +43,18 @@
   /** Version on whose condition a takeover is being written, or was written with an unknown outcome. */
   private openTakeover: number | undefined
 
-  private constructor (private readonly rows: RowStore, private readonly shard: string) {}
+  private constructor (private readonly options: OwnerRecordOptions) {}
+
+  static create (options: OwnerRecordOptions): OwnerRecord {
+    return new OwnerRecord(options)
+  }
+
+  private get rows (): RowStore {
+    return this.options.rows
+  }
 
-  static create (options: { rows: RowStore, shard: string }): OwnerRecord {
-    return new OwnerRecord(options.rows, options.shard)
+  private get shard (): string {
+    return this.options.shard
   }
 
   /** Name of the owner row. */
@@ -90,8 +108,8 @@
     if (!res.ok) return undefined
     const row = res.value.rows[0]
     // The row holds the store's clock at its write, so a single read shows the heartbeat's age.
-    const writtenAtMs = (row === undefined ? undefined : decodeStoreHeartbeatRow(row.value)) ?? 0
-    return { version: row?.version ?? 0, ageMs: this.rows.getStoreClockMs() - writtenAtMs }
+    const heartbeat = row === undefined ? undefined : decodeStoreHeartbeatRow(row.value)
+    return { version: row?.version ?? 0, ageMs: this.rows.getStoreClockMs() - (heartbeat?.atMs ?? 0), membersAtVersion: heartbeat?.membersAtVersion }
   }
 
   /**
@@ -112,6 +130,6 @@
   }
 
   private createHeartbeat (): RowPut {
-    return { table: Table.StoreHeartbeats, part: this.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.rows.getStoreClockMs()) }) }
+    return { table: Table.StoreHeartbeats, part: this.shard, key: OWNER_KEY, value: encodeRow({ atMs: Math.round(this.rows.getStoreClockMs()), membersAtVersion: this.options.members.readAtVersion }) }
   }
 }
--- a/packages/daemon/src/lib/jobs/OwnershipProver.ts
+++ b/packages/daemon/src/lib/jobs/OwnershipProver.ts
@@ -73,13 +73,13 @@
 
   /** Asks all other daemons, and checks whether the processes of those that did not answer the last round have ended. */
   private beginRound (owner: ShardOwner, now: Moment, lastRoundAgoMs: number): void {
-    const { shard, network, members: { others } } = this.options
+    const { shard, context, network, members: { others } } = this.options
     const answered = lastRoundAgoMs < shardOptions.previousOwnerRenewalMs ? this.answered : undefined
     this.answered = new Set()
     this.lastRound += 1
     this.rounds.set(this.lastRound, now)
     this.rounds.delete(this.lastRound - KEPT_ROUNDS)
-    if (others.length === 0) owner.proof.record(now)
+    if (others.length === 0) this.recordPeer(owner, context.settings.name, now)
     for (const { name, address } of others) {
       network.sendExpectingReply(address, { kind: PeerMessageKind.ShardClaim, shard, fencingToken: owner.fencingToken, seq: this.lastRound })
       if (answered?.has(name) === false) this.checkProcess(owner, name, address, now)
--- a/packages/daemon/src/lib/jobs/ShardOwnership.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwnership.ts
@@ -45,7 +45,7 @@
   private constructor (private readonly options: ShardOwnershipOptions) {
     const { network, context } = options
     this.watch = OwnerWatch.create(context.timers)
-    this.record = OwnerRecord.create({ rows: context.rows, shard: options.shard })
+    this.record = OwnerRecord.create({ ...options, rows: context.rows })
     this.succession = Succession.create({ shard: options.shard, settings: context.settings, timers: context.timers, members: options.members })
     this.notices = ReleaseNotices.create({ ...options, timers: context.timers, log: context.log })
     this.releaser = ShardReleaser.create({ ...options, record: this.record, notices: this.notices, chooseSuccessor: () => this.succession.chooseSuccessor(this.knownFencingToken) })
@@ -174,7 +174,7 @@
     const heartbeat = await this.record.readHeartbeat()
     // Another daemon may have taken over during the read; its heartbeat names a new token, but not the generation that belongs to it.
     if (this.knownFencingToken !== suspectedToken) return
-    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getTakeoverDelayMs(this.ownerTerm))) await this.takeOver(TakeoverReason.StoreUnreachable)
+    if (heartbeat !== undefined && watch.isStoreHeartbeatOverdue(heartbeat, this.succession.getSilentOwnerDelayMs(this.ownerTerm, heartbeat))) await this.takeOver(TakeoverReason.StoreUnreachable)
   }
 
   /** Takes the shard over by writing the owner row, on condition that it is still the known one. */
@@ -184,7 +184,7 @@
     const former = this.row?.value
     const generation = former === undefined ? 0 : former.generation + 1
     const value: OwnerRow = { owner: this.name, ...settings.peer, generation, leaseEndsKeptSince: former?.leaseEndsKeptSince ?? this.knownFencingToken }
-    const proof = OwnershipProof.create({ provenAt: readMoment(context.timers), validMs: shardOptions.previousOwnerRenewalMs, refreshMs: shardOptions.proofRefreshMs })
+    const proof = OwnershipProof.create({ provenAt: readMoment(context.timers), validMs: shardOptions.previousOwnerRenewalMs, refreshMs: shardOptions.proofRefreshMs, peersForMs: shardOptions.peerProofsForMs })
     const res = await this.record.takeOver(value, this.knownFencingToken)
     if (!res.ok) {
       // After a conflict or an unknown outcome, the row is read again, which shows whether the write was carried out.
--- a/packages/daemon/src/lib/jobs/Succession.ts
+++ b/packages/daemon/src/lib/jobs/Succession.ts
@@ -7,6 +7,7 @@
 import { relayOptions, shardOptions } from './jobOptions.js'
 import type { JobsSettings } from './JobsSettings.js'
 import type { MemberDirectory } from './MemberDirectory.js'
+import type { StoreHeartbeat } from './OwnerRecord.js'
 import type { ReportedPeer } from './RelayedRowStore.js'
 import type { Relay } from './RelayedVmClients.js'
 
@@ -84,6 +85,14 @@
     return Math.max(0, this.rank(ownerTerm).indexOf(this.ownName)) * shardOptions.takeoverRankDelayMs
   }
 
+  /**
+   * Returns the delay for a takeover from an owner that may still live. It goes on without the store as long as the daemons that it knows say
+   * that they have not taken over, so one that it may not know waits until such statements no longer count.
+   */
+  getSilentOwnerDelayMs (ownerTerm: OwnerTerm, { membersAtVersion }: StoreHeartbeat): number {
+    return this.getTakeoverDelayMs(ownerTerm) + (this.options.members.isKnownAt(membersAtVersion) ? 0 : shardOptions.unknownMemberDelayMs)
+  }
+
   /** Returns the time without a heartbeat after which this daemon suspects the owner; longer if it does not get all heartbeats. */
   getSuspectAfterMs (ownerTerm: OwnerTerm): number {
     const periodMs = shardOptions.heartbeatPeriodMs
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -56,6 +56,10 @@
    * and short enough for two rounds before the proof is no longer valid, after `previousOwnerRenewalMs`.
    */
   proofRefreshMs: 1_000,
+  /** Time after the last proof from the store for which the other daemons may prove an ownership: most outages of the store are shorter. */
+  peerProofsForMs: 30_000,
+  /** Takeover delay added for a daemon that the owner may not know, and so does not ask: `peerProofsForMs`, and the age of the last proof from the store at the last store heartbeat. */
+  unknownMemberDelayMs: 35_000,
   /** Time between two rounds of asking the other daemons. */
   claimPeriodMs: 400,
   /** Period of checking the age of an owner's last proof of its ownership. */
@@ -244,6 +248,8 @@
   retryMs: 150,
   /** Period of reading the rows of all daemons. */
   memberPeriodMs: 10_000,
+  /** Time from the hello message of a daemon without a known row until the rows are read, which collects several such messages. */
+  newMemberReadMs: 500,
   /**
    * Time without an answer after which the owner removes a daemon's row: far longer than the restart of a process or VM, and
    * some periods of reading the rows.
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -60,8 +60,8 @@
 /** A daemon's address and speed, which is its share of a core multiplied by the core's speed. */
 export type MemberRow = z.infer<typeof memberRowSchema>
 
-/** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | TombstoneRow | JobProgress | RosterRow | WaveMachineRow | MoveRow | TurnHistoryRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+/** Encodes a row's value. A cancellation holds the store's clock at the write as `atMs`, like a store heartbeat. */
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | TombstoneRow | JobProgress | RosterRow | WaveMachineRow | MoveRow | TurnHistoryRow | StoreHeartbeatRow): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -70,10 +70,18 @@
   return ownerRowSchema.safeParse(decode(bytes)).data
 }
 
-/** Decodes an owner's store heartbeat: the store's clock at the write. */
-export function decodeStoreHeartbeatRow (bytes: Uint8Array): number | undefined {
-  const row = decode(bytes) as { readonly atMs?: unknown } | undefined
-  return typeof row?.atMs === 'number' ? row.atMs : undefined
+/** An owner's store heartbeat. */
+export interface StoreHeartbeatRow {
+  /** The store's clock at the write. */
+  readonly atMs: number
+  /** Store version at which the owner last read the rows of all daemons; builds that ask no other daemon for proofs lack it. */
+  readonly membersAtVersion?: number
+}
+
+/** Decodes an owner's store heartbeat. */
+export function decodeStoreHeartbeatRow (bytes: Uint8Array): StoreHeartbeatRow | undefined {
+  const row = decode(bytes) as StoreHeartbeatRow | undefined
+  return typeof row?.atMs === 'number' ? row : undefined
 }
 
 /** Decodes a daemon's row. */
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -99,8 +99,7 @@
     const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 }
     for (let index = 0; index < (this.options.machines ?? 12); index++) this.fleet.addMachine(`m-${index}`, [...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL, `r-${Math.floor(index / 4)}`, capacity)
     for (let index = 0; index < (this.options.daemons ?? 3); index++) {
-      this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
-      this.startDaemon(index)
+      this.addDaemon()
       // As with real processes, the periodic timers of the daemons are offset. The advance by 0 lets the daemon set its first timers.
       await this.timers.advance(0)
       await this.timers.advance(START_GAP_MS)
@@ -108,6 +107,13 @@
     await this.timers.advance(3_000)
   }
 
+  /** Adds a daemon under a new name and starts it. */
+  addDaemon (): void {
+    const index = this.daemons.length
+    this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
+    this.startDaemon(index)
+  }
+
   startDaemon (index: number): void {
     const entry = this.daemons[index]
     if (entry === undefined) return
--- a/packages/integration/src/partitionedOwner.test.ts
+++ b/packages/integration/src/partitionedOwner.test.ts
@@ -59,6 +59,20 @@
   })
 })
 
+describe('owner behind a partition with all daemons that it knows', ({ it }) => {
+  it('does not run tasks a second time if a daemon that it does not know joins on the other side', async () => {
+    for (const seed of SEEDS) {
+      const { lab } = await startLab(seed)
+      const vms = lab.fleet.vms.filter((_vm, index) => index % 2 === 0)
+      lab.partition.isolate(lab.daemons, vms, FAULT_MS + 3_000)
+      lab.addDaemon()
+      await lab.run(FAULT_MS + 3_000)
+      await lab.finish(20_000)
+      assert.equal(listViolations(lab).filter((violation) => violation.startsWith('TWICE')), [], `seed ${seed}`)
+    }
+  })
+})
+
 describe('owner during an outage of the store for all daemons', ({ it }) => {
   it('goes on granting leases while the other daemons answer or have ended, so that no run is lost', async () => {
     for (const killed of [0, 2]) {
--- a/packages/policy/src/lib/ownership/OwnershipGate.test.ts
+++ b/packages/policy/src/lib/ownership/OwnershipGate.test.ts
@@ -17,7 +17,7 @@
 
 /** Creates a scheduler with one task on the VM `a`, beside an idle VM `b`. */
 function createRunning (): { scheduler: JobScheduler, proof: OwnershipProof } {
-  const proof = OwnershipProof.create({ provenAt: at(0), validMs: 2_000, refreshMs: 1_000 })
+  const proof = OwnershipProof.create({ provenAt: at(0), validMs: 2_000, refreshMs: 1_000, peersForMs: 30_000 })
   const scheduler = createScheduler({ proof })
   reportRunning(scheduler, createVmEntry('a'), 10)
   scheduler.addJob(createTestJob({ steps: [createTestStep({ taskCount: 1 })] }), 2, 10)
--- a/packages/policy/src/lib/ownership/OwnershipProof.test.ts
+++ b/packages/policy/src/lib/ownership/OwnershipProof.test.ts
@@ -12,7 +12,7 @@
 }
 
 function createProof (): OwnershipProof {
-  return OwnershipProof.create({ provenAt: at(0), validMs: VALID_MS, refreshMs: 1_000 })
+  return OwnershipProof.create({ provenAt: at(0), validMs: VALID_MS, refreshMs: 1_000, peersForMs: 30_000 })
 }
 
 describe('proof of an ownership', ({ it }) => {
@@ -46,4 +46,15 @@
     proof.recordPeer('a', at(1_800), ['a', 'b', 'c'])
     assert.is(proof.provenAtMs, 1_000)
   })
+
+  it('comes from the other daemons for a limited time, after which one that the owner does not know takes over', () => {
+    const proof = createProof()
+    proof.recordPeer('a', at(30_000), ['a'])
+    assert.is(proof.provenAtMs, 30_000)
+    proof.recordPeer('a', at(30_001), ['a'])
+    assert.is(proof.provenAtMs, 30_000)
+    proof.record(at(31_000))
+    proof.recordPeer('a', at(61_000), ['a'])
+    assert.is(proof.provenAtMs, 61_000)
+  })
 })
--- a/packages/policy/src/lib/ownership/OwnershipProof.ts
+++ b/packages/policy/src/lib/ownership/OwnershipProof.ts
@@ -23,16 +23,21 @@
   readonly validMs: number
   /** Age of a proof, below `validMs`, from which the other daemons are asked for a new one. */
   readonly refreshMs: number
+  /** Time after the last proof from the store for which the other daemons may prove the ownership: one that the owner does not know waits that long. */
+  readonly peersForMs: number
 }
 
 /** Proofs of one owner's ownership. @public */
 export class OwnershipProof {
   private provenAt: Moment
+  /** Moment of the last proof from the store. */
+  private storeProvenAt: Moment
   /** Latest moments at which other daemons had certainly not taken the shard over, by name. */
   private readonly peers = new Map<string, Moment>()
 
   private constructor (private readonly options: OwnershipProofOptions) {
     this.provenAt = options.provenAt
+    this.storeProvenAt = options.provenAt
   }
 
   static create (options: OwnershipProofOptions): OwnershipProof {
@@ -46,7 +51,8 @@
 
   /** Records that the shard had no other owner at a given moment, as a transaction sent then was carried out on condition of the owner row. */
   record (moment: Moment): void {
-    if (moment.nowMs > this.provenAt.nowMs) this.provenAt = moment
+    this.storeProvenAt = getLater(this.storeProvenAt, moment)
+    this.provenAt = getLater(this.provenAt, moment)
   }
 
   /**
@@ -62,7 +68,7 @@
       if (known === undefined) return
       if (known.nowMs < earliest.nowMs) earliest = known
     }
-    this.record(earliest)
+    if (earliest.nowMs - this.storeProvenAt.nowMs <= this.options.peersForMs) this.provenAt = getLater(this.provenAt, earliest)
   }
 
   /** Time since the last proof, in milliseconds: that of the wall clock if the daemon's VM was suspended meanwhile. */
@@ -80,3 +86,7 @@
     return this.getAgeMs(now) <= this.options.validMs
   }
 }
+
+function getLater (a: Moment, b: Moment): Moment {
+  return b.nowMs > a.nowMs ? b : a
+}
