--- a/packages/daemon/src/lib/jobs/VmSession.test.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.test.ts
@@ -2,7 +2,7 @@
  * Calls of an owner whose process or VM stood still between a decision and the call.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { FakeTimerService } from '@vanillathread/kernel'
+import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { STEP_DEFAULTS, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import { JobScheduler, OwnershipProof } from '@vanillathread/policy'
 import { VmAnswerKind, type StartCall, type VmClient } from '@vanillathread/ports'
@@ -49,7 +49,7 @@
       dispose: () => {},
     } as unknown as VmClient
     const session = VmSession.create({
-      vm, client, scheduler, timers, fencingToken: 1, leaseMs: 5_000, onChange: () => {}, onFenced: () => {}, onReplaced: () => {}, onTicketRefused: () => {}, onResponsive: () => {},
+      vm, client, scheduler, timers, log: MemoryEventLog.create(), fencingToken: 1, leaseMs: 5_000, onChange: () => {}, onFenced: () => {}, onReplaced: () => {}, onTicketRefused: () => {}, onResponsive: () => {},
     })
     for (const order of orders) await session.execute(order)
     session.dispose()
--- a/packages/integration/src/reviewedOwner.test.ts
+++ b/packages/integration/src/reviewedOwner.test.ts
@@ -8,10 +8,10 @@
 
 const SEEDS = [1, 2, 3]
 
-async function startLab (seed: number, options: { load?: boolean } = {}): Promise<{ readonly lab: JobLab, readonly owner: LabDaemon }> {
+async function startLab (seed: number, options: { load?: boolean, finite?: boolean } = {}): Promise<{ readonly lab: JobLab, readonly owner: LabDaemon }> {
   const lab = JobLab.create({ seed, daemons: 5 })
   await lab.start()
-  lab.submit(createJob(createStep({ taskCount: 8, longRunning: true, maxTasksPerVm: 2, mayMiss: 1 })))
+  lab.submit(createJob(createStep({ taskCount: 8, ...options.finite === true ? { estimateMs: 30_000 } : { longRunning: true, maxTasksPerVm: 2, mayMiss: 1 } })))
   if (options.load !== false) {
     const submission = lab.timers.every(100, () => { lab.submit(createJob(createStep({ taskCount: 2, estimateMs: 1_200 }))) })
     lab.timers.after(14_000, () => submission.dispose())
@@ -108,3 +108,28 @@
     assert.is(perSecond <= 5, true, `${perSecond.toFixed(1)} store heartbeats a second`)
   })
 })
+
+describe('owner that asks daemons which have restarted since they took over', ({ it }) => {
+  it('gets no proof from them, as leases that they gave before still hold', async () => {
+    const found: string[] = []
+    for (const seed of SEEDS) {
+      const { lab, owner } = await startLab(seed, { load: false, finite: true })
+      const vms = ['checks', 'certificates'].flatMap((pool) => {
+        const inPool = lab.fleet.vms.filter((vm) => vm.entry.pool === pool)
+        return inPool.slice(0, Math.round(inPool.length / 2))
+      })
+      lab.partition.isolate([owner], vms, 12_000)
+      lab.timers.after(3_000, () => {
+        lab.store.fault = StoreFault.Unresponsive
+        lab.daemons.forEach((daemon, index) => { if (daemon !== owner) lab.crashDaemon(index, 300) })
+      })
+      // The daemons reach each other again; the VMs outside stay cut off from the owner.
+      lab.timers.after(3_500, () => lab.peers.reconnect(owner.address))
+      lab.timers.after(12_000, () => { lab.store.fault = StoreFault.None })
+      await lab.run(12_000)
+      await lab.finish(20_000)
+      found.push(...listTwice(lab).map((violation) => `seed ${seed}: ${violation}`))
+    }
+    assert.equal(found, [])
+  })
+})
