--- a/packages/daemon/src/lib/jobs/VmSession.test.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.test.ts
@@ -29,7 +29,7 @@
   it('is not sent once the proof of the ownership has run out since the plan, as after a freeze', async () => {
     const timers = FakeTimerService.create({ wallClockStartMs: 0 })
     await timers.advance(10)
-    const proof = OwnershipProof.create({ provenAt: { nowMs: 10, wallClockMs: 10 }, validMs: VALID_MS, refreshMs: 1_000 })
+    const proof = OwnershipProof.create({ provenAt: { nowMs: 10, wallClockMs: 10 }, validMs: VALID_MS, refreshMs: 1_000, peersForMs: 30_000 })
     const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {}, proof })
     scheduler.applyRegistration(ENTRY, timers.now())
     const vm = scheduler.state.vms.get('vm')
--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -20,6 +20,7 @@
 import { PaceController } from './PaceController.js'
 import { PendingCancels } from './PendingCancels.js'
 import { placeTasks } from './placeTasks.js'
+import { getBaseRunNumber, mayHavePreviousRuns } from './previousRuns.js'
 import { reconcileReport } from './reconcileReport.js'
 import { resendStops } from './resendStops.js'
 import { restartOverdue } from './restartOverdue.js'
@@ -28,9 +29,6 @@
 import { TrackedJob } from './TrackedJob.js'
 import type { TrackedRun } from './TrackedRun.js'
 
-/** Size of the range of run numbers that one owner may use for a task. Each successor's range begins above the previous owner's. */
-const RUN_NUMBERS_PER_GENERATION = 1_000
-
 /**
  * Time for which finite tasks run on when their VM drains: most of them end within it, and the VM leaves after two seconds
  * at the earliest.
@@ -75,11 +73,13 @@
   /** Adds a job. @returns false if it is known already or was dropped a short time ago. */
   addJob (accepted: AcceptedJob, acceptedVersion: number, nowMs: number, progress?: JobProgress): boolean {
     if (this.state.jobs.has(accepted.id) || this.retention.isDropped(accepted.id)) return false
-    const predatesTakeover = acceptedVersion < this.options.fencingToken
+    const { fencingToken, generation } = this.options
+    const predatesTakeover = acceptedVersion < fencingToken
+    const hasPreviousRuns = mayHavePreviousRuns(this.options, acceptedVersion, nowMs)
     const job = TrackedJob.create(accepted, {
       acceptedVersion,
-      baseRunNumber: predatesTakeover ? this.options.generation * RUN_NUMBERS_PER_GENERATION : 0,
-      mayHavePreviousRuns: predatesTakeover && this.options.generation > 0,
+      baseRunNumber: getBaseRunNumber(generation, hasPreviousRuns),
+      mayHavePreviousRuns: hasPreviousRuns,
       progress,
       changes: this.changedJobs,
     })
