--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -78,6 +78,7 @@
   private applyAnswer ({ name, fencingToken, storeSilentMs }: PeerMessageOf<PeerMessageKind.ShardHeartbeatAck>): void {
     const { members, succession, getOwner, onSuperseded } = this.options
     members.recordAnswer(name)
+    if (fencingToken <= (getOwner()?.fencingToken ?? -Infinity)) this.prover.recordContact(name)
     succession.recordStoreReport(name, storeSilentMs)
     if (storeSilentMs < shardOptions.ownerStoreSilentMs) succession.recordAnswer(name)
     if (fencingToken > (getOwner()?.fencingToken ?? Infinity)) onSuperseded('a peer knows a newer owner')
--- a/packages/daemon/src/lib/peer/messages.ts
+++ b/packages/daemon/src/lib/peer/messages.ts
@@ -119,7 +119,14 @@
   }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardHeartbeatAck), name: z.string(), shard: z.string(), fencingToken: nonNegativeInt, storeSilentMs: z.number() }),
   z.strictObject({ kind: z.literal(PeerMessageKind.ShardClaim), shard: z.string(), fencingToken: nonNegativeInt, seq: nonNegativeInt }),
-  z.strictObject({ kind: z.literal(PeerMessageKind.ShardClaimAck), shard: z.string(), name: z.string(), seq: nonNegativeInt }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.ShardClaimAck),
+    shard: z.string(),
+    name: z.string(),
+    seq: nonNegativeInt,
+    /** True if the sender has run for so long that it would know of a takeover whose leases still hold. */
+    remembers: z.boolean(),
+  }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.ShardReleased),
     shard: z.string(),
