--- a/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
+++ b/packages/daemon/src/lib/jobs/OwnerHeartbeats.ts
@@ -33,6 +33,8 @@
   private readonly prover: OwnershipProver
   /** Number of store heartbeats under way. */
   private writes = 0
+  /** Time at which the last store heartbeat was sent. */
+  private writtenAtMs = -Infinity
 
   private constructor (private readonly options: OwnerHeartbeatsOptions) {
     const { context: { timers }, network } = options
@@ -70,9 +72,9 @@
     succession.updateRelays(owner.scheduler.state.vms.size)
   }
 
-  /** Writes a store heartbeat now, unless one is under way: its success proves the ownership. */
+  /** Writes a store heartbeat now, unless one is under way or was just written: its success proves the ownership. */
   prove (): void {
-    if (this.writes === 0) this.writeToStore()
+    if (this.writes === 0 && this.options.context.timers.now() - this.writtenAtMs >= shardOptions.proofRetryMs) this.writeToStore()
   }
 
   private applyAnswer ({ name, fencingToken, storeSilentMs }: PeerMessageOf<PeerMessageKind.ShardHeartbeatAck>): void {
@@ -90,6 +92,7 @@
     if (owner === undefined) return
     const sentAt = readMoment(timers)
     this.writes += 1
+    this.writtenAtMs = sentAt.nowMs
     const outcome = await record.writeHeartbeat(owner.fencingToken).finally(() => { this.writes -= 1 })
     if (outcome === 'written') owner.proof.record(sentAt)
     else if (outcome === 'superseded' && getOwner() === owner) onSuperseded('the store names another owner')
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -60,6 +60,8 @@
   peerProofsForMs: 30_000,
   /** Takeover delay added for a daemon that the owner may not know, and so does not ask: `peerProofsForMs`, and the age of the last proof from the store at the last store heartbeat. */
   unknownMemberDelayMs: 35_000,
+  /** Shortest time between a store heartbeat and one that a decision waits for: a store that refuses calls is not to get more of them. */
+  proofRetryMs: 250,
   /** Time between two rounds of asking the other daemons. */
   claimPeriodMs: 400,
   /** Period of checking the age of an owner's last proof of its ownership. */
