--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -159,6 +159,11 @@
   private async start (run: TrackedRun, ticket: string | undefined): Promise<void> {
     const { vm, client, scheduler, timers, leaseMs } = this.options
     const { task } = run
+    // The process or its VM may have stood still since the plan.
+    if (!scheduler.ownership.mayAct(readMoment(timers))) {
+      scheduler.applyStart(run, StartOutcome.Refused, timers.now(), 'ownership is not proven')
+      return
+    }
     const answer = await client.start({
       ...this.toReference(run),
       payload: task.step.occurrence.job.accepted.spec.payload,
