--- a/packages/daemon/src/lib/jobs/MachineController.ts
+++ b/packages/daemon/src/lib/jobs/MachineController.ts
@@ -10,6 +10,7 @@
 import { MachineDirectory } from './MachineDirectory.js'
 import { createMachineOperation, describeAnswer, type MachineOperation, type MachineOperationPlan } from './MachineOperation.js'
 import { MovePlanner } from './MovePlanner.js'
+import { readMoment } from './OwnershipProver.js'
 import { MoveRecords } from './MoveRecords.js'
 import type { OrderedMachines } from './loadOrderedMachines.js'
 import type { StoredTurnHistory } from './TurnHistoryStore.js'
@@ -133,14 +134,15 @@
 
   /**
    * Reads the list of machines if it is due, then plans operations and advances those in progress. Plans nothing before the
-   * first list, or while the store does not answer.
+   * first list, while the store does not answer, or without a proof of the ownership: answers to reads are none.
    */
   private runCycle (): void {
-    const nowMs = this.options.timers.now()
+    const { timers, rows, scheduler } = this.options
+    const nowMs = timers.now()
     const underway = [...this.operations.values()].some((operation) => operation.phase === 'underway')
     this.directory.refresh(underway ? machineOptions.busyListPeriodMs : machineOptions.listPeriodMs)
     if (!this.directory.isListed) return
-    if (this.options.rows.getTimeSinceAnswerMs() > machineOptions.storeSilentMs) return
+    if (rows.getTimeSinceAnswerMs() > machineOptions.storeSilentMs || !scheduler.ownership.mayAct(readMoment(timers))) return
     this.directory.indexVms()
     for (const { machine, wave } of this.wavePlanner.plan(nowMs)) this.beginOperation({ machine, wave }, nowMs)
     this.planMoves(nowMs)
--- a/packages/integration/src/oddVms.test.ts
+++ b/packages/integration/src/oddVms.test.ts
@@ -85,10 +85,13 @@
 describe('one VM that makes an operation throw', ({ it, describe }) => {
   it('while it runs tasks: they are started elsewhere once its lease has expired', async () => {
     let fails = false
-    const lab = JobLab.create({ seed: 1, wrapVms: (vms) => wrapOddVm(vms, (client) => ({
-      ...wrapReports(client),
-      renew: (call) => fails ? wrapReports(client).renew(call) : client.renew(call),
-    })) })
+    const lab = JobLab.create({
+      seed: 1,
+      wrapVms: (vms) => wrapOddVm(vms, (client) => ({
+        ...wrapReports(client),
+        renew: (call) => fails ? wrapReports(client).renew(call) : client.renew(call),
+      }))
+    })
     await lab.start()
     lab.fleet.addMachine(ODD_MACHINE, 'checks', 'odd', CAPACITY)
     await lab.run(1_000)
