--- a/packages/integration/src/reviewedOwner.test.ts
+++ b/packages/integration/src/ownershipProofs.test.ts
@@ -1,5 +1,5 @@
 /**
- * Review of owners without proof of their ownership: faults that partitionedOwner.test does not cover.
+ * Owners whose ownership is not proven, or seems to be: jobs that they learn of, leases that they let expire, calls that they make.
  */
 import { EventCode } from '@vanillathread/model'
 import { StoreFault } from '@vanillathread/stand-ins'
