--- a/packages/daemon/src/lib/jobs/ShardOwner.ts
+++ b/packages/daemon/src/lib/jobs/ShardOwner.ts
@@ -3,43 +3,29 @@
  */
 import { delay, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type AcceptedJob } from '@vanillathread/model'
-import { JobScheduler } from '@vanillathread/policy'
-import type { Changes, RowCondition, VmChange } from '@vanillathread/ports'
+import { JobScheduler, type DecisionFields, type OwnershipProof } from '@vanillathread/policy'
+import type { Changes, VmChange } from '@vanillathread/ports'
 import { TicketCache } from './TicketCache.js'
 import { CommitLoop, formatRowName } from './CommitLoop.js'
 import { EndedJobRemover } from './EndedJobRemover.js'
 import { MachineController, type MachineContent } from './MachineController.js'
-import { taskOptions } from './jobOptions.js'
+import { shardOptions, taskOptions } from './jobOptions.js'
 import { loadOrderedMachines } from './loadOrderedMachines.js'
+import { readMoment } from './OwnershipProver.js'
 import { getNearPlaceRules } from './JobsSettings.js'
 import { Table } from './rows.js'
-import type { ShardOwnerContext } from './ShardOwnerContext.js'
+import type { ShardOwnerOptions } from './ShardOwnerContext.js'
 import { ShardFeeds } from './ShardFeeds.js'
 import { loadShard, type ShardContent } from './ShardLoader.js'
 import { loadTurnHistory } from './TurnHistoryStore.js'
+import { VmRegistrations } from './VmRegistrations.js'
 import { VmSessions } from './VmSessions.js'
 
-/** Options of {@link ShardOwner.create}. */
-export interface ShardOwnerOptions extends ShardOwnerContext {
-  readonly shard: string
-  /** Number of takeovers of the shard before this one. */
-  readonly generation: number
-  /** The shard's owner row; its version is the fencing token. */
-  readonly ownerRow: RowCondition
-  /** Time after the takeover for which a previous owner may still extend leases of VMs that this owner cannot reach. */
-  readonly previousOwnerRenewalMs: number
-  /** Store version since which the previous owners kept the ends of leases in the roster up to date, if the last one did. */
-  readonly leaseEndsKeptSince: number | undefined
-  /** Time on this daemon's clock from which every lease of previous owners has expired, if the last one recorded or announced it at its release. */
-  readonly previousLeasesEndAtMs: number | undefined
-  /** Called if a VM, a machine or the store shows that another daemon owns the shard. */
-  onSuperseded (reason: string): void
-}
-
 /** Loads a shard from the store, schedules its jobs and commits their progress. */
 export class ShardOwner {
   readonly scheduler: JobScheduler
   private readonly sessions: VmSessions
+  private readonly registrations: VmRegistrations
   /** Admission tickets. */
   private readonly advice: TicketCache
   private commitLoop: CommitLoop | undefined
@@ -63,7 +49,7 @@
       stopMs: options.settings.stopMs,
       previousOwnerRenewalMs: options.generation > 0 ? options.previousOwnerRenewalMs : 0,
       startedAtMs: this.startedAtMs,
-      logDecision: (code, fields) => log.write(code, fields),
+      logDecision: (code, fields) => log.write(code, this.addProofAge(code, fields)),
       nearPlaces: getNearPlaceRules(options.settings),
     })
     this.sessions = VmSessions.create({
@@ -74,6 +60,7 @@
       onChange: () => this.onChange(),
       onTicketRefused: (run, ticket) => this.advice.rejectTicket(run, ticket),
     })
+    this.registrations = VmRegistrations.create({ timers, log, scheduler: this.scheduler })
     this.advice = TicketCache.create({ timers, log, scheduler: this.scheduler, admissionService: options.admissionService, onChange: () => this.requestPlan() })
   }
 
@@ -81,6 +68,11 @@
     return new ShardOwner(options)
   }
 
+  /** Proofs of this ownership. */
+  get proof (): OwnershipProof {
+    return this.options.proof
+  }
+
   get fencingToken (): number {
     return this.options.ownerRow.version
   }
@@ -186,6 +178,7 @@
       rowBytes: options.settings.rowBytes,
       scheduler,
       versions: content.versions,
+      onStored: (sentAt) => options.proof.record(sentAt),
       onCommitted: () => {
         this.sessions.resumeAfterCommit()
         this.requestPlan()
@@ -197,12 +190,10 @@
     const clocks = { nowMs, storeNowMs: options.rows.getStoreClockMs() }
     for (const record of content.roster) {
       const version = content.versions.get(formatRowName({ table: Table.Rosters, part: this.shard, key: record.entry.id })) ?? 0
-      scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks)
+      this.registrations.attempt(record.entry.id, () => scheduler.restoreVm(version > (options.leaseEndsKeptSince ?? Infinity) ? record : { entry: record.entry }, clocks))
     }
     scheduler.setPools(options.configuration.poolNames, nowMs)
-    for (const change of vms) {
-      if (change.entry !== undefined) scheduler.applyRegistration(change.entry, nowMs)
-    }
+    this.registrations.apply(vms.filter((change) => change.entry !== undefined))
     const registered = new Set(vms.filter((change) => change.entry !== undefined).map((change) => change.id))
     for (const { entry } of content.roster) {
       if (!registered.has(entry.id)) scheduler.unregisterVm(entry.id, nowMs)
@@ -247,6 +238,13 @@
     })
   }
 
+  /** Adds to a decision that a superseded owner must not take how long ago the ownership was last proven, if that is not recent. */
+  private addProofAge (code: EventCode, fields: DecisionFields): DecisionFields {
+    if (code !== EventCode.TaskStartOrdered && code !== EventCode.TaskLost) return fields
+    const provenAgoMs = Math.round(this.options.proof.getAgeMs(readMoment(this.options.timers)))
+    return provenAgoMs < shardOptions.storeHeartbeatTimeoutMs ? fields : { ...fields, provenAgoMs }
+  }
+
   private plan (): void {
     const { timers, rows, configuration } = this.options
     this.scheduler.setTeams(configuration.current?.teams)
@@ -257,6 +255,7 @@
     for (const order of orders) this.sessions.execute(order)
     this.sessions.closeForgotten()
     if (this.scheduler.state.jobsToRead.size > 0) this.readUnknownJobs()
+    if (this.scheduler.ownership.isProofWanted) this.options.requestProof()
     if (this.scheduler.listJobsToStore().length > 0) this.commitLoop?.request()
   }
 
@@ -267,12 +266,7 @@
 
   /** Applies changes of registrations, and opens a session to each VM that has none. */
   private applyVms (changes: readonly VmChange[]): void {
-    const { log, timers } = this.options
-    for (const change of changes) {
-      if (change.entry !== undefined) this.scheduler.applyRegistration(change.entry, timers.now())
-      else this.scheduler.unregisterVm(change.id, timers.now())
-      if (change.fault !== undefined) log.write(EventCode.VmEntryInvalid, { vm: change.id, reason: change.fault })
-    }
+    this.registrations.apply(changes)
     this.sessions.openMissing()
     this.machineController?.evacuateNewVms()
     this.onChange()
@@ -280,10 +274,7 @@
 
   /** Applies changes of registrations. If the list is complete, VMs missing from it are no longer registered. */
   private onVms (changes: readonly VmChange[], complete: boolean): void {
-    const listed = new Set(changes.map((change) => change.id))
-    for (const id of complete ? this.scheduler.state.vms.keys() : []) {
-      if (!listed.has(id)) this.scheduler.unregisterVm(id, this.options.timers.now())
-    }
+    if (complete) this.registrations.unregisterMissing(changes)
     this.applyVms(changes)
   }
 
