--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -34,8 +34,6 @@
   private disposed = false
   /** Number of consecutive renewals that failed. */
   private lostRenewals = 0
-  /** True if the handling of the last answer to a renewal failed. */
-  private handlingFailed = false
   /** Ends the wait for a commit, if there is one. */
   private resolveCommitWait: (() => void) | undefined
 
@@ -49,7 +47,7 @@
   async run (): Promise<void> {
     const { vm, timers } = this.options
     while (!this.disposed) {
-      await this.renewOrDoubt()
+      if (!await this.tryToRenew()) await delay(timers, taskOptions.failedSessionRetryMs)
       if (this.disposed) return
       // A VM lists its end entries again until they are acknowledged, so the next long poll waits for their commit.
       // The VM gets no lease until the recorded end of its former one is withdrawn.
@@ -81,18 +79,20 @@
   }
 
   /**
-   * Renews the lease. If the handling of the answer fails, the VM counts as unresponsive: its runs end with its lease, and starts in its
-   * pool do not wait for it. The renewals go on at the pace of those to a VM that does not answer.
+   * Renews the lease. If the handling of the answer fails, the VM counts as unresponsive, so that its runs end with its lease and starts in
+   * its pool do not wait for it.
+   *
+   * @returns false if the handling failed.
    */
-  private async renewOrDoubt (): Promise<void> {
+  private async tryToRenew (): Promise<boolean> {
     const { vm, log, scheduler, timers } = this.options
     try {
       await this.renew()
-      this.handlingFailed = false
+      return true
     } catch (err) {
-      if (!this.handlingFailed) log.write(EventCode.VmCallFailed, { vm: vm.id, call: 'renew', reason: String(err) })
-      this.handlingFailed = true
+      log.write(EventCode.VmCallFailed, { vm: vm.id, call: 'renew', reason: String(err) })
       if (!this.disposed) scheduler.markUnresponsive(vm, timers.now())
+      return false
     }
   }
 
@@ -117,8 +117,20 @@
     this.applyFailure(answer)
   }
 
-  /** Returns the longest wait of the next long poll: short if the VM's tasks or their stops must be followed closely. */
+  /**
+   * Returns the longest wait of the next long poll, which ends before the time for which this owner may grant leases, so that the VM gets one
+   * more lease before that. The next poll after a new proof must not wait behind a long one.
+   */
   private getPollWaitMs (): number {
+    const { vm, timers, scheduler: { ownership } } = this.options
+    const waitMs = this.getUsualPollWaitMs()
+    if (vm.runs.size === 0) return waitMs
+    const leftMs = ownership.getTimeLeftMs(readMoment(timers))
+    return Math.min(waitMs, leftMs < taskOptions.renewLeadMs ? taskOptions.startingRenewWaitMs : Math.floor(leftMs) - taskOptions.renewLeadMs)
+  }
+
+  /** Returns the longest wait of the next long poll of an owner that may grant leases: short if the VM's tasks or their stops must be followed closely. */
+  private getUsualPollWaitMs (): number {
     const { vm, timers, scheduler } = this.options
     if (!vm.isReconciled || !vm.mayBeLeased) return 0
     if (vm.isOnTrial) return taskOptions.startingRenewWaitMs
@@ -147,6 +159,11 @@
   private async start (run: TrackedRun, ticket: string | undefined): Promise<void> {
     const { vm, client, scheduler, timers, leaseMs } = this.options
     const { task } = run
+    // The process or its VM may have stood still since the plan.
+    if (!scheduler.ownership.mayAct(readMoment(timers))) {
+      scheduler.applyStart(run, StartOutcome.Refused, timers.now(), 'ownership is not proven')
+      return
+    }
     const answer = await client.start({
       ...this.toReference(run),
       payload: task.step.occurrence.job.accepted.spec.payload,
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -56,6 +56,12 @@
    * and short enough for two rounds before the proof is no longer valid, after `previousOwnerRenewalMs`.
    */
   proofRefreshMs: 1_000,
+  /** Time after the last proof from the store for which the other daemons may prove an ownership: most outages of the store are shorter. */
+  peerProofsForMs: 30_000,
+  /** Takeover delay added for a daemon that the owner may not know, and so does not ask: `peerProofsForMs`, and the age of the last proof from the store at the last store heartbeat. */
+  unknownMemberDelayMs: 35_000,
+  /** Shortest time between a store heartbeat and one that a decision waits for: a store that refuses calls is not to get more of them. */
+  proofRetryMs: 250,
   /** Time between two rounds of asking the other daemons. */
   claimPeriodMs: 400,
   /** Period of checking the age of an owner's last proof of its ownership. */
@@ -80,6 +86,8 @@
   startingRenewWaitMs: 150,
   /** Time after a start order for which `startingRenewWaitMs` applies. */
   startingMs: 3_000,
+  /** Time between the end of a wait and that of the time for which the owner may grant leases: a few round trips. */
+  renewLeadMs: 100,
   /**
    * Consecutive renewals without an answer after which a VM counts as unresponsive: a platform that loses one call in 20
    * rarely loses two in a row.
@@ -87,6 +95,11 @@
   lostRenewalsUntilUnresponsive: 2,
   /** Pause between renewals of an unresponsive VM; also the longest wait for a commit before the next renewal. */
   unresponsiveRetryMs: 200,
+  /**
+   * Time after an answer that could not be applied until the next renewal. Longer than a lease, so that the VM's runs end and are started
+   * elsewhere if its answers can never be applied.
+   */
+  failedSessionRetryMs: 10_000,
   /** Period of planning in addition to planning caused by events. */
   planPeriodMs: 100,
   /** Delay between an event and planning, so that one plan covers several events: short compared with the shortest task. */
@@ -244,6 +257,8 @@
   retryMs: 150,
   /** Period of reading the rows of all daemons. */
   memberPeriodMs: 10_000,
+  /** Time from the hello message of a daemon without a known row until the rows are read, which collects several such messages. */
+  newMemberReadMs: 500,
   /**
    * Time without an answer after which the owner removes a daemon's row: far longer than the restart of a process or VM, and
    * some periods of reading the rows.
