--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -8,6 +8,7 @@
 import type { SoakChecker } from './SoakChecker.js'
 import { POOLS, type SoakCluster } from './SoakCluster.js'
 import type { SoakDaemon } from './SoakDaemon.js'
+import { ZoneCuts } from './ZoneCuts.js'
 
 /** Time between two restarts of a roll. */
 const ROLL_STEP_MS = 2_000
@@ -21,6 +22,9 @@
 /** Shortest time for which a VM is cut off: longer than its lease. */
 const MIN_VM_CUT_MS = 8_000
 
+/** Shortest time for which a zone is cut off: longer than a takeover, the former owner's time to renew, and a lease. */
+const MIN_ZONE_CUT_MS = 12_000
+
 const STORE_FAULTS: Readonly<Partial<Record<FaultKind, StoreFault>>> = {
   [FaultKind.StoreSlow]: StoreFault.Slow,
   [FaultKind.StoreRefusing]: StoreFault.Refusing,
@@ -49,7 +53,11 @@
   private nextWave = 1
   private readonly draining = new Set<string>()
 
-  private constructor (private readonly cluster: SoakCluster, private readonly checker: SoakChecker) {}
+  private readonly zoneCuts: ZoneCuts
+
+  private constructor (private readonly cluster: SoakCluster, private readonly checker: SoakChecker) {
+    this.zoneCuts = ZoneCuts.create(cluster, checker)
+  }
 
   static create (cluster: SoakCluster, checker: SoakChecker): FaultInjector {
     return new FaultInjector(cluster, checker)
@@ -108,6 +116,7 @@
       case FaultKind.VmFailsTasks:
       case FaultKind.VmLateStarts: return this.disturbVm(target, VM_FAULTS[kind] ?? VmFault.None, durationMs)
       case FaultKind.Wave: return this.requestWave(target)
+      case FaultKind.ZoneCut: return this.zoneCuts.play(target % 2 === 0 ? this.cluster.owner ?? daemon : daemon, Math.max(MIN_ZONE_CUT_MS, durationMs))
     }
   }
 
--- a/packages/soak/src/lib/FaultSchedule.ts
+++ b/packages/soak/src/lib/FaultSchedule.ts
@@ -32,6 +32,8 @@
   VmFailsTasks = 'vm-fails-tasks',
   VmLateStarts = 'vm-late-starts',
   Wave = 'wave',
+  /** A daemon and some of the VMs reach each other only. */
+  ZoneCut = 'zone-cut',
 }
 
 /** Faults that are planned work: they do not excuse the daemons from their time bounds. */
--- a/packages/soak/src/lib/Link.ts
+++ b/packages/soak/src/lib/Link.ts
@@ -32,11 +32,15 @@
   readonly from: Socket
   readonly to: Socket
   readonly heldBy: LinkFault
+  /** Host that the client connects from. */
+  readonly client: string | undefined
 }
 
 /** Proxy in front of one address. */
 export class Link {
   fault = LinkFault.None
+  /** Hosts of clients whose bytes are held up in both directions. */
+  cutClients: ReadonlySet<string | undefined> = new Set()
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
   /** Sockets of connections that stay silent for good. */
@@ -85,15 +89,16 @@
       socket.on('error', () => { if (!this.silenced.has(socket)) peer.resetAndDestroy() })
       socket.on('close', () => this.sockets.delete(socket))
     }
-    this.forward({ from: client, to: server, heldBy: LinkFault.RequestsHeld })
-    this.forward({ from: server, to: client, heldBy: LinkFault.AnswersHeld })
+    this.forward({ from: client, to: server, heldBy: LinkFault.RequestsHeld, client: client.remoteAddress })
+    this.forward({ from: server, to: client, heldBy: LinkFault.AnswersHeld, client: client.remoteAddress })
   }
 
   /** Passes on the bytes of a direction in order. */
-  private async forward ({ from, to, heldBy }: Direction): Promise<void> {
+  private async forward (direction: Direction): Promise<void> {
+    const { from, to } = direction
     try {
-      for await (const chunk of from as AsyncIterable<Buffer>) await this.deliver(chunk, to, heldBy)
-      await this.waitWhileHeld(to, heldBy)
+      for await (const chunk of from as AsyncIterable<Buffer>) await this.deliver(chunk, direction)
+      await this.waitWhileHeld(direction)
       // Both ends of a silenced connection have to find out by themselves.
       if (!this.silenced.has(to)) to.end()
     } catch {
@@ -102,8 +107,9 @@
     }
   }
 
-  private async deliver (chunk: Buffer, to: Socket, heldBy: LinkFault): Promise<void> {
-    await this.waitWhileHeld(to, heldBy)
+  private async deliver (chunk: Buffer, direction: Direction): Promise<void> {
+    const { to } = direction
+    await this.waitWhileHeld(direction)
     if (this.silenced.has(to)) return
     if (this.fault === LinkFault.Delayed) await sleep(DELAY_MS)
     if (this.fault !== LinkFault.Trickling) {
@@ -116,7 +122,7 @@
     }
   }
 
-  private async waitWhileHeld (to: Socket, heldBy: LinkFault): Promise<void> {
-    while ((this.fault === LinkFault.Cut || this.fault === heldBy) && !to.destroyed) await sleep(HOLD_CHECK_MS)
+  private async waitWhileHeld ({ to, heldBy, client }: Direction): Promise<void> {
+    while ((this.fault === LinkFault.Cut || this.fault === heldBy || this.cutClients.has(client)) && !to.destroyed) await sleep(HOLD_CHECK_MS)
   }
 }
--- a/packages/soak/src/lib/SoakCluster.ts
+++ b/packages/soak/src/lib/SoakCluster.ts
@@ -1,7 +1,7 @@
 /**
  * All processes of a soak: the store, the VMs and the daemons, with the links between them.
  */
-import { mkdtempSync } from 'node:fs'
+import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -52,6 +52,8 @@
   /** Links to VMs, by VM. */
   readonly vmLinks = new Map<string, Link>()
   readonly store: SoakProcess
+  /** Owner of the shard by the store, if there is one. */
+  owner: SoakDaemon | undefined
   private readonly vms: SoakProcess
   private readonly barriers = new Map<number, () => void>()
   private readonly deadVms = new Set<string>()
@@ -115,13 +117,15 @@
     this.sendToStore({ kind: 'put', table: 'op', key: 'config', value: createConfiguration() })
     for (let index = 0; index < MACHINES; index++) this.addMachine([...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL)
     const host = `${this.network}.1`
+    const peerLinksPath = join(this.folder, 'peer-links.json')
     for (let index = 0; index < this.options.daemons; index++) {
       const daemon = await SoakDaemon.create({
-        name: `d-${index}`, ip: `${this.network}.${index + 10}`, linkHost: host, store: { host, port: store }, machines: { host, port: machines }, folder: this.folder, naive: this.options.planted.naive,
+        name: `d-${index}`, ip: `${this.network}.${index + 10}`, linkHost: host, store: { host, port: store }, machines: { host, port: machines }, folder: this.folder, peerLinksPath, naive: this.options.planted.naive,
       })
       this.daemons.push(daemon)
-      daemon.process.start()
     }
+    writeFileSync(peerLinksPath, JSON.stringify(this.daemons.map(({ peer, links }) => [`${peer.host}:${peer.port}`, links.peers.address])))
+    for (const daemon of this.daemons) daemon.process.start()
     await this.waitUntilReady()
   }
 
@@ -151,6 +155,7 @@
 
   private handleStoreEvent (event: StoreEvent): void {
     if (event.kind === 'ready') this.ports.get(this.store)?.(event.port)
+    else if (event.kind === 'owner') this.owner = this.daemons.find(({ name }) => name === event.daemon)
     else this.options.onWaveState(event.wave, event.complete)
   }
 
@@ -179,7 +184,7 @@
   }
 
   /** Writes the registration of a VM, with the address of the link to it. */
-  private async register (entry: VmEntry): Promise<void> {
+  async register (entry: VmEntry): Promise<void> {
     if (this.deadVms.has(entry.id)) return
     const link = this.vmLinks.get(entry.id) ?? await Link.open(`${this.network}.1`, entry.address)
     this.vmLinks.set(entry.id, link)
--- a/packages/soak/src/lib/SoakDaemon.ts
+++ b/packages/soak/src/lib/SoakDaemon.ts
@@ -22,6 +22,7 @@
 const DAEMON_PROGRAM = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url))
 const NAIVE_PROGRAM = fileURLToPath(new URL('../naiveMain.js', import.meta.url))
 const EXIT_WITH_PARENT = new URL('../exitWithParent.js', import.meta.url).href
+const CONNECT_THROUGH_LINKS = new URL('../connectThroughLinks.js', import.meta.url).href
 
 /** Options of {@link SoakDaemon.create}. */
 export interface SoakDaemonOptions {
@@ -34,6 +35,8 @@
   readonly machines: Address
   /** Folder of the settings file and the log. */
   readonly folder: string
+  /** File with the links to the daemons, which is read at the start of the process. */
+  readonly peerLinksPath: string
   /** Planted fault of the daemon's owner. */
   readonly naive?: string
 }
@@ -48,7 +51,9 @@
     readonly name: string,
     readonly process: SoakProcess,
     /** Links by what they connect. */
-    readonly links: { readonly clients: Link, readonly store: Link, readonly machines: Link },
+    readonly links: { readonly clients: Link, readonly store: Link, readonly machines: Link, readonly peers: Link },
+    /** Address at which the daemon listens for other daemons. */
+    readonly peer: Address,
     private readonly readiness: Address
   ) {}
 
@@ -59,6 +64,7 @@
       clients: await Link.open(linkHost, { host: ip, port: clients ?? 0 }),
       store: await Link.open(linkHost, options.store),
       machines: await Link.open(linkHost, options.machines),
+      peers: await Link.open(linkHost, { host: ip, port: peer ?? 0 }),
     }
     const settingsPath = join(folder, `${name}.yaml`)
     // JSON is valid YAML.
@@ -74,11 +80,11 @@
     }))
     const program = options.naive === undefined ? [DAEMON_PROGRAM] : [NAIVE_PROGRAM, options.naive]
     const daemonProcess = SoakProcess.create({
-      args: ['--max-old-space-size=160', '--max-semi-space-size=4', '--import', EXIT_WITH_PARENT, ...program],
-      env: { VANILLATHREAD_CONFIG: settingsPath, CBOR_NATIVE_ACCELERATION_DISABLED: 'true' },
+      args: ['--max-old-space-size=160', '--max-semi-space-size=4', '--import', EXIT_WITH_PARENT, '--import', CONNECT_THROUGH_LINKS, ...program],
+      env: { VANILLATHREAD_CONFIG: settingsPath, SOAK_DAEMON_IP: ip, SOAK_PEER_LINKS: options.peerLinksPath, CBOR_NATIVE_ACCELERATION_DISABLED: 'true' },
       logPath: join(folder, `${name}.log`),
     })
-    return new SoakDaemon(name, daemonProcess, links, { host: ip, port: readiness ?? 0 })
+    return new SoakDaemon(name, daemonProcess, links, { host: ip, port: peer ?? 0 }, { host: ip, port: readiness ?? 0 })
   }
 
   /** Returns true if the daemon answers the readiness check. */
--- a/packages/soak/src/lib/messages.ts
+++ b/packages/soak/src/lib/messages.ts
@@ -17,6 +17,8 @@
   | { readonly kind: 'ready', readonly port: number }
   /** A daemon has written the state of a wave. */
   | { readonly kind: 'wave-state', readonly wave: number, readonly complete: boolean }
+  /** A daemon has become the owner of the shard, or, without a name, the owner has released it. */
+  | { readonly kind: 'owner', readonly daemon: string | undefined }
 
 /** Command to the process of the VMs and machines. */
 export type VmCommand =
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -34,6 +34,15 @@
       assert.is(await held, 'b')
     }))
 
+    it('cuts off one client and passes on the bytes of another', () => withEcho(async (link, send) => {
+      link.cutClients = new Set(['127.0.0.2'])
+      const held = send('a', '127.0.0.2')
+      assert.is(await send('b', '127.0.0.3'), 'b')
+      assert.is(await Promise.race([held, wait(100)]), undefined)
+      link.cutClients = new Set()
+      assert.is(await held, 'a')
+    }))
+
     it('silences open connections for good, while new ones work', () => withEcho(async (link, send) => {
       const open = connect(link.address.port, link.address.host)
       open.on('error', () => {})
@@ -79,6 +88,22 @@
     })
   })
 
+  describe('zone cut (issue 46)', ({ it }) => {
+    let run: SoakRun
+
+    it('starts real daemons', async () => {
+      run = await SoakRun.start({ seed: SEED, durationMs: 17_000, schedule: [{ kind: FaultKind.ZoneCut, atMs: 3_000, durationMs: 0, target: 0 }] })
+    })
+
+    it('plays', () => run.play())
+
+    it('runs no task twice while the zone of the owner is cut off', async () => {
+      const report = run.describeViolations('npm run soak')
+      await run.stop()
+      assert.equal(run.result.violations, [], report)
+    })
+  })
+
   describe('planted faults', ({ it }) => {
     const lateStarts: Fault = { kind: FaultKind.VmLateStarts, atMs: 1_000, durationMs: 8_000, target: 0 }
     const vmCut: Fault = { kind: FaultKind.VmCut, atMs: 1_500, durationMs: 12_000, target: 0 }
@@ -112,13 +137,13 @@
 }
 
 /** Calls the body with a link to an echo server, and with a function that sends text on a new connection and returns the answer. */
-async function withEcho (body: (link: Link, send: (text: string) => Promise<string>) => Promise<void>): Promise<void> {
+async function withEcho (body: (link: Link, send: (text: string, from?: string) => Promise<string>) => Promise<void>): Promise<void> {
   const server: Server = createServer((socket) => socket.on('error', () => {}).pipe(socket))
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const link = await Link.open('127.0.0.1', { host: '127.0.0.1', port: (server.address() as AddressInfo).port })
   try {
-    await body(link, (text) => new Promise((resolve, reject) => {
-      const socket = connect(link.address.port, link.address.host, () => socket.write(text))
+    await body(link, (text, from) => new Promise((resolve, reject) => {
+      const socket = connect({ ...link.address, localAddress: from }, () => socket.write(text))
       socket.once('error', reject)
       socket.once('data', (data) => {
         socket.destroy()
--- a/packages/soak/src/storeMain.ts
+++ b/packages/soak/src/storeMain.ts
@@ -12,6 +12,8 @@
 const server = StoreServer.create({
   store,
   onPut: ({ table, key }, value) => {
+    // The row is CBOR, which holds the owner's name as plain text.
+    if (table === 'shards') sendEvent({ kind: 'owner', daemon: /d-\d+/.exec(value.toString('latin1'))?.[0] })
     const wave = /^wave\/(\d+)$/.exec(key)?.[1]
     if (table !== 'status' || wave === undefined) return
     const { state } = JSON.parse(value.toString()) as { state?: string }
