--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -1,8 +1,8 @@
 /**
  * The owner's connection to one VM: renews the VM's lease, receives its reports and sends it orders.
  */
-import { delay, type TimerService } from '@vanillathread/kernel'
-import { exhaustiveSwitchError, OrderRefusal } from '@vanillathread/model'
+import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
+import { EventCode, exhaustiveSwitchError, OrderRefusal } from '@vanillathread/model'
 import { OrderKind, RunPhase, StartOutcome, TRIAL_MS, type JobScheduler, type Order, type TrackedRun, type TrackedVm } from '@vanillathread/policy'
 import { VmAnswerKind, type RunReference, type VmAnswer, type VmClient } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
@@ -14,6 +14,7 @@
   readonly client: VmClient
   readonly scheduler: JobScheduler
   readonly timers: TimerService
+  readonly log: EventLog
   readonly fencingToken: number
   readonly leaseMs: number
   /** Called after a change that planning or committing may act on. */
@@ -46,7 +47,7 @@
   async run (): Promise<void> {
     const { vm, timers } = this.options
     while (!this.disposed) {
-      await this.renew()
+      if (!await this.tryToRenew()) await delay(timers, taskOptions.failedSessionRetryMs)
       if (this.disposed) return
       // A VM lists its end entries again until they are acknowledged, so the next long poll waits for their commit.
       // The VM gets no lease until the recorded end of its former one is withdrawn.
@@ -77,6 +78,24 @@
     this.options.client.dispose()
   }
 
+  /**
+   * Renews the lease. If the handling of the answer fails, the VM counts as unresponsive, so that its runs end with its lease and starts in
+   * its pool do not wait for it.
+   *
+   * @returns false if the handling failed.
+   */
+  private async tryToRenew (): Promise<boolean> {
+    const { vm, log, scheduler, timers } = this.options
+    try {
+      await this.renew()
+      return true
+    } catch (err) {
+      log.write(EventCode.VmCallFailed, { vm: vm.id, call: 'renew', reason: String(err) })
+      if (!this.disposed) scheduler.markUnresponsive(vm, timers.now())
+      return false
+    }
+  }
+
   private async renew (): Promise<void> {
     const { vm, client, scheduler, timers, fencingToken, leaseMs } = this.options
     const sentAtMs = timers.now()
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -3,7 +3,7 @@
  */
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
-import type { AcceptedJob, VmEntry } from '@vanillathread/model'
+import { isUsableAddress, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import type { JobProgress, RosterRecord, TurnHistory } from '@vanillathread/policy'
 
 /** Tables. The rows of a shard have the shard's name as their part. */
@@ -32,6 +32,9 @@
 export const JOB_PREFIX = 'j/'
 export const CANCEL_PREFIX = 'c/'
 
+/** A socket cannot be opened for a higher port: the attempt throws. */
+const MAX_PORT = 65_535
+
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
 
 const ownerRowSchema = z.object({
@@ -52,13 +55,13 @@
 /** Owner of a shard; an empty name means that the shard has no owner. */
 export type OwnerRow = z.infer<typeof ownerRowSchema>
 
-const memberRowSchema = z.object({ host: z.string(), port: z.number(), speed: z.number() })
+const memberRowSchema = z.object({ host: z.string(), port: z.int().min(0).max(MAX_PORT), speed: z.number() })
 
 /** A daemon's address and speed, which is its share of a core multiplied by the core's speed. */
 export type MemberRow = z.infer<typeof memberRowSchema>
 
-/** Encodes a row's value. `atMs` is the store's clock at the write, for a store heartbeat or a cancellation. */
-export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | TombstoneRow | JobProgress | RosterRow | WaveMachineRow | MoveRow | TurnHistoryRow | { readonly atMs: number }): Uint8Array<ArrayBuffer> {
+/** Encodes a row's value. A cancellation holds the store's clock at the write as `atMs`, like a store heartbeat. */
+export function encodeRow (value: OwnerRow | MemberRow | AcceptedJob | TombstoneRow | JobProgress | RosterRow | WaveMachineRow | MoveRow | TurnHistoryRow | StoreHeartbeatRow): Uint8Array<ArrayBuffer> {
   return new Uint8Array(codec.encode(value))
 }
 
@@ -67,10 +70,18 @@
   return ownerRowSchema.safeParse(decode(bytes)).data
 }
 
-/** Decodes an owner's store heartbeat: the store's clock at the write. */
-export function decodeStoreHeartbeatRow (bytes: Uint8Array): number | undefined {
-  const row = decode(bytes) as { readonly atMs?: unknown } | undefined
-  return typeof row?.atMs === 'number' ? row.atMs : undefined
+/** An owner's store heartbeat. */
+export interface StoreHeartbeatRow {
+  /** The store's clock at the write. */
+  readonly atMs: number
+  /** Store version at which the owner last read the rows of all daemons; builds that ask no other daemon for proofs lack it. */
+  readonly membersAtVersion?: number
+}
+
+/** Decodes an owner's store heartbeat. */
+export function decodeStoreHeartbeatRow (bytes: Uint8Array): StoreHeartbeatRow | undefined {
+  const row = decode(bytes) as StoreHeartbeatRow | undefined
+  return typeof row?.atMs === 'number' ? row : undefined
 }
 
 /** Decodes a daemon's row. */
@@ -114,10 +125,13 @@
 /** A VM of a roster. The fields of the record stand beside those of the entry, which earlier builds read. */
 export type RosterRow = VmEntry & Omit<RosterRecord, 'entry'>
 
-/** Decodes a VM of a roster. */
+/**
+ * Decodes a VM of a roster. An earlier build may have written the entry of another program here. A VM with an address that no client can
+ * be opened for was never called, so it has no runs and its row is invalid.
+ */
 export function decodeRosterRow (bytes: Uint8Array): RosterRecord | undefined {
   const row = decode(bytes) as RosterRow | undefined
-  if (typeof row?.id !== 'string' || typeof row.pool !== 'string') return undefined
+  if (typeof row?.id !== 'string' || typeof row.pool !== 'string' || !isUsableAddress(row.address)) return undefined
   const { leaseEndMs, runs, ...entry } = row
   return typeof leaseEndMs === 'number' ? { entry, leaseEndMs, runs: Array.isArray(runs) ? runs : undefined } : { entry }
 }
--- a/packages/integration/src/lib/jobs/JobLab.ts
+++ b/packages/integration/src/lib/jobs/JobLab.ts
@@ -4,7 +4,7 @@
 import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
 import { JobState, parseTaskName, STEP_DEFAULTS, type JobSpec, type OperatorConfiguration, type StepSpec } from '@vanillathread/model'
 import { JobsDaemon, type JobsSettings } from '@vanillathread/daemon'
-import { IngressAnswerKind, type ClientApi } from '@vanillathread/ports'
+import { IngressAnswerKind, type ClientApi, type VmClients } from '@vanillathread/ports'
 import { RandomSource } from '@vanillathread/policy'
 import { FleetFeedsStandIn, FleetStandIn, StoreFault, StoreStandIn, putOperatorConfiguration, putWaveRequest, type StoreClientStandIn, type TaskBehaviour } from '@vanillathread/stand-ins'
 import { countCalls, createNaiveClients, cutCalls, type NaiveOwner } from './labVmClients.js'
@@ -20,6 +20,8 @@
   /** Number of daemons; 3 if not given. */
   readonly daemons?: number
   readonly naive?: NaiveOwner
+  /** Replaces the clients of the VMs of all daemons. */
+  wrapVms? (vms: VmClients): VmClients
   /** Number of machines, a third of them in each pool and in standby; 12 if not given. */
   readonly machines?: number
   /** Speeds of the daemons, in their order; 1 if not given. */
@@ -97,8 +99,7 @@
     const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 }
     for (let index = 0; index < (this.options.machines ?? 12); index++) this.fleet.addMachine(`m-${index}`, [...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL, `r-${Math.floor(index / 4)}`, capacity)
     for (let index = 0; index < (this.options.daemons ?? 3); index++) {
-      this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
-      this.startDaemon(index)
+      this.addDaemon()
       // As with real processes, the periodic timers of the daemons are offset. The advance by 0 lets the daemon set its first timers.
       await this.timers.advance(0)
       await this.timers.advance(START_GAP_MS)
@@ -106,6 +107,13 @@
     await this.timers.advance(3_000)
   }
 
+  /** Adds a daemon under a new name and starts it. */
+  addDaemon (): void {
+    const index = this.daemons.length
+    this.daemons.push({ name: `d-${index}`, address: { host: 'peer', port: index + 1 }, store: this.store.connect(), log: MemoryEventLog.create() })
+    this.startDaemon(index)
+  }
+
   startDaemon (index: number): void {
     const entry = this.daemons[index]
     if (entry === undefined) return
@@ -120,7 +128,7 @@
         rows: entry.store,
         feeds: FleetFeedsStandIn.create(entry.store, history),
         openFeeds: (rows) => FleetFeedsStandIn.create(rows, history),
-        vms: cutCalls(countCalls(this.options.naive === undefined ? fleet : createNaiveClients(fleet, this.options.naive), () => this.countCall(entry.name)), timers, (vm) => this.partition.isCut(entry.name, vm)),
+        vms: cutCalls(countCalls(this.wrapVms(), () => this.countCall(entry.name)), timers, (vm) => this.partition.isCut(entry.name, vm)),
         machines: fleet,
         network: peers.connect(entry.address),
         openIngress: (api) => {
@@ -207,6 +215,12 @@
     return [...this.waves].some(([wave, machines]) => !this.history.completeWaves.has(wave) && machines.includes(machine))
   }
 
+  private wrapVms (): VmClients {
+    const { naive, wrapVms } = this.options
+    const vms = naive === undefined ? this.fleet : createNaiveClients(this.fleet, naive)
+    return wrapVms?.(vms) ?? vms
+  }
+
   private countCall (daemon: string): void {
     this.vmCalls.set(daemon, (this.vmCalls.get(daemon) ?? 0) + 1)
   }
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -228,6 +228,8 @@
   OwnershipUnproven = 765,
   /** An owner has a proof of its ownership again, after `unprovenForMs`. */
   OwnershipProven = 766,
+  /** A client of a VM could not be opened, or a call to the VM or the handling of its answer failed with an unexpected error; `call` says which. */
+  VmCallFailed = 767,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -337,4 +339,5 @@
   [EventCode.LogReaderSlow]: { level: EventLevel.Warn, message: 'log lines were dropped as the reader of the log did not keep up' },
   [EventCode.OwnershipUnproven]: { level: EventLevel.Warn, message: 'owner has no proof that it still owns the shard' },
   [EventCode.OwnershipProven]: { level: EventLevel.Info, message: 'owner has proof again that it owns the shard' },
+  [EventCode.VmCallFailed]: { level: EventLevel.Error, message: 'call to a VM failed with an unexpected error' },
 }
