--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -60,6 +60,8 @@
   peerProofsForMs: 30_000,
   /** Takeover delay added for a daemon that the owner may not know, and so does not ask: `peerProofsForMs`, and the age of the last proof from the store at the last store heartbeat. */
   unknownMemberDelayMs: 35_000,
+  /** Shortest time between a store heartbeat and one that a decision waits for: a store that refuses calls is not to get more of them. */
+  proofRetryMs: 250,
   /** Time between two rounds of asking the other daemons. */
   claimPeriodMs: 400,
   /** Period of checking the age of an owner's last proof of its ownership. */
@@ -84,6 +86,8 @@
   startingRenewWaitMs: 150,
   /** Time after a start order for which `startingRenewWaitMs` applies. */
   startingMs: 3_000,
+  /** Time between the end of a wait and that of the time for which the owner may grant leases: a few round trips. */
+  renewLeadMs: 100,
   /**
    * Consecutive renewals without an answer after which a VM counts as unresponsive: a platform that loses one call in 20
    * rarely loses two in a row.
