--- a/packages/soak/src/lib/FaultSchedule.ts
+++ b/packages/soak/src/lib/FaultSchedule.ts
@@ -49,14 +49,11 @@
   readonly target: number
 }
 
-/** Kinds that schedules are drawn from; further kinds are only played if they are named, so that the schedules of seeds stay as they are. */
-const DEFAULT_KINDS: readonly FaultKind[] = Object.values(FaultKind).filter((kind) => kind !== FaultKind.ZoneCut)
-
 /** Options of {@link createSchedule}. */
 export interface ScheduleOptions {
   readonly seed: number
   readonly durationMs: number
-  /** Kinds to choose from; {@link DEFAULT_KINDS} if not given. */
+  /** Kinds to choose from; all if not given. */
   readonly kinds?: readonly FaultKind[]
 }
 
@@ -73,7 +70,7 @@
 const TARGETS = 1_000_000
 
 /** Creates the schedule of a seed: groups of faults that overlap, with calm periods between them. */
-export function createSchedule ({ seed, durationMs, kinds = DEFAULT_KINDS }: ScheduleOptions): Fault[] {
+export function createSchedule ({ seed, durationMs, kinds = Object.values(FaultKind) }: ScheduleOptions): Fault[] {
   const random = RandomSource.create(seed)
   const faults: Fault[] = []
   for (let groupMs = WARM_UP_MS; groupMs < durationMs;) {
