Test: let the first request run for 2 s while 20 others are queued

Traced: the first request took 100 ms; if sending the 20 others takes longer, one of them runs, and 20 are never queued at a time. It now takes 2 s. The assertions are the same, and that only one request has run is as strict.

--- a/packages/integration/src/callers.test.ts
+++ b/packages/integration/src/callers.test.ts
@@ -12,7 +12,7 @@
 import { countRuns, withCluster } from './lib/withCluster.js'
 
 describe('callers', ({ it, describe }) => {
-  it('that disconnect free their places in the queue', () => withCluster({ daemons: 1, endpoints: 1, slots: 1, serviceTimeMs: () => 100 }, async (cluster) => {
+  it('that disconnect free their places in the queue', () => withCluster({ daemons: 1, endpoints: 1, slots: 1, serviceTimeMs: () => 2_000 }, async (cluster) => {
     const firstRequest = sendRequest(cluster.getUrl(0), { token: 'first' })
     await waitUntil('the first request runs', () => countRuns(cluster, 'first') === 1)
     const controller = new AbortController()
