--- a/packages/daemon/src/lib/jobs/OwnershipProver.ts
+++ b/packages/daemon/src/lib/jobs/OwnershipProver.ts
@@ -44,7 +44,6 @@
   private lastRound = 0
   /** Times until which other daemons are known not to have taken over, by name. */
   private readonly contacts = new Map<string, number>()
-
   private readonly startedAtMs: number
 
   private constructor (private readonly options: OwnershipProverOptions) {
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -224,7 +224,7 @@
   HandlerFailed = 763,
   /** The reader of the standard output did not keep up, so that `lines` log lines were dropped. */
   LogReaderSlow = 764,
-  /** An owner has had no proof for `provenAgoMs` that no other daemon has taken its shard over; `storeSilentMs` tells since when the store is silent. */
+  /** An owner has had no proof for `provenAgoMs` that no other daemon has taken its shard over; `storeSilentMs` is the time since the store last answered. */
   OwnershipUnproven = 765,
   /** An owner has a proof of its ownership again, after `unprovenForMs`. */
   OwnershipProven = 766,
--- a/packages/policy/src/lib/ownership/OwnershipProof.ts
+++ b/packages/policy/src/lib/ownership/OwnershipProof.ts
@@ -1,9 +1,9 @@
 /**
  * What an owner knows of its own ownership: the latest time at which certainly no other daemon had acted as its successor.
  *
- * It answers partitions and outages of the store. An owner that is cut off from the store and from its successor hears of neither, so it may act
- * only for as long as its successors wait for it. A proof is a transaction that the store has carried out on condition of the owner row, or the
- * statements of all other daemons that they have not taken over, as while the store answers nobody. That all VMs answer the owner proves nothing: a
+ * It answers partitions and outages of the store. An owner that is cut off from the store and from its successor gets no sign of being superseded, so it
+ * may act only for as long as its successors wait for it. A proof is a transaction that the store has carried out on condition of the owner row. While
+ * the store answers no daemon, the statements of all other daemons that they have not taken over are one too. That all VMs answer the owner is none: a
  * successor may have got machines whose VMs the owner does not know.
  */
 
