--- a/packages/integration/src/staleTakeover.test.ts
+++ b/packages/integration/src/staleTakeover.test.ts
@@ -51,7 +51,7 @@
       shard: 'main',
       network: own,
       context: { settings: { name: 'own', peer: toAddress('own'), speed: 1, maxLeaseMs: 6_000, stopMs: 900 }, timers, log: MemoryEventLog.create(), rows, feeds: unanswered, vms: unanswered, configuration: { waves: new Map() } },
-      members: { candidates: ['own', 'next', 'former'].map((name) => ({ name, speed: 1 })), others: [], recordAnswer: () => {}, removeSilent: () => {} },
+      members: { candidates: ['own', 'next', 'former'].map((name) => ({ name, speed: 1 })), others: [], recordAnswer: () => {}, removeSilent: () => {}, isKnownAt: () => true },
     } as unknown as ShardOwnershipOptions)
     former?.send(toAddress('own'), { kind: PeerMessageKind.ShardReleased, shard: 'main', fencingToken: version, generation: 5, leasesLeftMs: 300 })
     await timers.advance(3_000)
