--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -117,20 +117,8 @@
     this.applyFailure(answer)
   }
 
-  /**
-   * Returns the longest wait of the next long poll, which ends before the time for which this owner may grant leases, so that the VM gets one
-   * more lease before that. The next poll after a new proof must not wait behind a long one.
-   */
+  /** Returns the longest wait of the next long poll: short if the VM's tasks or their stops must be followed closely. */
   private getPollWaitMs (): number {
-    const { vm, timers, scheduler: { ownership } } = this.options
-    const waitMs = this.getUsualPollWaitMs()
-    if (vm.runs.size === 0) return waitMs
-    const leftMs = ownership.getTimeLeftMs(readMoment(timers))
-    return Math.min(waitMs, leftMs < taskOptions.renewLeadMs ? taskOptions.startingRenewWaitMs : Math.floor(leftMs) - taskOptions.renewLeadMs)
-  }
-
-  /** Returns the longest wait of the next long poll of an owner that may grant leases: short if the VM's tasks or their stops must be followed closely. */
-  private getUsualPollWaitMs (): number {
     const { vm, timers, scheduler } = this.options
     if (!vm.isReconciled || !vm.mayBeLeased) return 0
     if (vm.isOnTrial) return taskOptions.startingRenewWaitMs
--- a/packages/daemon/src/lib/jobs/jobOptions.ts
+++ b/packages/daemon/src/lib/jobs/jobOptions.ts
@@ -86,8 +86,6 @@
   startingRenewWaitMs: 150,
   /** Time after a start order for which `startingRenewWaitMs` applies. */
   startingMs: 3_000,
-  /** Time between the end of a wait and that of the time for which the owner may grant leases: a few round trips. */
-  renewLeadMs: 100,
   /**
    * Consecutive renewals without an answer after which a VM counts as unresponsive: a platform that loses one call in 20
    * rarely loses two in a row.
--- a/packages/policy/src/lib/ownership/OwnershipGate.ts
+++ b/packages/policy/src/lib/ownership/OwnershipGate.ts
@@ -32,11 +32,6 @@
     return this.options.proof?.mayAct(now) ?? true
   }
 
-  /** Returns the time for which the owner may still act without another proof; negative if it may not. */
-  getTimeLeftMs (now: Moment): number {
-    return this.options.proof?.getTimeLeftMs(now) ?? Infinity
-  }
-
   /** Handles the leases that had expired when the ownership was last proven: a successor may have extended any other. */
   handleExpiredLeases (nowMs: number): void {
     const { registry, proof } = this.options
--- a/packages/policy/src/lib/ownership/OwnershipProof.ts
+++ b/packages/policy/src/lib/ownership/OwnershipProof.ts
@@ -81,14 +81,9 @@
     return this.getAgeMs(now) >= this.options.refreshMs
   }
 
-  /** Returns the time for which the owner may still act without another proof; negative if it may not. */
-  getTimeLeftMs (now: Moment): number {
-    return this.options.validMs - this.getAgeMs(now)
-  }
-
   /** Returns true if the owner may grant leases and start tasks: no successor can rely on its silence yet. */
   mayAct (now: Moment): boolean {
-    return this.getTimeLeftMs(now) >= 0
+    return this.getAgeMs(now) <= this.options.validMs
   }
 }
 
