--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -62,6 +62,9 @@
     this.waiters = new Set()
     this.alive = true
     this.sequence = 0
+    /** Number of the life; connections of a former one are reset when something comes on them. */
+    this.life = 1
+    this.isDark = false
   }
 
   get clockMs () {
@@ -71,6 +74,7 @@
   async start () {
     this.server = await serveJson(this.host, (req) => this.handle(req), this.port ?? 0)
     this.port = this.server.address().port
+    this.server.on('connection', (socket) => { socket.life = this.life })
     this.leaseTimer = setInterval(() => this.checkLease(), 5)
     this.registerTimer = setTimeout(() => this.register(), this.registerDelayMs)
     return this
@@ -98,7 +102,37 @@
     await closeServer(this.server)
   }
 
-  async handle ({ path, headers, body }) {
+  /** Falls silent, as a machine that loses power does: nothing is answered or reset, and all runs are gone. */
+  goDark () {
+    this.isDark = true
+    for (const run of this.runs.values()) {
+      clearTimeout(run.timer)
+      this.observe('gone', run)
+    }
+    this.runs.clear()
+  }
+
+  /** Starts again under the same id, after `goDark`. It holds and knows nothing of before. */
+  startAgain (registerDelayMs = 0) {
+    this.life += 1
+    this.isDark = false
+    this.bornMs = Date.now()
+    this.startedAtMs = performance.now()
+    this.barred.clear()
+    this.ends = []
+    this.nextEnd = 1
+    this.token = 0
+    this.leaseUntilMs = 0
+    this.waiters.clear()
+    setTimeout(() => this.register(), registerDelayMs)
+  }
+
+  async handle ({ path, headers, body, socket }) {
+    if (this.isDark) return undefined
+    if (socket.life !== undefined && socket.life !== this.life) {
+      socket.resetAndDestroy()
+      return undefined
+    }
     const expected = headers['vanillathread-expect-instance']
     if (expected !== undefined && expected !== this.id) return { status: 421, body: { 'clock-ms': this.clockMs } }
     if (this.ignores?.(body) === true) return undefined
@@ -144,12 +178,14 @@
   }
 
   async hold (body) {
+    this.lastHoldAtMs = performance.now()
     for (const [number, task, run, how] of this.ends) if (number <= (body['last-seen'] ?? 0)) this.observe('noted', { task, number: run, how })
     this.ends = this.ends.filter(([number]) => number > (body['last-seen'] ?? 0))
     if (body['until-ms'] !== undefined) this.extendLease(body['until-ms'])
     const waitMs = Math.min(2_000, body['wait-ms'] ?? 0)
+    const { life } = this
     if (this.ends.length === 0 && waitMs > 0) await this.waitForEnd(waitMs)
-    if (!this.alive) return undefined
+    if (!this.alive || this.isDark || this.life !== life) return undefined
     const running = [...this.runs.values()].map((run) => [run.task, run.number, this.save(run), this.isAtWork(run) ? 100 : 0, 0])
     return this.answer({ running, finished: this.ends.slice(0, MAX_ENDS) })
   }
