Acknowledge stored ends only to the incarnation of the VM that listed them

Callers could have seen tasks run again after their end was acknowledged.

Cause: a commit that was collected with end 6 of a VM's former incarnation and finished after the VM had started again set the acknowledged end of the new incarnation to 6 if that had listed as many ends meanwhile. The next renewal dropped these on the VM before their progress was stored, so an owner that was lost at that moment left tasks that ran again. The numbers were compared, but the incarnation was not.

Now a batch keeps the incarnation beside the number. The new test of CommitLoop failed before (acknowledged 6 of 0 stored) and passes now, 6 of 6 in the file.

--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -2,8 +2,8 @@
  * Size of a commit's transactions.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
-import { JobState, STEP_DEFAULTS, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
+import { JobState, RunEnd, STEP_DEFAULTS, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
 import { JobScheduler } from '@vanillathread/policy'
 import { StoreFailureKind, type RowStore, type RowTransaction } from '@vanillathread/ports'
 import { CommitLoop } from './CommitLoop.js'
@@ -38,8 +38,11 @@
   readonly loop: CommitLoop
 }
 
-/** @param isRejected - true for a row that the store refuses for good. */
-function createFixture (isRejected: (key: string) => boolean = () => false): Fixture {
+/**
+ * @param isRejected - true for a row that the store refuses for good.
+ * @param transactionMs - time until the store answers.
+ */
+function createFixture (isRejected: (key: string) => boolean = () => false, transactionMs = 0): Fixture {
   const timers = FakeTimerService.create()
   const scheduler = JobScheduler.create({ generation: 0, fencingToken: 1, leaseMs: 5_000, stopMs: 900, previousOwnerRenewalMs: 0, startedAtMs: 0, logDecision: () => {} })
   const transactions: RowTransaction[] = []
@@ -49,6 +52,7 @@
     transact: async (transaction: RowTransaction) => {
       if (transaction.puts.some(({ key }) => isRejected(key))) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 400', rejected: true })
       transactions.push(transaction)
+      if (transactionMs > 0) await delay(timers, transactionMs)
       return Result.ok({ version: transactions.length + 1 })
     }
   } as unknown as RowStore
@@ -154,4 +158,28 @@
     assert.ok(transactions.every(({ puts }) => puts.every(({ value }) => value.length <= 65_536)))
     loop.dispose()
   })
+
+  // Guards against TWICE: ends of a VM that had started again were acknowledged, and so dropped there, before they were stored.
+  it('does not acknowledge ends of a new incarnation because as many of the former one are stored', async () => {
+    const { scheduler, timers, transactions, loop } = createFixture(() => false, 100)
+    scheduler.applyRegistration(createVm(0), 0)
+    const vm = scheduler.state.vms.get('vm-0')
+    if (vm === undefined) throw new Error('no VM')
+    const report = (bornMs: number, endCount: number): void => {
+      const ends = Array.from({ length: endCount }, (_, index) => ({ number: index + 1, task: `${createJob(index).id}.0.0.0`, run: 1, end: RunEnd.Done, checkpoint: '' }))
+      scheduler.applyReport(vm, { clockMs: timers.now(), bornMs, running: [], ends }, timers.now(), timers.now())
+    }
+    for (let index = 0; index < 8; index++) scheduler.addJob(createJob(index), 2, 0)
+    report(1, 6)
+    loop.request()
+    await timers.advance(50)
+    assert.is(transactions.length, 1, 'the first commit is under way')
+    report(2, 8)
+    await timers.advance(60)
+    assert.is(vm.acknowledgedEnd, 0)
+    loop.request()
+    await timers.advance(500)
+    assert.is(vm.acknowledgedEnd, 8)
+    loop.dispose()
+  })
 })
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -38,8 +38,8 @@
   readonly roster: ReadonlyArray<RosterWrite & { readonly formerLeaseEndMs: number | undefined }>
   /** VMs that are certain to hold no runs any more, whose roster rows are removed. */
   readonly left: readonly string[]
-  /** Number up to which each VM's end entries are stored once this batch is committed. */
-  readonly ends: ReadonlyMap<TrackedVm, number>
+  /** Number up to which each VM's end entries are stored once this batch is committed, and the incarnation that listed them. */
+  readonly ends: ReadonlyMap<TrackedVm, { readonly end: number, readonly bornMs: number }>
 }
 
 /** Commits one transaction at a time; changes made meanwhile go into the next one. */
@@ -113,7 +113,7 @@
     const complete = changed.length === jobs.length
     if (!complete || rosterWrites.length > roster.length || scheduler.forgottenVms.size > left.length) this.commitRequested = true
     // End entries are acknowledged only if the batch holds every changed job, as any of these may depend on them.
-    const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.acknowledgedEnd).map((vm) => [vm, vm.appliedEnd]) : [])
+    const ends = new Map(complete ? vms.filter((vm) => vm.appliedEnd > vm.acknowledgedEnd).map((vm) => [vm, { end: vm.appliedEnd, bornMs: vm.entry.bornMs }]) : [])
     return { jobs, roster, left, ends }
   }
 
@@ -199,9 +199,9 @@
       vm.recordedLeaseEndMs = record.leaseEndMs
       vm.recordUnconfirmed = false
     }
-    for (const [vm, end] of batch.ends) {
-      // A restarted VM numbers its end entries from the start again, so `end` may belong to the previous incarnation.
-      if (vm.appliedEnd >= end) vm.acknowledgedEnd = end
+    for (const [vm, { end, bornMs }] of batch.ends) {
+      // A restarted VM numbers its end entries from the start again.
+      if (vm.entry.bornMs === bornMs) vm.acknowledgedEnd = end
     }
     this.options.onCommitted()
   }
