Place no task on a restarted VM before its own registration is read

A VM with less capacity than its former incarnation would have got more runs than it has room for.

Cause: the VM's answers tell the restart before the store does, and the owner went on with the pool, labels and capacity of the former incarnation.

Now such a VM runs on what it has, and gets no new tasks until a registration of the incarnation that answers is read. A registration of the former one, read again, does not count. A VM whose registration tells no incarnation is used as before.

Two tests there relied on starts without a registration; they apply it first now, and check the same.

--- a/packages/policy/src/lib/jobs/reconcileReport.test.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.test.ts
@@ -77,6 +77,7 @@
       for (const [confirmed, registered] of [[20, 10], [30, 20], [30, 40]] as const) {
         const { scheduler, vm } = createRestartCase()
         answerAs(scheduler, vm, confirmed, 3_100, [])
+        scheduler.applyRegistration({ ...vm.entry, bornMs: confirmed }, 3_105)
         assert.equal(planStarts(scheduler, 3_110), ['a'])
         answerAs(scheduler, vm, confirmed, 3_120)
         reportRunning(scheduler, createVmEntry('b'), 3_130)
@@ -114,6 +115,7 @@
     it('end the runs of the former one once, also with a lower start time', () => {
       const { scheduler, vm } = createRestartCase()
       answerAs(scheduler, vm, 5, 3_100, [])
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 5 }, 3_105)
       assert.equal(planStarts(scheduler, 3_110), ['a'])
       answerAs(scheduler, vm, 5, 3_115)
       reportRunning(scheduler, createVmEntry('b'), 3_118)
@@ -121,6 +123,30 @@
       assert.equal(planStarts(scheduler, 3_130), [])
     })
 
+    // Guards against ROUTE and LIMIT: tasks were placed by the labels and the capacity of the former incarnation.
+    it('bar the VM from new tasks until its registration is read, as it may be of another kind', () => {
+      const { scheduler, vm } = createRestartCase()
+      answerAs(scheduler, vm, 20, 3_100, [])
+      assert.equal([planStarts(scheduler, 3_110), vm.isUsable(3_110)], [[], false])
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 10 }, 3_120)
+      answerAs(scheduler, vm, 20, 3_130, [])
+      assert.equal(planStarts(scheduler, 3_140), [], 'the registration of the former incarnation, read again')
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 20, capacity: { cpuMillis: 500, memoryMb: 8_000, accelerators: 0 } }, 3_150)
+      assert.equal([planStarts(scheduler, 3_160), vm.isUsable(3_160)], [[], true], 'the task needs more room than the new incarnation has')
+      scheduler.applyRegistration({ ...vm.entry, bornMs: 20, capacity: { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 0 } }, 3_170)
+      assert.equal(planStarts(scheduler, 3_180), ['a'])
+    })
+
+    it('leave a VM in use whose registration does not tell its incarnation', () => {
+      const scheduler = createScheduler()
+      const entry = createVmEntry('a', { bornMs: 0 })
+      reportRunning(scheduler, entry, 0)
+      const vm = scheduler.state.vms.get('a')
+      if (vm === undefined) throw new Error('VM is not tracked')
+      answerAs(scheduler, vm, 20, 100, [])
+      assert.is(vm.isUsable(110), true)
+    })
+
     // Guards against TWICE: a start that the new incarnation accepted before its first report arrived counted as a run of the former one.
     it('do not end runs that the new one may have started', () => {
       const { scheduler, vm } = createRestartCase()
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -34,6 +34,8 @@
   unconfirmedEntry: VmEntry | undefined
   /** Time since which a registration or a refused order shows another incarnation and the VM has not answered a call sent later. */
   private unconfirmedSinceMs: number | undefined
+  /** True while no registration of the present incarnation is known, which may have another pool, other labels or less capacity than `entry`. */
+  private isRegistrationStale = false
   /**
    * True once the owner knows the VM's runs: the VM has answered under the owner's fencing token, or all leases of previous
    * owners have expired.
@@ -107,7 +109,7 @@
 
   /** Returns true if new tasks may be placed on the VM. */
   isUsable (nowMs: number): boolean {
-    return this.isReconciled && this.recorded && this.mayBeLeased && this.unconfirmedSinceMs === undefined && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
+    return this.isReconciled && this.recorded && this.mayBeLeased && this.unconfirmedSinceMs === undefined && !this.isRegistrationStale && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
       !this.evacuating && !this.isOnTrial && nowMs >= this.pausedUntilMs
   }
 
@@ -225,6 +227,7 @@
       this.entry = { ...entry, bornMs }
       this.unconfirmedEntry = undefined
       this.unconfirmedSinceMs = undefined
+      this.isRegistrationStale = false
       return true
     }
     this.unconfirmedEntry = entry
@@ -259,6 +262,7 @@
    * @returns the runs of the previous incarnation.
    */
   beginIncarnation (bornMs: number): TrackedRun[] {
+    this.isRegistrationStale = this.entry.bornMs !== UNKNOWN_BORN_MS && this.unconfirmedEntry?.bornMs !== bornMs
     this.entry = this.unconfirmedEntry?.bornMs === bornMs ? this.unconfirmedEntry : { ...this.entry, bornMs }
     this.unconfirmedEntry = undefined
     this.unconfirmedSinceMs = undefined
