End the evacuation of a VM that drained before it started again

A VM that had drained and was started again under its id got no tasks from its owner any more: the evacuation that the former incarnation's drain had begun was kept by id and ended only with a takeover.

Now an evacuation that only a drain began ends once the VM answers or registers as one that does not drain. One that an order for the machine needs goes on.

--- a/packages/policy/src/lib/jobs/JobScheduler.ts
+++ b/packages/policy/src/lib/jobs/JobScheduler.ts
@@ -12,7 +12,7 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import { blameCrash } from './crashBlame.js'
 import { describeSteps } from './describeSteps.js'
-import { evacuateVm } from './evacuateVm.js'
+import { Evacuations } from './Evacuations.js'
 import type { JobProgress } from './JobProgress.js'
 import { JobRetention } from './JobRetention.js'
 import type { ClockReadings, JobSchedulerOptions } from './JobSchedulerOptions.js'
@@ -29,12 +29,6 @@
 import { TrackedJob } from './TrackedJob.js'
 import type { TrackedRun } from './TrackedRun.js'
 
-/**
- * Time for which finite tasks run on when their VM drains: most of them end within it, and the VM leaves after two seconds
- * at the earliest.
- */
-const DRAINING_TASK_GRACE_MS = 1_200
-
 /** Period of checking leases, overdue runs and unanswered stops, whose time limits are all far longer. */
 const CHECK_PERIOD_MS = 50
 
@@ -48,8 +42,7 @@
   /** Time of the last checks that depend on time alone. */
   private checkedAtMs = -Infinity
   private readonly arrivals = ArrivalMeter.create()
-  /** Times from which finite tasks are stopped, by the id of the VM that is evacuated. */
-  private readonly evacuations = new Map<string, number>()
+  private readonly evacuations: Evacuations
   /** Jobs with progress that is neither stored nor part of a commit in progress. */
   private readonly changedJobs = new Set<TrackedJob>()
   readonly pendingCancels = PendingCancels.create()
@@ -61,7 +54,8 @@
     const previousOwnerUntilMs = generation > 0 ? startedAtMs + previousOwnerRenewalMs : -Infinity
     const endedJobRunMs = leaseMs * SLOW_CLOCK_FACTOR + previousOwnerRenewalMs + stopMs
     this.state = SchedulerState.create(logDecision, stopMs, TeamScheduling.create({ previousOwnerUntilMs, endedJobRunMs, startedAtMs, logDecision }), options.nearPlaces)
-    this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.delete(id) })
+    this.evacuations = Evacuations.create(this.state)
+    this.registry = VmRegistry.create({ ...options, state: this.state, onForget: (id) => this.evacuations.end(id) })
     this.ownership = OwnershipGate.create({ registry: this.registry, proof: options.proof })
     this.startGate = StartGate.create({ state: this.state, getLeaseExpiryMs: (vm) => this.registry.getLeaseExpiryMs(vm) })
   }
@@ -107,7 +101,8 @@
 
   /** Applies a new or changed registration of a VM, and begins to evacuate a VM that has begun to drain. */
   applyRegistration (entry: VmEntry, nowMs: number): void {
-    if (this.registry.apply(entry, nowMs)) this.evacuate(entry.id, nowMs + DRAINING_TASK_GRACE_MS)
+    if (this.registry.apply(entry, nowMs)) this.evacuations.drain(entry.id, nowMs)
+    this.evacuations.endDrain(entry.id)
   }
 
   /** Returns the time from which every lease given until now, by this owner or a previous one, has certainly expired. */
@@ -122,7 +117,7 @@
 
   /** Adds a VM that the store's roster lists at the takeover. */
   restoreVm (record: RosterRecord, clocks: { readonly nowMs: number, readonly storeNowMs: number }): void {
-    if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuate(record.entry.id, clocks.nowMs + DRAINING_TASK_GRACE_MS)
+    if (this.registry.restore(record, clocks.nowMs, clocks.storeNowMs)) this.evacuations.drain(record.entry.id, clocks.nowMs)
   }
 
   /** Returns the records of VMs that the store's roster lacks or that have changed. */
@@ -163,7 +158,8 @@
   /** Applies a VM's report. `sentAtMs` is the time at which it was requested. */
   applyReport (vm: TrackedVm, report: VmReport, sentAtMs: number, nowMs: number): void {
     this.startGate.recordCall(vm.id)
-    if (reconcileReport(this.state, vm, report, sentAtMs, nowMs)) this.evacuate(vm.id, nowMs + DRAINING_TASK_GRACE_MS)
+    if (reconcileReport(this.state, vm, report, sentAtMs, nowMs)) this.evacuations.drain(vm.id, nowMs)
+    this.evacuations.endDrain(vm.id)
     this.registry.retireReplaced(vm, nowMs)
     this.pacing.control(this.state, vm, nowMs)
   }
@@ -196,31 +192,16 @@
 
   /** Begins to evacuate a VM. Finite tasks run on until `stopFiniteAtMs`. See {@link JobScheduler.isEvacuated}. */
   evacuate (vmId: string, stopFiniteAtMs: number): void {
-    const vm = this.state.vms.get(vmId)
-    if (vm === undefined) return
-    vm.evacuating = true
-    if (!this.evacuations.has(vmId)) this.evacuations.set(vmId, stopFiniteAtMs)
+    this.evacuations.begin(vmId, stopFiniteAtMs)
   }
 
   endEvacuation (vmId: string): void {
-    const vm = this.state.vms.get(vmId)
-    if (vm !== undefined) vm.evacuating = false
-    this.evacuations.delete(vmId)
+    this.evacuations.end(vmId)
   }
 
-  /**
-   * Returns true while long-running tasks are evacuated from a VM of the pool. A task may have to wait until others of its
-   * step are reported at full pace on other VMs.
-   */
+  /** See {@link Evacuations.concernsLongRunningTasks}. */
   isEvacuatingLongRunningTasks (pool: string): boolean {
-    for (const vmId of this.evacuations.keys()) {
-      const vm = this.state.vms.get(vmId)
-      if (vm?.entry.pool !== pool) continue
-      for (const run of vm.runs.values()) {
-        if (run.task.step.spec.longRunning) return true
-      }
-    }
-    return false
+    return this.evacuations.concernsLongRunningTasks(pool)
   }
 
   /**
@@ -240,10 +221,7 @@
       this.checkedAtMs = nowMs
       this.ownership.handleExpiredLeases(nowMs)
     }
-    for (const [vmId, stopFiniteAtMs] of this.evacuations) {
-      const vm = this.state.vms.get(vmId)
-      if (vm !== undefined) evacuateVm(this.state, vm, nowMs, stopFiniteAtMs)
-    }
+    this.evacuations.stopRuns(nowMs)
     if (isCheckDue) restartOverdue(this.state, nowMs)
     const vmsByPool = this.state.groupVmsByPool()
     this.state.teams.beginPlan(vmsByPool, clocks)
@@ -258,7 +236,7 @@
 
   /** Applies the pools of the configuration in force; undefined before one has been read. */
   setPools (pools: ReadonlySet<string> | undefined, nowMs: number): void {
-    for (const id of this.registry.setPools(pools, nowMs)) this.evacuate(id, nowMs + DRAINING_TASK_GRACE_MS)
+    for (const id of this.registry.setPools(pools, nowMs)) this.evacuations.drain(id, nowMs)
   }
 
   /** Applies the teams of the configuration in force; undefined before one has been read. */
--- a/packages/policy/src/lib/jobs/reconcileReport.test.ts
+++ b/packages/policy/src/lib/jobs/reconcileReport.test.ts
@@ -137,6 +137,19 @@
       assert.equal(planStarts(scheduler, 3_180), ['a'])
     })
 
+    // Guards against LOST: a VM that had drained and was started again under its id got no tasks from then on.
+    it('end its evacuation if only the former incarnation drains, but not one for an order for its machine', () => {
+      for (const isOrdered of [false, true]) {
+        const { scheduler, vm } = createRestartCase()
+        scheduler.applyRegistration({ ...vm.entry, draining: true }, 3_090)
+        if (isOrdered) scheduler.evacuate(vm.id, 3_095)
+        assert.is(vm.evacuating, true)
+        answerAs(scheduler, vm, 20, 3_100, [])
+        scheduler.applyRegistration({ ...vm.entry, draining: false }, 3_110)
+        assert.equal([vm.evacuating, planStarts(scheduler, 3_120)], isOrdered ? [true, []] : [false, ['a']])
+      }
+    })
+
     it('leave a VM in use whose registration does not tell its incarnation', () => {
       const scheduler = createScheduler()
       const entry = createVmEntry('a', { bornMs: 0 })
