Test: VMs that start again under their ids while relays make the calls

Twenty VMs of a lab of 180 start again under their ids, their registrations show it 1.5 s later, and six are cut off then. No code of the daemon changed.

--- a/packages/integration/src/jobRelays.test.ts
+++ b/packages/integration/src/jobRelays.test.ts
@@ -2,11 +2,15 @@
  * Fleets with so many VMs that other daemons make the owner's calls: loss of relays and owners, and waves of many machines.
  */
 import { assert, describe } from '@vanillathread/testing'
+import { VmFault } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
 
 /** A third of the machines is in standby, and relays are used from 100 VMs on. */
 const MACHINES = 180
 
+/** Time from the restart of a VM until its registration shows it: a heartbeat interval. */
+const REGISTER_DELAY_MS = 1_500
+
 async function startLab (seed: number, daemons = 5): Promise<JobLab> {
   const lab = JobLab.create({ seed, machines: MACHINES, daemons })
   await lab.start()
@@ -80,6 +84,29 @@
     })
   })
 
+  // Guards against TWICE: a relay carried out calls that were meant for the former incarnations of VMs.
+  it('run once each while many VMs start again under their ids, which shows late, and some are cut off then', async () => {
+    for (const seed of [6, 7]) {
+      const lab = await startLab(seed)
+      // Ends that are acknowledged, and VMs that are older than a lease.
+      await submitMany(lab, 20)
+      await lab.run(4_000)
+      const machines = lab.random.sample([...lab.fleet.machines].filter(([, { vm }]) => vm?.entry.pool === 'checks').map(([id]) => id), 20)
+      for (const machine of machines) lab.fleet.restart(machine, REGISTER_DELAY_MS)
+      await submit(lab, createJob(createStep({ taskCount: 40, longRunning: true, maxTasksPerVm: 2 })))
+      await submitMany(lab, 8)
+      for (const machine of machines.slice(0, 6)) {
+        const vm = lab.fleet.machines.get(machine)?.vm
+        if (vm === undefined) continue
+        vm.fault = VmFault.Partitioned
+        lab.timers.after(9_000, () => { vm.fault = VmFault.None })
+      }
+      await lab.run(9_500)
+      await lab.finish()
+      checkHistory(lab)
+    }
+  })
+
   it('run once each while a former owner that is cut off from its peers still gives orders', async () => {
     const lab = await startLab(5)
     const { host, port } = lab.daemons[lab.findOwner()]?.address ?? { host: '', port: 0 }
