Soak: separate loopback addresses for the soaks of one process

Cause: that test starts three soaks in one process, and the prefix of their addresses was made of the process id alone. The prefix now counts the soaks of the process too. The soak tests: 19 passed.

--- a/packages/soak/src/lib/SoakCluster.ts
+++ b/packages/soak/src/lib/SoakCluster.ts
@@ -26,6 +26,12 @@
 const READY_LIMIT_MS = 15_000
 const READY_CHECK_MS = 100
 
+/** Distance between the prefixes of two soaks of one process. */
+const NETWORK_STEP = 60
+
+/** Number of soaks that this process has created. */
+let clusterCount = 0
+
 /** Faults that are planted to test the checker. */
 export interface PlantedFaults {
   /** Fault of every daemon's owner: a value of `NaiveOwner`. */
@@ -63,8 +69,8 @@
   private registrations: Promise<void> = Promise.resolve()
   private nextBarrier = 1
   private nextMachine = 0
-  /** Prefix of the loopback addresses of this soak, so that soaks at the same time do not use the same. */
-  private readonly network = `127.${1 + (process.pid >> 8) % 250}.${process.pid % 256}`
+  /** Prefix of the loopback addresses of this soak, so that soaks at the same time do not use the same, in this process or in others. */
+  private readonly network = `127.${1 + ((process.pid >> 8) + NETWORK_STEP * clusterCount++) % 250}.${process.pid % 256}`
 
   private constructor (private readonly options: SoakClusterOptions) {
     const { planted, seed } = options
