Crowds: tests of a daemon process against clients that do not behave

Fifteen crowds and one against a silent store play on loopback addresses against one daemon process with 200 MB, and with 512 descriptors where connections are the matter. Each test checks that the process lives, that resident memory and unread bytes stay below memory-limit-mb and sockets below max-fds less the 200 for files, and that an ordinary caller is answered beside the crowd and after it. No time is checked.

--- /dev/null
+++ b/packages/soak/src/crowds.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Checks that a daemon process survives clients that do not behave (issue 56): it does not end, stays within the memory and the
+ * descriptors of its VM, and answers an ordinary caller while the crowd is there and after it has gone.
+ */
+import { StoreFault } from '@vanillathread/stand-ins'
+import { assert, describe } from '@vanillathread/testing'
+import { CrowdRun, type Crowd, type CrowdResources } from './lib/crowds/CrowdRun.js'
+import { announce, MAX_BODY_BYTES, sendAhead, sendChunks, sendUnfinishedFrame, sendUnfinishedHead, sendWhole, staySilent, type Member } from './lib/crowds/members.js'
+import { QUEUE_HOST } from './lib/SoakCluster.js'
+
+/** Less memory than any VM of the users has, and their smallest number of descriptors. */
+const SMALL_MEMORY: CrowdResources = { memoryMb: 200, maxDescriptors: 4_100 }
+
+const FEW_DESCRIPTORS: CrowdResources = { memoryMb: 200, maxDescriptors: 512 }
+
+const KB = 1_024
+const FOUR_MB = 4_000_000
+
+/** A body inside the limit, with as many steps as fit. They are not valid, as they lack their number of tasks. */
+const MANY_STEPS = `{"spec":"","steps":[${'{},'.repeat(85_000)}{}]}`
+
+/** A job that fits into a row of the store. */
+function createLargeJob (): string {
+  return JSON.stringify({ spec: 'x'.repeat(4_000), steps: Array.from({ length: 1_000 }, () => ({ count: 1, cpu: 100, 'mem-mb': 16, 'estimate-ms': 10 })) })
+}
+
+const unfinishedBody = sendChunks(16 * KB, MAX_BODY_BYTES)
+
+/** What the members of a random crowd do, in the order of the numbers that a seed draws. */
+const MIXED: readonly Member[] = [
+  unfinishedBody, sendChunks(1, 50_000), sendChunks(16 * KB, FOUR_MB), announce(FOUR_MB, 10_000), announce(200_000, 1), sendAhead(10_000, QUEUE_HOST), sendUnfinishedHead(15 * KB), staySilent, sendWhole(() => MANY_STEPS, 1), sendWhole(createLargeJob, 3),
+]
+
+interface CrowdCase {
+  readonly name: string
+  readonly resources?: CrowdResources
+  readonly crowds: readonly Crowd[]
+}
+
+const CASES: readonly CrowdCase[] = [
+  { name: '600 chunked bodies that stop short of the largest one', crowds: [{ members: 600, play: unfinishedBody }] },
+  { name: '150 chunked bodies that stop short of 4 MB', crowds: [{ members: 150, play: sendChunks(16 * KB, FOUR_MB) }] },
+  { name: '200 bodies announced with 4 MB', crowds: [{ members: 200, play: announce(FOUR_MB, 10_000) }] },
+  { name: '60 bodies of 200,000 chunks of one byte', crowds: [{ members: 60, play: sendChunks(1, 200_000) }] },
+  { name: '150 endless bodies', crowds: [{ members: 150, play: sendChunks(16 * KB, Infinity) }] },
+  { name: '150 clients that send 30,000 requests ahead', crowds: [{ members: 150, play: sendAhead(30_000, QUEUE_HOST), readsAnswers: false }] },
+  { name: '150 clients that send 30,000 requests ahead for no queue', crowds: [{ members: 150, play: sendAhead(30_000, 'none.example'), readsAnswers: false }] },
+  { name: '300 clients that send 30,000 requests ahead without a host', crowds: [{ members: 300, play: sendAhead(30_000, undefined), readsAnswers: false }] },
+  { name: '800 silent connections', resources: FEW_DESCRIPTORS, crowds: [{ members: 800, play: staySilent }] },
+  { name: '2,000 unfinished heads', crowds: [{ members: 2_000, play: sendUnfinishedHead(15 * KB) }] },
+  { name: '300 whole bodies of 85,000 steps', crowds: [{ members: 300, play: sendWhole(() => MANY_STEPS, 1) }] },
+  { name: '40 unfinished messages between daemons', crowds: [{ members: 40, play: sendUnfinishedFrame(8 * KB * KB), server: 'peer' }] },
+  {
+    name: '200 silent connections to each of the other servers',
+    resources: FEW_DESCRIPTORS,
+    crowds: [{ members: 200, play: staySilent, server: 'peer' }, { members: 200, play: staySilent, server: 'metrics' }, { members: 200, play: staySilent, server: 'readiness' }],
+  },
+  {
+    name: '50 unfinished bodies to each of the other servers',
+    crowds: [{ members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'metrics' }, { members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'readiness' }],
+  },
+  { name: 'a mix of 400 clients', crowds: MIXED.map((play) => ({ members: 40, play, readsAnswers: false })) },
+]
+
+describe('clients that do not behave (issue 56)', ({ describe }) => {
+  for (const { name, resources = SMALL_MEMORY, crowds } of CASES) describeCrowd(name, resources, (run) => run.play(...crowds))
+
+  describeCrowd('300 whole jobs while the store is silent', SMALL_MEMORY, async (run) => {
+    run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.Unresponsive })
+    await run.play({ members: 300, play: sendWhole(createLargeJob, 2) })
+    run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.None })
+  })
+
+  function describeCrowd (name: string, resources: CrowdResources, play: (run: CrowdRun) => Promise<void>): void {
+    describe(name, ({ it }) => {
+      let run: CrowdRun
+
+      it('starts a daemon', async () => { run = await CrowdRun.start(resources) })
+
+      it('leaves the process within the resources of its VM', async () => {
+        await play(run)
+        assert.equal(run.listFaults(), [])
+      })
+
+      it('leaves an ordinary caller its answer', async () => assert.is(await run.query(), 200))
+
+      it('is over once it has gone: a job is accepted', async () => {
+        run.disperse()
+        const status = await run.submit()
+        const faults = run.listFaults()
+        await run.stop()
+        assert.is(status, 200)
+        assert.equal(faults, [])
+      })
+    })
+  }
+})
--- a/packages/soak/src/lib/SoakCluster.ts
+++ b/packages/soak/src/lib/SoakCluster.ts
@@ -45,6 +45,10 @@
   readonly seed: number
   readonly daemons: number
   readonly planted: PlantedFaults
+  /** Resources of each daemon's VM, see {@link SoakDaemonOptions}. */
+  readonly resources?: Readonly<Record<string, number>>
+  /** Limits of the configuration. */
+  readonly limits?: Readonly<Record<string, number>>
   /** Called with each event of the VMs, in order, and with the folder of the logs. */
   readonly onVmEvent: (event: VmEvent, folder: string) => void
   readonly onWaveState: (wave: number, complete: boolean) => void
@@ -120,13 +124,13 @@
   private async startAll (): Promise<void> {
     const store = await this.startStandIn(this.store)
     const machines = await this.startStandIn(this.vms)
-    this.sendToStore({ kind: 'put', table: 'op', key: 'config', value: createConfiguration() })
+    this.sendToStore({ kind: 'put', table: 'op', key: 'config', value: createConfiguration(this.options.limits) })
     for (let index = 0; index < MACHINES; index++) this.addMachine([...POOLS, STANDBY_POOL][index % 3] ?? STANDBY_POOL)
     const host = `${this.network}.1`
     const peerLinksPath = join(this.folder, 'peer-links.json')
     for (let index = 0; index < this.options.daemons; index++) {
       const daemon = await SoakDaemon.create({
-        name: `d-${index}`, ip: `${this.network}.${index + 10}`, linkHost: host, store: { host, port: store }, machines: { host, port: machines }, folder: this.folder, peerLinksPath, naive: this.options.planted.naive,
+        name: `d-${index}`, ip: `${this.network}.${index + 10}`, linkHost: host, store: { host, port: store }, machines: { host, port: machines }, folder: this.folder, peerLinksPath, naive: this.options.planted.naive, resources: this.options.resources,
       })
       this.daemons.push(daemon)
     }
@@ -199,13 +203,13 @@
   }
 }
 
-function createConfiguration (): Record<string, unknown> {
+function createConfiguration (limits: Readonly<Record<string, number>> = {}): Record<string, unknown> {
   return {
     version: 1,
     routes: POOLS.map((pool) => ({
       name: pool, host: QUEUE_HOST, 'path-prefix': `/${pool}/`, service: pool, 'timeout-ms': 3_000, 'target-latency-ms': 600, priority: 0, 'max-attempts': MAX_ATTEMPTS, 'deadline-factor': 1.6,
     })),
     services: [...POOLS, STANDBY_POOL].map((name) => ({ name, standby: name === STANDBY_POOL, 'admission-check': false })),
-    limits: {},
+    limits,
   }
 }
--- a/packages/soak/src/lib/SoakDaemon.ts
+++ b/packages/soak/src/lib/SoakDaemon.ts
@@ -39,6 +39,8 @@
   readonly peerLinksPath: string
   /** Planted fault of the daemon's owner. */
   readonly naive?: string
+  /** Resources of the daemon's VM, as the settings file states them under `limits`. */
+  readonly resources?: Readonly<Record<string, number>>
 }
 
 /** A daemon of the soak. */
@@ -52,19 +54,23 @@
     readonly process: SoakProcess,
     /** Links by what they connect. */
     readonly links: { readonly clients: Link, readonly store: Link, readonly machines: Link, readonly peers: Link },
-    /** Address at which the daemon listens for other daemons. */
-    readonly peer: Address,
-    private readonly readiness: Address
+    /** Addresses at which the daemon listens. The links lead to some of them. */
+    readonly addresses: { readonly clients: Address, readonly readiness: Address, readonly peer: Address, readonly metrics: Address }
   ) {}
 
+  /** Address at which the daemon listens for other daemons. */
+  get peer (): Address {
+    return this.addresses.peer
+  }
+
   static async create (options: SoakDaemonOptions): Promise<SoakDaemon> {
     const { name, ip, linkHost, folder } = options
-    const [clients, readiness, peer, metrics] = await findFreePorts(ip, 4)
+    const [clients, readiness, peer, metrics] = (await findFreePorts(ip, 4)).map((port) => ({ host: ip, port })) as [Address, Address, Address, Address]
     const links = {
-      clients: await Link.open(linkHost, { host: ip, port: clients ?? 0 }),
+      clients: await Link.open(linkHost, clients),
       store: await Link.open(linkHost, options.store),
       machines: await Link.open(linkHost, options.machines),
-      peers: await Link.open(linkHost, { host: ip, port: peer ?? 0 }),
+      peers: await Link.open(linkHost, peer),
     }
     const settingsPath = join(folder, `${name}.yaml`)
     // JSON is valid YAML.
@@ -72,8 +78,9 @@
       'node-name': name,
       ip,
       zone: 'a',
-      'listen-addrs': { frontend: `${ip}:${clients}`, readiness: `${ip}:${readiness}` },
-      'internal-port-range': [peer, metrics],
+      'listen-addrs': { frontend: formatAddress(clients), readiness: formatAddress(readiness) },
+      'internal-port-range': [peer.port, metrics.port],
+      ...options.resources === undefined ? {} : { limits: options.resources },
       bounds: { 'lease-ms': 3_000, 'hold-max-ms': 6_000, 'grace-s': GRACE_MS / 1_000, status_s: 3_600, 'move-s': 1.5, 'upkeep-s': 2, 'fencing-enforced': true },
       platform: { address: formatAddress(links.store.address) },
       'cloud-api': { address: formatAddress(links.machines.address) },
@@ -84,14 +91,14 @@
       env: { VANILLATHREAD_CONFIG: settingsPath, SOAK_DAEMON_IP: ip, SOAK_PEER_LINKS: options.peerLinksPath, CBOR_NATIVE_ACCELERATION_DISABLED: 'true' },
       logPath: join(folder, `${name}.log`),
     })
-    return new SoakDaemon(name, daemonProcess, links, { host: ip, port: peer ?? 0 }, { host: ip, port: readiness ?? 0 })
+    return new SoakDaemon(name, daemonProcess, links, { clients, readiness, peer, metrics })
   }
 
   /** Returns true if the daemon answers the readiness check. */
   async isReady (): Promise<boolean> {
     if (!this.process.isRunning) return false
     try {
-      const { host, port } = this.readiness
+      const { host, port } = this.addresses.readiness
       const res = await request(`http://${host}:${port}/readyz`, { signal: AbortSignal.timeout(READY_TIMEOUT_MS) })
       await res.body.dump()
       return res.statusCode === 200
--- a/packages/soak/src/lib/SoakProcess.ts
+++ b/packages/soak/src/lib/SoakProcess.ts
@@ -35,6 +35,11 @@
     return this.child !== undefined
   }
 
+  /** Id of the running process. */
+  get pid (): number | undefined {
+    return this.child?.pid
+  }
+
   start (): void {
     if (this.child !== undefined) return
     const { args, env, logPath, onMessage } = this.options
