Limit the connections of every server by the memory and descriptors of the VM

Cause: no server had a limit on connections; memory-limit-mb and max-fds were not read.

A ConnectionGuard now keeps an account for each connection of a server. Its limits follow from the settings (deriveServerLimits). Beyond them the connection gives way that has been quiet for longest, and quiet time counts eight times on one that has not sent a whole request, so that a silent crowd does not lock ordinary callers out, as server.maxConnections would. A connection whose request is being handled never gives way. Connections that are closed so are counted (client_refusals) and logged (event 504, 20 lines a second for each server).

The crowd to the metrics server now reaches it: the soak gave its port wrongly.

--- a/packages/daemon/src/lib/jobs/JobsDaemon.ts
+++ b/packages/daemon/src/lib/jobs/JobsDaemon.ts
@@ -4,6 +4,7 @@
 import { BoundedEventLog, Kernel, NullMetrics, PluginCatalogue, ServiceKey, SystemTimerService, Tracing, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
 import type { AdmissionService, ClientApi, FleetFeeds, Ingress, MachineService, RowStore, VmClients } from '@vanillathread/ports'
+import type { ServerContext } from '../server/ConnectionGuard.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { registerJobPlugins } from './jobPlugins.js'
 import { HedgedRowStore } from './HedgedRowStore.js'
@@ -25,7 +26,7 @@
   /** Replaces the TCP links to other daemons in tests. */
   readonly network?: PeerTransport
   /** Opens the addresses at which clients reach the daemon. */
-  openIngress (api: ClientApi): Ingress
+  openIngress (api: ClientApi, context: ServerContext): Ingress
 }
 
 /** Options of {@link JobsDaemon.create}. @public */
@@ -66,7 +67,7 @@
       tracing: Tracing.create({ sampleRatio: 0 }),
     })
     this.kernel.provide(JOBS_SETTINGS, options.settings)
-    this.kernel.provide(JOBS_PLATFORM, { ...options.platform, openIngress: (api) => options.platform.openIngress(api), openFeeds: options.platform.openFeeds?.bind(options.platform), rows: HedgedRowStore.create({ rows: options.platform.rows, timers }) })
+    this.kernel.provide(JOBS_PLATFORM, { ...options.platform, openIngress: (api, context) => options.platform.openIngress(api, context), openFeeds: options.platform.openFeeds?.bind(options.platform), rows: HedgedRowStore.create({ rows: options.platform.rows, timers }) })
     this.kernel.provide(DIRECT_ROWS, options.platform.rows)
     this.kernel.provide(METRICS_TEXT, options.renderMetrics?.bind(options))
   }
--- a/packages/daemon/src/lib/jobs/JobsSettings.ts
+++ b/packages/daemon/src/lib/jobs/JobsSettings.ts
@@ -2,7 +2,7 @@
  * Start settings of a daemon that serves jobs.
  */
 import type { Address } from '@vanillathread/model'
-import { DEFAULT_NEAR_PLACE_MAX_WAIT_MS, type NearPlaceRules } from '@vanillathread/policy'
+import { DEFAULT_NEAR_PLACE_MAX_WAIT_MS, DEFAULT_VM_RESOURCES, type NearPlaceRules, type VmResources } from '@vanillathread/policy'
 
 /** Settings of a jobs daemon. Times are bounds that the platform specifies. @public */
 export interface JobsSettings {
@@ -10,6 +10,10 @@
   readonly zone: string
   /** Speed of the daemon: its share of a core multiplied by the core's speed. */
   readonly speed: number
+  /** Memory of the process, from which the limits on connections and requests follow; undefined for the default. */
+  readonly memoryBytes?: number
+  /** File descriptors of the process; undefined for the default. */
+  readonly maxDescriptors?: number
   /** Address at which other daemons reach this one. */
   readonly peer: Address
   /** Address at which metrics are served. */
@@ -42,6 +46,11 @@
   readonly nearPlaceMaxWaitMs?: number
 }
 
+/** Returns the resources of the daemon's VM. */
+export function getResources ({ memoryBytes = DEFAULT_VM_RESOURCES.memoryBytes, maxDescriptors = DEFAULT_VM_RESOURCES.descriptors }: JobsSettings): VmResources {
+  return { memoryBytes, descriptors: maxDescriptors }
+}
+
 /** Returns the rules for waits for places near the data, or undefined if the settings do not say what another place costs. */
 export function getNearPlaceRules ({ remoteFactor, nearPlaceMaxWaitMs = DEFAULT_NEAR_PLACE_MAX_WAIT_MS }: JobsSettings): NearPlaceRules | undefined {
   return remoteFactor === undefined ? undefined : { remoteFactor, maxWaitMs: nearPlaceMaxWaitMs }
--- a/packages/daemon/src/lib/jobs/MetricsServer.ts
+++ b/packages/daemon/src/lib/jobs/MetricsServer.ts
@@ -2,22 +2,22 @@
  * Serves the daemon's metrics as text, and sets the gauges periodically.
  */
 import fastify, { type FastifyInstance } from 'fastify'
-import { LoopLagMonitor, type EventLog, type Metrics, type Subscription, type TimerService } from '@vanillathread/kernel'
+import { LoopLagMonitor, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
-import { summarizeTeams } from '@vanillathread/policy'
+import { ServerRole, summarizeTeams, type ConnectionTimeouts } from '@vanillathread/policy'
 import type { RowStore } from '@vanillathread/ports'
+import { ConnectionGuard, type ServerContext } from '../server/ConnectionGuard.js'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import type { ShardOwnership } from './ShardOwnership.js'
 
 /** Period of setting the gauges. */
 const SAMPLE_PERIOD_MS = 2_000
 
+const TIMEOUTS: ConnectionTimeouts = { headerMs: 10_000, idleMs: 60_000, bodyMs: 10_000 }
+
 /** Options of {@link MetricsServer.create}. */
-export interface MetricsServerOptions {
+export interface MetricsServerOptions extends ServerContext {
   readonly address: Address
-  readonly timers: TimerService
-  readonly log: EventLog
-  readonly metrics: Metrics
   readonly rows: RowStore
   readonly shard: ShardOwnership
   readonly configuration: ConfigurationWatcher
@@ -28,11 +28,14 @@
 /** Metrics endpoint of one daemon. */
 export class MetricsServer {
   private readonly server: FastifyInstance
+  private readonly guard: ConnectionGuard
   private readonly sampleTimer: Subscription
   private readonly lag: LoopLagMonitor
 
   private constructor (private readonly options: MetricsServerOptions) {
     this.server = fastify()
+    this.guard = ConnectionGuard.create({ ...options, server: 'metrics', role: ServerRole.Operations, getTimeouts: () => TIMEOUTS })
+    this.guard.watch(this.server.server)
     this.server.get('/metrics', async (_req, res) => {
       await res.header('content-type', 'text/plain; version=0.0.4').send(await options.render())
     })
@@ -57,6 +60,7 @@
     this.sampleTimer.dispose()
     this.lag.dispose()
     await this.server.close()
+    this.guard.dispose()
   }
 
   private sample (): void {
--- a/packages/daemon/src/lib/jobs/jobPlugins.ts
+++ b/packages/daemon/src/lib/jobs/jobPlugins.ts
@@ -4,12 +4,14 @@
 import { delay, ServiceKey, type Kernel, type Plugin, type PluginCatalogue } from '@vanillathread/kernel'
 import type { FleetFeeds, Ingress, RowStore } from '@vanillathread/ports'
 import { PeerNetwork } from '../peer/PeerNetwork.js'
+import type { ServerContext } from '../server/ConnectionGuard.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import { GuardedVmClients } from './GuardedVmClients.js'
 import { HedgedRowStore } from './HedgedRowStore.js'
 import { JobGateway } from './JobGateway.js'
 import { DIRECT_ROWS, JOBS_PLATFORM, JOBS_SETTINGS, METRICS_TEXT } from './JobsDaemon.js'
+import { getResources } from './JobsSettings.js'
 import { stopServingAfterMs } from './jobOptions.js'
 import { MetricsServer } from './MetricsServer.js'
 import { MemberDirectory } from './MemberDirectory.js'
@@ -49,7 +51,7 @@
 
   constructor (kernel: Kernel) {
     const settings = kernel.get(JOBS_SETTINGS)
-    this.network = kernel.get(JOBS_PLATFORM).network ?? PeerNetwork.create({ listen: settings.peer, timers: kernel.timers, log: kernel.log })
+    this.network = kernel.get(JOBS_PLATFORM).network ?? PeerNetwork.create({ ...createServerContext(kernel), listen: settings.peer })
     this.members = MemberDirectory.create({ settings, timers: kernel.timers, log: kernel.log, rows: kernel.get(JOBS_PLATFORM).rows, network: this.network })
     const { timers, log } = kernel
     const direct = kernel.get(DIRECT_ROWS)
@@ -144,7 +146,7 @@
       metrics: kernel.metrics,
       members: kernel.get(MEMBERS),
     })
-    this.ingress = platform.openIngress(this.gateway)
+    this.ingress = platform.openIngress(this.gateway, createServerContext(kernel))
   }
 
   async start (): Promise<void> {
@@ -169,10 +171,8 @@
     const render = kernel.get(METRICS_TEXT)
     if (render === undefined) return
     this.server = MetricsServer.create({
+      ...createServerContext(kernel),
       address: kernel.get(JOBS_SETTINGS).metrics,
-      timers: kernel.timers,
-      log: kernel.log,
-      metrics: kernel.metrics,
       rows: kernel.get(JOBS_PLATFORM).rows,
       shard: kernel.get(SHARD),
       configuration: kernel.get(CONFIGURATION),
@@ -189,6 +189,11 @@
   }
 }
 
+function createServerContext (kernel: Kernel): ServerContext {
+  const { timers, log, metrics } = kernel
+  return { resources: getResources(kernel.get(JOBS_SETTINGS)), timers, log, metrics }
+}
+
 /** Registers every plug-in. */
 export function registerJobPlugins (catalogue: PluginCatalogue): void {
   catalogue.register({ id: JobPluginId.Peers, requires: [], create: (kernel) => new PeersPlugin(kernel) })
--- a/packages/daemon/src/lib/peer/PeerNetwork.ts
+++ b/packages/daemon/src/lib/peer/PeerNetwork.ts
@@ -1,21 +1,24 @@
 /**
  * Links to other daemons, which are opened on demand and replaced if the peer does not reply.
  */
-import { connect, createServer, type Server } from 'node:net'
-import type { EventLog, Subscription, TimerService } from '@vanillathread/kernel'
+import { connect, createServer, type Server, type Socket } from 'node:net'
+import type { Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
+import { ServerRole, type ConnectionTimeouts } from '@vanillathread/policy'
+import { ConnectionGuard, type ServerContext } from '../server/ConnectionGuard.js'
 import { peerOptions } from '../options.js'
 import type { PeerMessage, PeerMessageKind } from './messages.js'
 import type { MessageHandler, PeerTransport } from './PeerTransport.js'
 import { PeerLink, type LinkCounters, type PeerLinkOptions } from './PeerLink.js'
 
 /** Options of {@link PeerNetwork.create}. @public */
-export interface PeerNetworkOptions {
+export interface PeerNetworkOptions extends ServerContext {
   readonly listen: Address
-  readonly timers: TimerService
-  readonly log: EventLog
 }
 
+/** Links may be silent at any time, but a message that has begun must end. */
+const TIMEOUTS: ConnectionTimeouts = { headerMs: Infinity, idleMs: Infinity, bodyMs: 60_000 }
+
 /** Sends and receives messages between daemons. @public */
 export class PeerNetwork implements PeerTransport {
   readonly counters: LinkCounters = { sentBytes: 0, receivedBytes: 0, sentMessages: 0 }
@@ -23,12 +26,14 @@
   private readonly outgoing = new Map<string, PeerLink>()
   private readonly incoming = new Set<PeerLink>()
   private readonly server: Server
+  private readonly guard: ConnectionGuard
   private readonly unresponsiveCheck: Subscription
 
   private constructor (private readonly options: PeerNetworkOptions) {
-    this.server = createServer((socket) => {
-      this.incoming.add(PeerLink.accept(socket, this.createLinkOptions()))
-    })
+    this.guard = ConnectionGuard.create({ ...options, server: 'peers', role: ServerRole.Peers, getTimeouts: () => TIMEOUTS })
+    this.server = createServer()
+    this.guard.watch(this.server)
+    this.server.on('connection', (socket) => this.accept(socket))
     this.unresponsiveCheck = options.timers.every(peerOptions.unresponsiveAfterMs / 2, () => this.closeUnresponsive())
   }
 
@@ -84,6 +89,14 @@
     await Promise.all([...this.outgoing.values()].map((link) => link.finish()))
     for (const link of this.incoming) link.close()
     await new Promise<void>((resolve) => { this.server.close(() => resolve()) })
+    this.guard.dispose()
+  }
+
+  private accept (socket: Socket): void {
+    const connection = this.guard.find(socket)
+    if (connection === undefined) return
+    const link = PeerLink.accept(socket, this.createLinkOptions())
+    this.incoming.add(link)
   }
 
   /** Returns the link to an address, or undefined if none can be opened. */
--- a/packages/daemon/src/lib/plugins/peers.ts
+++ b/packages/daemon/src/lib/plugins/peers.ts
@@ -3,7 +3,7 @@
  */
 import type { Kernel, Plugin } from '@vanillathread/kernel'
 import { PeerNetwork } from '../peer/PeerNetwork.js'
-import { PEERS, SETTINGS, STATE } from '../services.js'
+import { createServerContext, PEERS, SETTINGS, STATE } from '../services.js'
 import { catalogue, PluginId } from './catalogue.js'
 import { OBSERVED } from './operations.js'
 
@@ -11,7 +11,7 @@
   private readonly network: PeerNetwork
 
   constructor (private readonly kernel: Kernel) {
-    this.network = PeerNetwork.create({ listen: kernel.get(SETTINGS).listen.peer, timers: kernel.timers, log: kernel.log })
+    this.network = PeerNetwork.create({ ...createServerContext(kernel), listen: kernel.get(SETTINGS).listen.peer })
     kernel.provide(PEERS, this.network)
     kernel.get(OBSERVED).network = this.network
   }
--- a/packages/daemon/src/lib/services.ts
+++ b/packages/daemon/src/lib/services.ts
@@ -1,7 +1,7 @@
 /**
  * Keys of the objects that plug-ins provide to each other.
  */
-import { ServiceKey } from '@vanillathread/kernel'
+import { ServiceKey, type Kernel } from '@vanillathread/kernel'
 import type { Settings } from '@vanillathread/model'
 import type { Platform } from '@vanillathread/ports'
 import type { SlotSource } from '@vanillathread/policy'
@@ -12,6 +12,7 @@
 import type { MembershipKeeper } from './membership/MembershipKeeper.js'
 import type { PeerNetwork } from './peer/PeerNetwork.js'
 import type { RequestDispatcher } from './request/RequestDispatcher.js'
+import type { ServerContext } from './server/ConnectionGuard.js'
 import type { DaemonState } from './DaemonState.js'
 
 /**
@@ -33,3 +34,12 @@
 export const CLAIMS = ServiceKey.create<RequestClaims>('claims')
 export const DISPATCHER = ServiceKey.create<RequestDispatcher>('dispatcher')
 export const SLOT_SOURCES = ServiceKey.create<SlotSourceFactory>('slot-sources')
+
+const BYTES_PER_MB = 1024 * 1024
+
+/** Returns what all servers of a daemon share. */
+export function createServerContext (kernel: Kernel): ServerContext {
+  const { timers, log, metrics } = kernel
+  const { memoryMb, maxDescriptors } = kernel.get(SETTINGS).resources
+  return { resources: { memoryBytes: memoryMb * BYTES_PER_MB, descriptors: maxDescriptors }, timers, log, metrics }
+}
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -70,6 +70,8 @@
   LateAnswerDropped = 502,
   /** The claim of an idempotency key, or the end of a claimed request, could not be written to the store. */
   ClaimFailed = 503,
+  /** A request or connection of a client was refused; `reason` says why, and the other fields what the connection and its server held. */
+  ClientRefused = 504,
   /** A step of the maintenance or move of a VM was stored; `step` names it. */
   FleetStepTaken = 600,
   /** A reboot of a VM was requested from the platform; `answered` is true if the platform accepted it. */
@@ -266,6 +268,7 @@
   [EventCode.RequestFailed]: { level: EventLevel.Warn, message: 'request ended with an unknown outcome' },
   [EventCode.LateAnswerDropped]: { level: EventLevel.Info, message: 'answer arrived after its attempt had timed out and was dropped' },
   [EventCode.ClaimFailed]: { level: EventLevel.Warn, message: 'idempotency key could not be claimed, or the end of its request could not be stored' },
+  [EventCode.ClientRefused]: { level: EventLevel.Info, message: 'request or connection of a client was refused' },
   [EventCode.FleetStepTaken]: { level: EventLevel.Info, message: 'step of the maintenance or move of a VM was stored' },
   [EventCode.RebootRequested]: { level: EventLevel.Info, message: 'platform was asked to reboot a VM' },
   [EventCode.WaveHalted]: { level: EventLevel.Error, message: 'maintenance was halted because too many VMs failed to return' },
--- a/packages/model/src/lib/result/ResultCode.ts
+++ b/packages/model/src/lib/result/ResultCode.ts
@@ -58,6 +58,14 @@
   KeyReused = 2016,
   RequestTooLarge = 2017,
   CallerGone = 2018,
+  HeadTooLarge = 2019,
+  /** The head or the body of the request did not arrive in time. */
+  RequestTimeout = 2020,
+  MethodNotAllowed = 2021,
+  /** The daemon holds as many requests as its memory allows. */
+  Overloaded = 2022,
+  InternalError = 2023,
+  UnknownPath = 2024,
   UnknownQueue = 2101,
   /** No job with this id is stored: it never was, or its rows were removed. */
   UnknownJob = 2102,
@@ -130,6 +138,12 @@
   [ResultCode.KeyReused]: { title: 'Idempotency key was used for another request', status: 422, execution: Execution.NotRun },
   [ResultCode.RequestTooLarge]: { title: 'Request body is too large', status: 413, execution: Execution.NotRun },
   [ResultCode.CallerGone]: { title: 'Caller closed its connection before the request was sent', status: 503, execution: Execution.NotRun },
+  [ResultCode.HeadTooLarge]: { title: 'Request head is too large', status: 431, execution: Execution.NotRun },
+  [ResultCode.RequestTimeout]: { title: 'Request did not arrive in time', status: 408, execution: Execution.NotRun },
+  [ResultCode.MethodNotAllowed]: { title: 'Method is not served', status: 405, execution: Execution.NotRun },
+  [ResultCode.Overloaded]: { title: 'Daemon has no memory for more requests', status: 503, execution: Execution.NotRun },
+  [ResultCode.InternalError]: { title: 'Request failed in the daemon', status: 500, execution: Execution.Unknown },
+  [ResultCode.UnknownPath]: { title: 'Nothing is served at this path', status: 404, execution: Execution.NotRun },
   [ResultCode.UnknownQueue]: { title: 'No queue is configured at this path', status: 404, execution: Execution.NotRun },
   [ResultCode.UnknownJob]: { title: 'Job is not known', status: 410, execution: Execution.NotRun },
   [ResultCode.InvalidJob]: { title: 'Job is not valid', status: 400, execution: Execution.NotRun },
--- a/packages/model/src/lib/settings/settingsSchema.ts
+++ b/packages/model/src/lib/settings/settingsSchema.ts
@@ -52,6 +52,13 @@
     /** Address of the collector to which spans are sent as OTLP over HTTP. */
     otlpUrl: z.url({ protocol: /^https?$/ }).optional(),
   }).default({ sampleRatio: 0 }),
+  /** What the VM gives to the process; the limits on connections and requests follow from it. */
+  resources: z.strictObject({
+    /** Memory of the process, in MB. */
+    memoryMb: z.int().min(128).default(256),
+    /** File descriptors of the process. */
+    maxDescriptors: z.int().min(512).default(4_096),
+  }).default({ memoryMb: 256, maxDescriptors: 4_096 }),
   stop: z.strictObject({
     /** Time for which a stopping daemon still accepts requests, until the balancer has noticed, in milliseconds. */
     balancerDelayMs: z.int().min(0).default(2_000),
--- a/packages/soak/src/lib/SoakDaemon.ts
+++ b/packages/soak/src/lib/SoakDaemon.ts
@@ -65,7 +65,9 @@
 
   static async create (options: SoakDaemonOptions): Promise<SoakDaemon> {
     const { name, ip, linkHost, folder } = options
-    const [clients, readiness, peer, metrics] = (await findFreePorts(ip, 4)).map((port) => ({ host: ip, port })) as [Address, Address, Address, Address]
+    const [clients, readiness, peer, last] = (await findFreePorts(ip, 4)).map((port) => ({ host: ip, port })) as [Address, Address, Address, Address]
+    // The daemon serves metrics at the second port of the range.
+    const metrics = { host: ip, port: Math.min(peer.port + 1, last.port) }
     const links = {
       clients: await Link.open(linkHost, clients),
       store: await Link.open(linkHost, options.store),
@@ -79,7 +81,7 @@
       ip,
       zone: 'a',
       'listen-addrs': { frontend: formatAddress(clients), readiness: formatAddress(readiness) },
-      'internal-port-range': [peer.port, metrics.port],
+      'internal-port-range': [peer.port, last.port],
       ...options.resources === undefined ? {} : { limits: options.resources },
       bounds: { 'lease-ms': 3_000, 'hold-max-ms': 6_000, 'grace-s': GRACE_MS / 1_000, status_s: 3_600, 'move-s': 1.5, 'upkeep-s': 2, 'fencing-enforced': true },
       platform: { address: formatAddress(links.store.address) },
