Read a body into one buffer and no further than max-body-bytes

A body announced with 300,000 bytes got no answer before the rest came, and after a 413 reading went on.

Cause: the framework reads up to 4 MB, keeps each part as an object until the end, and only the whole body was compared with max-body-bytes.

readBody compares the announced length with the limit before a byte comes, copies the parts into a buffer that grows with what has come, and stops at the limit. Calls that no body could make acceptable (no such queue, a bad key, no configuration) are answered by their head. max-header-bytes, header-timeout-ms and idle-timeout-ms are now kept. All refusals before the API have one form, also those that Node and the framework made themselves: no Host, bad framing, too large a head, PUT, a bad path. After a refusal nothing more is read, and the connection ends once the client has had time to read the answer.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
 export { FleetWatch, type FleetWatchOptions } from './lib/fleet/FleetWatch.js'
 export { fleetOptions } from './lib/options.js'
 export { ConnectionGuard, type ConnectionGuardOptions, type ServerContext } from './lib/server/ConnectionGuard.js'
+export { createHttpServer, refuseOverdue, renderJsonRefusal, runCall, settleEarlyAnswer, type HttpServerOptions, type RenderedRefusal } from './lib/server/createHttpServer.js'
 export { ServerRole } from '@vanillathread/policy'
 export { JobsDaemon, type JobsDaemonOptions, type JobsPlatform } from './lib/jobs/JobsDaemon.js'
 export { HedgedRowStore, type HedgedRowStoreOptions, type StorePath, type StorePathChooser } from './lib/jobs/HedgedRowStore.js'
--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -4,7 +4,7 @@
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
 import { spreadRetryAfter, type ConfigurationBounds } from '@vanillathread/policy'
-import { IngressAnswerKind, readRow, type ClientApi, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
+import { IngressAnswerKind, readRow, type ClientApi, type ClientLimits, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
 import { CallGuard, type WritePermit } from './CallGuard.js'
@@ -72,8 +72,12 @@
     return this.stopping
   }
 
-  maxBodyBytes (): number {
-    return this.options.configuration.current?.maxBodyBytes ?? Infinity
+  getLimits (): ClientLimits {
+    return this.options.configuration.current ?? {}
+  }
+
+  checkCall (req: ClientRequest): IngressAnswer | undefined {
+    return this.findTarget(req).answer
   }
 
   /** Reports the daemon as stopping, so that the balancer opens no new connections. Requests are still served. */
--- a/packages/model/src/lib/jobs/JobSpec.ts
+++ b/packages/model/src/lib/jobs/JobSpec.ts
@@ -120,6 +120,12 @@
   readonly teams: readonly TeamRules[]
   /** Largest body of a client's request, in bytes. */
   readonly maxBodyBytes: number
+  /** Largest head of a client's request, in bytes; undefined if the operator sets none. */
+  readonly maxHeaderBytes?: number
+  /** Time that a client has for the head of a request, in milliseconds; undefined if the operator sets none. */
+  readonly headerTimeoutMs?: number
+  /** Time for which a client's connection may stay silent, in milliseconds; undefined if the operator sets none. */
+  readonly idleTimeoutMs?: number
 }
 
 /** An accepted job with those rules of its queue that held when it was accepted. Stored as it is. @public */
--- a/packages/ports/src/lib/jobs/Ingress.ts
+++ b/packages/ports/src/lib/jobs/Ingress.ts
@@ -40,14 +40,28 @@
   readonly deadlineMs: number
 }
 
+/** Limits on clients that the operator's configuration states. Times are in milliseconds. @public */
+export interface ClientLimits {
+  /** Largest body, in bytes. */
+  readonly maxBodyBytes?: number
+  /** Largest head of a request, in bytes. */
+  readonly maxHeaderBytes?: number
+  /** Time from the first byte of a request to the end of its head. */
+  readonly headerTimeoutMs?: number
+  /** Time for which a connection may stay silent. */
+  readonly idleTimeoutMs?: number
+}
+
 /** Handles the requests of clients. @public */
 export interface ClientApi {
   /** Returns true if the daemon is ready for new connections; the readiness check reports this to the load balancer. */
   isReady (): boolean
   /** Returns true if the daemon is stopping. Each connection is then closed after its next answer. */
   isStopping (): boolean
-  /** Returns the largest body that is accepted, in bytes. */
-  maxBodyBytes (): number
+  /** Returns the limits in force. One that is absent is the server's own. */
+  getLimits (): ClientLimits
+  /** Returns the answer to a call that cannot be served whatever its body says, or undefined if the body has to be read. */
+  checkCall (req: ClientRequest): IngressAnswer | undefined
   /** Stores a job under the id in the path. */
   submit (req: ClientRequest, spec: JobSpec): Promise<IngressAnswer>
   /** Reads the state of a job, or the number of pending jobs of a queue if the path is the queue's prefix alone. */
