Bound the memory of all unfinished requests and of the calls that handle whole ones

Cause: only single requests had a limit. What all connections hold together had none, nor had the calls that wait, for example while the store is silent.

Each part of a body is charged to its connection, with 1 KB for the part itself. Calls count until they end, also if the client has gone; further whole requests get 503 at once when they cost too much.

--- a/packages/daemon/src/lib/server/createHttpServer.ts
+++ b/packages/daemon/src/lib/server/createHttpServer.ts
@@ -140,6 +140,7 @@
   const { ledger } = guard
   const connection = guard.find(req.raw.socket)
   if (connection === undefined) throw new RequestRefusal(ResultCode.CallerGone)
+  if (!ledger.canBeginCall(bodyBytes)) throw new RequestRefusal(ResultCode.Overloaded)
   const cost = ledger.beginCall(connection, bodyBytes)
   try {
     return await call()
@@ -172,15 +173,15 @@
   }
   if (hasBody(req)) connection.openWhole = open
   else open()
-  const refusal = findRefusal(req, methods)
+  const refusal = findRefusal(req, methods, ledger.isFull())
   if (refusal !== undefined) refuseRequest(req, res, refusal, options)
   return refusal === undefined
 }
 
-function findRefusal ({ httpVersion, headers, method = '' }: IncomingMessage, methods: readonly string[] | undefined): RequestRefusal | undefined {
+function findRefusal ({ httpVersion, headers, method = '' }: IncomingMessage, methods: readonly string[] | undefined, isFull: boolean): RequestRefusal | undefined {
   if (headers.host === undefined && httpVersion === '1.1') return new RequestRefusal(ResultCode.InvalidRequest, 'request names no host')
   if (methods?.includes(method) === false) return new RequestRefusal(ResultCode.MethodNotAllowed)
-  return undefined
+  return isFull ? new RequestRefusal(ResultCode.Overloaded) : undefined
 }
 
 /** Refuses bytes that are no HTTP request. Answers to earlier requests of the connection may be on their way; then it is only closed. */
--- a/packages/daemon/src/lib/server/readBody.ts
+++ b/packages/daemon/src/lib/server/readBody.ts
@@ -43,8 +43,10 @@
     }
     const onData = (part: Buffer): void => {
       if (content.length + part.length > maxBytes) return refuse(ResultCode.RequestTooLarge)
+      const formerCapacity = content.capacity
       content.append(part, maxCapacity)
       connection.announcedBytesLeft = Math.max(0, announcedBytes - content.length)
+      guard.charge(connection, content.capacity - formerCapacity, 1)
     }
     const onEnd = (): void => {
       end()
