Give the HTTP parser small pieces, and disconnect clients that send over 32 requests ahead

Cause: one read of 64 KB holds thousands of requests.

paceReads passes 512 bytes at a time to the parser, stops when the connection is closing, and passes at most 2 KB in one turn of the loop; an announced body is passed as it comes. A connection may have 32 open requests; it is closed beyond.

--- a/packages/daemon/src/lib/server/createHttpServer.ts
+++ b/packages/daemon/src/lib/server/createHttpServer.ts
@@ -7,7 +7,8 @@
 import type { EventLog } from '@vanillathread/kernel'
 import { EventCode, RESULT_CODES, ResultCode } from '@vanillathread/model'
 import { OverdueReason } from '@vanillathread/policy'
-import type { ConnectionGuard, GuardedConnection } from './ConnectionGuard.js'
+import { CloseReason, type ConnectionGuard, type GuardedConnection } from './ConnectionGuard.js'
+import { paceReads } from './paceReads.js'
 import { hasBody, readBody } from './readBody.js'
 import { RequestRefusal } from './RequestRefusal.js'
 
@@ -75,6 +76,10 @@
       server.prependListener('connection', () => Object.assign(server, { maxHeaderSize: getLimits().maxHeaderBytes, keepAliveTimeout: getLimits().keepAliveMs }))
       server.on('checkExpectation', (req: IncomingMessage, res: ServerResponse) => refuseRequest(req, res, new RequestRefusal(ResultCode.InvalidRequest, 'expectation is not supported'), options))
       guard.watch(server)
+      server.on('connection', (socket) => {
+        const connection = guard.find(socket)
+        if (connection !== undefined) paceReads(connection)
+      })
       return server
     },
     clientErrorHandler: (err, socket) => refuseUnreadable(err.code, socket, options),
@@ -166,6 +171,10 @@
   const connection = guard.find(req.socket)
   // A part of a read may hold several requests, of which one has closed the connection.
   if (connection === undefined || connection.isClosing) return false
+  if (!ledger.canOpenRequest(connection)) {
+    guard.close(connection, CloseReason.TooManyOpenRequests)
+    return false
+  }
   guard.endUnfinished(connection)
   const open = (): void => {
     ledger.openRequest(connection)
