--- a/packages/policy/src/lib/connections/deriveServerLimits.ts
+++ b/packages/policy/src/lib/connections/deriveServerLimits.ts
@@ -59,7 +59,7 @@
 }
 
 const SHARES: Readonly<Record<ServerRole, Shares>> = {
-  [ServerRole.Clients]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.08, connectionBytes: 64 * 1024, costPerByte: 4 },
+  [ServerRole.Clients]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.08, connectionBytes: 64 * 1024, costPerByte: 12 },
   [ServerRole.Callers]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.19, connectionBytes: 64 * 1024, costPerByte: 1 },
   // Daemons read what others send at once, and there may be a thousand of them.
   [ServerRole.Peers]: { descriptors: 0.3, connectionMemory: 0.1, requestMemory: 0.08, connectionBytes: 16 * 1024, costPerByte: 1 },
