--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -16,7 +16,7 @@
 import { JobWriter } from './JobWriter.js'
 import type { MemberDirectory } from './MemberDirectory.js'
 import { OwnerQueries } from './OwnerQueries.js'
-import { decodeProgressRow, decodeTombstoneRow, encodeRow, JOB_PREFIX, Table } from './rows.js'
+import { decodeProgressRow, decodeTombstoneRow, encodeRow, JOB_PREFIX, MIN_STEP_BYTES, Table } from './rows.js'
 import type { ShardOwnership } from './ShardOwnership.js'
 import { GateResultKind, StoreGate } from './StoreGate.js'
 
@@ -52,8 +52,11 @@
   private readonly writer: JobWriter
   private readonly guard: CallGuard
   private readonly gate: StoreGate
+  /** More steps never fit into a row. */
+  private readonly maxSteps: number
 
   private constructor (private readonly options: JobGatewayOptions) {
+    this.maxSteps = Math.floor(options.rowBytes / MIN_STEP_BYTES)
     this.queries = OwnerQueries.create(options)
     this.guard = CallGuard.create(options)
     this.gate = StoreGate.create({ ...options, getOwnerAnswerAtMs: () => options.shard.ownerStoreAnswerAtMs })
@@ -73,7 +76,7 @@
   }
 
   getLimits (): ClientLimits {
-    return this.options.configuration.current ?? {}
+    return { ...this.options.configuration.current, maxSteps: this.maxSteps }
   }
 
   checkCall (req: ClientRequest): IngressAnswer | undefined {
--- a/packages/daemon/src/lib/jobs/rows.ts
+++ b/packages/daemon/src/lib/jobs/rows.ts
@@ -3,7 +3,7 @@
  */
 import { Encoder } from 'cbor-x'
 import { z } from 'zod'
-import { isUsableAddress, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { isUsableAddress, STEP_DEFAULTS, type AcceptedJob, type StepSpec, type VmEntry } from '@vanillathread/model'
 import type { JobProgress, RosterRecord, TurnHistory } from '@vanillathread/policy'
 
 /** Tables. The rows of a shard have the shard's name as their part. */
@@ -37,6 +37,9 @@
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
 
+/** Fewest bytes that a step of a job takes in the job's row. */
+export const MIN_STEP_BYTES = codec.encode({ ...STEP_DEFAULTS, taskCount: 1, need: { cpuMillis: 0, memoryMb: 0, accelerators: 0 }, estimateMs: 0 } satisfies StepSpec).length
+
 const ownerRowSchema = z.object({
   owner: z.string(),
   host: z.string(),
--- a/packages/ports/src/lib/jobs/Ingress.ts
+++ b/packages/ports/src/lib/jobs/Ingress.ts
@@ -40,12 +40,14 @@
   readonly deadlineMs: number
 }
 
-/** Limits on clients that the operator's configuration states. Times are in milliseconds. @public */
+/** Limits on clients: those of the operator's configuration, and what the store can hold. Times are in milliseconds. @public */
 export interface ClientLimits {
   /** Largest body, in bytes. */
   readonly maxBodyBytes?: number
   /** Largest head of a request, in bytes. */
   readonly maxHeaderBytes?: number
+  /** Most steps of a job. */
+  readonly maxSteps?: number
   /** Time from the first byte of a request to the end of its head. */
   readonly headerTimeoutMs?: number
   /** Time for which a connection may stay silent. */
