--- a/packages/daemon/src/lib/jobs/MetricsServer.ts
+++ b/packages/daemon/src/lib/jobs/MetricsServer.ts
@@ -1,12 +1,13 @@
 /**
  * Serves the daemon's metrics as text, and sets the gauges periodically.
  */
-import fastify, { type FastifyInstance } from 'fastify'
+import type { FastifyInstance } from 'fastify'
 import { LoopLagMonitor, type Subscription } from '@vanillathread/kernel'
 import { EventCode, type Address } from '@vanillathread/model'
 import { ServerRole, summarizeTeams, type ConnectionTimeouts } from '@vanillathread/policy'
 import type { RowStore } from '@vanillathread/ports'
 import { ConnectionGuard, type ServerContext } from '../server/ConnectionGuard.js'
+import { createHttpServer, renderJsonRefusal, type HttpLimits } from '../server/createHttpServer.js'
 import type { ConfigurationWatcher } from './ConfigurationWatcher.js'
 import type { ShardOwnership } from './ShardOwnership.js'
 
@@ -14,6 +15,7 @@
 const SAMPLE_PERIOD_MS = 2_000
 
 const TIMEOUTS: ConnectionTimeouts = { headerMs: 10_000, idleMs: 60_000, bodyMs: 10_000 }
+const LIMITS: HttpLimits = { maxHeaderBytes: 16 * 1024, maxBodyBytes: 0, keepAliveMs: TIMEOUTS.idleMs }
 
 /** Options of {@link MetricsServer.create}. */
 export interface MetricsServerOptions extends ServerContext {
@@ -33,9 +35,8 @@
   private readonly lag: LoopLagMonitor
 
   private constructor (private readonly options: MetricsServerOptions) {
-    this.server = fastify()
     this.guard = ConnectionGuard.create({ ...options, server: 'metrics', role: ServerRole.Operations, getTimeouts: () => TIMEOUTS })
-    this.guard.watch(this.server.server)
+    this.server = createHttpServer({ guard: this.guard, log: options.log, methods: ['GET', 'HEAD'], getLimits: () => LIMITS, render: renderJsonRefusal })
     this.server.get('/metrics', async (_req, res) => {
       await res.header('content-type', 'text/plain; version=0.0.4').send(await options.render())
     })
