Bound the memory of unfinished messages between daemons

Cause: a link kept what had come of a message, joined anew with each read, and nothing counted all links together.

Links may be silent as before.

--- a/packages/daemon/src/lib/peer/FrameCodec.ts
+++ b/packages/daemon/src/lib/peer/FrameCodec.ts
@@ -3,6 +3,7 @@
  */
 import { Encoder } from 'cbor-x'
 import { Result } from '@vanillathread/model'
+import { GrowingBuffer } from '../server/GrowingBuffer.js'
 import { peerOptions } from '../options.js'
 import { peerMessageSchema, type PeerMessage } from './messages.js'
 
@@ -26,7 +27,10 @@
 
 /** Splits a byte stream into messages. */
 export class FrameReader {
-  private buffered: Buffer = Buffer.alloc(0)
+  /** Bytes of a frame that is not whole. */
+  private readonly unfinished = GrowingBuffer.create()
+  /** Bytes of that frame, or of its length prefix. */
+  private neededBytes = LENGTH_BYTES
 
   private constructor () {}
 
@@ -34,19 +38,39 @@
     return new FrameReader()
   }
 
+  /** Memory that the frame takes that is not whole. */
+  get heldBytes (): number {
+    return this.unfinished.capacity
+  }
+
   /** Adds received bytes. Returns the messages that they complete. */
   push (bytes: Buffer): Result<PeerMessage[], FrameError> {
-    this.buffered = this.buffered.length === 0 ? bytes : Buffer.concat([this.buffered, bytes])
+    if (this.unfinished.length === 0) return this.read(bytes)
+    // A frame that is not whole yet only grows, so that a long one is not copied with each part.
+    if (this.unfinished.length + bytes.length < this.neededBytes) {
+      this.unfinished.append(bytes, this.neededBytes)
+      return Result.ok([])
+    }
+    this.unfinished.append(bytes, this.neededBytes)
+    return this.read(this.unfinished.take())
+  }
+
+  private read (bytes: Buffer): Result<PeerMessage[], FrameError> {
     const messages: PeerMessage[] = []
-    while (this.buffered.length >= LENGTH_BYTES) {
-      const length = this.buffered.readUInt32BE(0)
+    let start = 0
+    this.neededBytes = LENGTH_BYTES
+    while (bytes.length - start >= LENGTH_BYTES) {
+      const length = bytes.readUInt32BE(start)
       if (length > peerOptions.maxFrameBytes) return Result.err(FrameError.TooLong)
-      if (this.buffered.length < LENGTH_BYTES + length) break
-      const message = decodeMessage(this.buffered.subarray(LENGTH_BYTES, LENGTH_BYTES + length))
+      this.neededBytes = LENGTH_BYTES + length
+      if (bytes.length - start < this.neededBytes) break
+      const message = decodeMessage(bytes.subarray(start + LENGTH_BYTES, start + this.neededBytes))
       if (message === undefined) return Result.err(FrameError.Invalid)
       messages.push(message)
-      this.buffered = this.buffered.subarray(LENGTH_BYTES + length)
+      start += this.neededBytes
+      this.neededBytes = LENGTH_BYTES
     }
+    if (start < bytes.length) this.unfinished.append(bytes.subarray(start), this.neededBytes)
     return Result.ok(messages)
   }
 }
--- a/packages/daemon/src/lib/peer/PeerLink.ts
+++ b/packages/daemon/src/lib/peer/PeerLink.ts
@@ -20,6 +20,8 @@
   readonly counters: LinkCounters
   onMessage (message: PeerMessage, link: PeerLink): void
   onClose (link: PeerLink): void
+  /** Called after each read with the memory that a message takes that is not whole. */
+  onHeldBytes? (bytes: number): void
 }
 
 /** Unsent bytes above which a link is regarded as stuck and is closed. */
@@ -87,6 +89,7 @@
       this.close()
       return
     }
+    this.options.onHeldBytes?.(this.reader.heldBytes)
     for (const message of res.value) this.options.onMessage(message, this)
   }
 }
--- a/packages/daemon/src/lib/peer/PeerNetwork.ts
+++ b/packages/daemon/src/lib/peer/PeerNetwork.ts
@@ -95,7 +95,7 @@
   private accept (socket: Socket): void {
     const connection = this.guard.find(socket)
     if (connection === undefined) return
-    const link = PeerLink.accept(socket, this.createLinkOptions())
+    const link = PeerLink.accept(socket, { ...this.createLinkOptions(), onHeldBytes: (bytes) => this.guard.setHeldBytes(connection, bytes) })
     this.incoming.add(link)
   }
 
