Put the callers' and the operators' servers behind the same guard

Cause: the budget of 48 MB counted a body once it was whole, and nothing limited connections or requests ahead.

CallerGateway and OperationsServer use createHttpServer.

--- a/packages/daemon/src/lib/operations/OperationsServer.ts
+++ b/packages/daemon/src/lib/operations/OperationsServer.ts
@@ -1,11 +1,13 @@
 /**
  * The HTTP server for operators: health checks, status, explanations and announcements of a configuration.
  */
-import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
+import type { FastifyInstance, FastifyReply } from 'fastify'
 import { z } from 'zod'
 import type { Kernel, LoopLagMonitor } from '@vanillathread/kernel'
 import { configurationHeadSchema, exhaustiveSwitchError, RESULT_CODES, ResultCode, type Address } from '@vanillathread/model'
-import { VmState, type Member, type MemberRecord, type VmRecord, type WaveDecision } from '@vanillathread/policy'
+import { ServerRole, VmState, type ConnectionTimeouts, type Member, type MemberRecord, type VmRecord, type WaveDecision } from '@vanillathread/policy'
+import { ConnectionGuard, type ServerContext } from '../server/ConnectionGuard.js'
+import { createHttpServer, renderJsonRefusal, type HttpLimits } from '../server/createHttpServer.js'
 import type { ConfigurationStore } from '../configuration/ConfigurationStore.js'
 import type { CreditExchange } from '../credits/CreditExchange.js'
 import type { DaemonPhase, DaemonState } from '../DaemonState.js'
@@ -30,6 +32,7 @@
 /** Options of {@link OperationsServer.create}. */
 export interface OperationsServerOptions {
   readonly listen: Address
+  readonly context: ServerContext
   readonly kernel: Kernel
   readonly state: DaemonState
   readonly lag: LoopLagMonitor
@@ -79,6 +82,10 @@
 })
 
 const ANNOUNCEMENT_LIMIT_BYTES = 16 * 1024 * 1024
+
+const TIMEOUTS: ConnectionTimeouts = { headerMs: 60_000, idleMs: 72_000, bodyMs: 300_000 }
+const LIMITS: HttpLimits = { maxHeaderBytes: 16 * 1024, maxBodyBytes: ANNOUNCEMENT_LIMIT_BYTES, keepAliveMs: TIMEOUTS.idleMs }
+
 const STATUS_OK = 200
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
@@ -86,9 +93,12 @@
 
 /** Serves the operations port. */
 export class OperationsServer {
-  private readonly server: FastifyInstance = Fastify({ forceCloseConnections: true })
+  private readonly server: FastifyInstance
+  private readonly guard: ConnectionGuard
 
   private constructor (private readonly options: OperationsServerOptions) {
+    this.guard = ConnectionGuard.create({ ...options.context, server: 'operations', role: ServerRole.Operations, getTimeouts: () => TIMEOUTS })
+    this.server = createHttpServer({ guard: this.guard, log: options.kernel.log, forceCloseConnections: true, getLimits: () => LIMITS, render: renderJsonRefusal })
     this.server.get('/live', () => ({ live: true }))
     this.server.get('/ready', (_req, reply) => {
       // A daemon that has no configuration refuses every request.
@@ -96,7 +106,7 @@
       return reply.code(ready ? STATUS_OK : STATUS_UNAVAILABLE).send({ ready, phase: options.state.phase })
     })
     this.server.get('/status', () => this.getStatus())
-    this.server.post('/configuration/announce', { bodyLimit: ANNOUNCEMENT_LIMIT_BYTES }, (req, reply) => this.announce(req.body, reply))
+    this.server.post('/configuration/announce', (req, reply) => this.announce(parseJson(req.body), reply))
     this.server.get<{ Params: { id: string } }>('/explain/request/:id', (req, reply) => this.send(reply, this.explainRequest(req.params.id)))
     this.server.get<{ Params: { id: string } }>('/explain/pool/:id', (req, reply) => this.send(reply, this.explainPool(req.params.id)))
     this.server.get<{ Params: { id: string } }>('/explain/vm/:id', (req, reply) => this.send(reply, this.explainVm(req.params.id)))
@@ -115,6 +125,7 @@
 
   async dispose (): Promise<void> {
     await this.server.close()
+    this.guard.dispose()
   }
 
   /** Sends a document, or the status 404 if there is none. */
@@ -220,3 +231,12 @@
     return this.options.parts.fleet?.isLeaving(vmId) ?? false
   }
 }
+
+/** Parses the body of a request. Returns undefined if it is not JSON. */
+function parseJson (body: unknown): unknown {
+  try {
+    return JSON.parse(String(body))
+  } catch {
+    return undefined
+  }
+}
--- a/packages/daemon/src/lib/options.ts
+++ b/packages/daemon/src/lib/options.ts
@@ -8,8 +8,6 @@
   maxAttempts: 3,
   /** Largest request body that is accepted, in bytes. */
   requestBodyLimitBytes: 4 * 1024 * 1024,
-  /** Most bytes of request bodies that the daemon holds at a time. */
-  requestBodyBudgetBytes: 48 * 1024 * 1024,
   /** Answers up to this size are received whole before the caller gets the first byte; larger ones are streamed. */
   answerBufferBytes: 256 * 1024,
   /** Period of refusing queued requests whose deadline can no longer be met. */
--- a/packages/daemon/src/lib/peer/FrameCodec.ts
+++ b/packages/daemon/src/lib/peer/FrameCodec.ts
@@ -43,6 +43,11 @@
     return this.unfinished.capacity
   }
 
+  /** Drops an unfinished frame. */
+  clear (): void {
+    this.unfinished.clear()
+  }
+
   /** Adds received bytes. Returns the messages that they complete. */
   push (bytes: Buffer): Result<PeerMessage[], FrameError> {
     if (this.unfinished.length === 0) return this.read(bytes)
--- a/packages/daemon/src/lib/peer/PeerLink.ts
+++ b/packages/daemon/src/lib/peer/PeerLink.ts
@@ -77,6 +77,7 @@
     if (this.closed) return
     this.closed = true
     this.socket.destroy()
+    this.reader.clear()
     this.options.log.write(EventCode.PeerLinkClosed, { remote: this.socket.remoteAddress, port: this.socket.remotePort })
     this.options.onClose(this)
   }
--- a/packages/daemon/src/lib/plugins/gateway.ts
+++ b/packages/daemon/src/lib/plugins/gateway.ts
@@ -4,7 +4,7 @@
 import { delay, type Kernel, type Plugin } from '@vanillathread/kernel'
 import { DaemonPhase } from '../DaemonState.js'
 import { CallerGateway } from '../request/CallerGateway.js'
-import { DISPATCHER, MEMBERSHIP, SETTINGS, STATE } from '../services.js'
+import { createServerContext, DISPATCHER, MEMBERSHIP, SETTINGS, STATE } from '../services.js'
 import { catalogue, PluginId } from './catalogue.js'
 
 /** Period of checking whether draining is complete. */
@@ -18,6 +18,7 @@
   constructor (private readonly kernel: Kernel) {
     this.gateway = CallerGateway.create({
       listen: kernel.get(SETTINGS).listen.caller,
+      context: createServerContext(kernel),
       kernel,
       dispatcher: kernel.get(DISPATCHER),
     })
--- a/packages/daemon/src/lib/plugins/operations.ts
+++ b/packages/daemon/src/lib/plugins/operations.ts
@@ -3,7 +3,7 @@
  */
 import { LoopLagMonitor, ServiceKey, type Kernel, type Plugin } from '@vanillathread/kernel'
 import { OperationsServer, type ObservedParts } from '../operations/OperationsServer.js'
-import { SETTINGS, STATE } from '../services.js'
+import { createServerContext, SETTINGS, STATE } from '../services.js'
 import { catalogue, PluginId } from './catalogue.js'
 
 /** Parts that the operations port shows; plug-ins that start later add themselves. */
@@ -19,6 +19,7 @@
     this.lag = LoopLagMonitor.create(kernel)
     this.server = OperationsServer.create({
       listen: kernel.get(SETTINGS).listen.operations,
+      context: createServerContext(kernel),
       kernel,
       state: kernel.get(STATE),
       lag: this.lag,
--- a/packages/daemon/src/lib/request/CallerGateway.ts
+++ b/packages/daemon/src/lib/request/CallerGateway.ts
@@ -2,9 +2,12 @@
  * The HTTP server for callers.
  */
 import { randomUUID } from 'node:crypto'
-import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import type { Kernel } from '@vanillathread/kernel'
 import { ResultCode, type Address } from '@vanillathread/model'
+import { ServerRole, type ConnectionTimeouts } from '@vanillathread/policy'
+import { ConnectionGuard, type ServerContext } from '../server/ConnectionGuard.js'
+import { createHttpServer, refuseOverdue, runCall, type HttpServerOptions, type RenderedRefusal } from '../server/createHttpServer.js'
 import { requestOptions } from '../options.js'
 import { AnswerHeader } from './headers.js'
 import { parseRequest, type ParsedRequest } from './parseRequest.js'
@@ -15,33 +18,37 @@
 /** Options of {@link CallerGateway.create}. */
 export interface CallerGatewayOptions {
   readonly listen: Address
+  readonly context: ServerContext
   readonly kernel: Kernel
   readonly dispatcher: RequestDispatcher
 }
 
 const MILLISECONDS_PER_SECOND = 1000
-const KEEP_ALIVE_TIMEOUT_MS = 65_000
+
+/** Largest head of a request, in bytes. */
+const MAX_HEADER_BYTES = 16 * 1024
+
+const TIMEOUTS: ConnectionTimeouts = { headerMs: 60_000, idleMs: 65_000, bodyMs: 300_000 }
 
 /** Accepts requests from callers and returns answers or refusals. */
 export class CallerGateway {
   private readonly server: FastifyInstance
+  private readonly guard: ConnectionGuard
   private openRequests = 0
-  /** Size of the bodies of all requests in progress. */
-  private heldBodyBytes = 0
   private draining = false
   private lastArrivalMs = Number.NEGATIVE_INFINITY
 
   private constructor (private readonly options: CallerGatewayOptions) {
-    this.server = Fastify({
-      bodyLimit: requestOptions.requestBodyLimitBytes,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    this.guard = ConnectionGuard.create({ ...options.context, server: 'callers', role: ServerRole.Callers, getTimeouts: () => TIMEOUTS, onOverdue: (connection, reason) => refuseOverdue(connection, reason, serverOptions) })
+    const serverOptions: HttpServerOptions = {
+      guard: this.guard,
+      log: options.kernel.log,
       forceCloseConnections: 'idle',
       exposeHeadRoutes: false,
-    })
-    // Bodies are forwarded unchanged, so none is parsed.
-    this.server.removeAllContentTypeParsers()
-    this.server.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => { done(null, body) })
-    this.server.setErrorHandler((err: Error & { statusCode?: number }, _req, reply) => this.onServerError(err, reply))
+      getLimits: () => ({ maxHeaderBytes: MAX_HEADER_BYTES, maxBodyBytes: requestOptions.requestBodyLimitBytes, keepAliveMs: TIMEOUTS.idleMs }),
+      render: (code, detail) => renderProblem(randomUUID(), code === ResultCode.Overloaded ? { code, retryAfterMs: MILLISECONDS_PER_SECOND } : { code }, detail),
+    }
+    this.server = createHttpServer(serverOptions)
     this.server.all('/*', (req, reply) => this.handle(req, reply))
   }
 
@@ -71,6 +78,7 @@
   async dispose (): Promise<void> {
     this.server.server.closeAllConnections()
     await this.server.close()
+    this.guard.dispose()
   }
 
   private async handle (req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
@@ -87,16 +95,10 @@
 
   private async serve (req: FastifyRequest, reply: FastifyReply, requestId: string, parsed: ParsedRequest): Promise<FastifyReply> {
     const body = Buffer.isBuffer(req.body) ? req.body : undefined
-    const bodyBytes = body?.length ?? 0
-    if (this.heldBodyBytes + bodyBytes > requestOptions.requestBodyBudgetBytes) {
-      return this.refuse(reply, requestId, { code: ResultCode.QueueFull, retryAfterMs: MILLISECONDS_PER_SECOND })
-    }
     const { tracing, dispatcher, metrics, timers } = this.getDependencies()
     const startedMs = timers.now()
     const callerSpan = tracing.startServerSpan(`caller ${parsed.service}`, req.headers)
-    this.heldBodyBytes += bodyBytes
-    const outcome = await dispatcher.submit(this.createRequest(req, requestId, parsed, body, callerSpan), createCallerConnection(reply))
-    this.heldBodyBytes -= bodyBytes
+    const outcome = await runCall(this.guard, req, body?.length ?? 0, () => dispatcher.submit(this.createRequest(req, requestId, parsed, body, callerSpan), createCallerConnection(reply)))
     metrics.timing('request', timers.now() - startedMs, { service: parsed.service, outcome: outcome.kind })
     if (outcome.kind === RequestOutcomeKind.Answer) {
       tracing.end(callerSpan)
@@ -133,19 +135,18 @@
   }
 
   private refuse (reply: FastifyReply, requestId: string, refusal: Refusal, detail?: string): FastifyReply {
-    const problem = createProblem(requestId, refusal, detail)
-    reply.code(problem.status)
-    reply.header('content-type', 'application/problem+json')
-    reply.header(AnswerHeader.Code, String(problem.code))
-    reply.header(AnswerHeader.Execution, problem.execution)
-    if (refusal.retryAfterMs !== undefined) reply.header('retry-after', String(Math.ceil(refusal.retryAfterMs / MILLISECONDS_PER_SECOND)))
-    return reply.send(JSON.stringify(problem))
+    const { status, headers, body } = renderProblem(requestId, refusal, detail)
+    return reply.code(status).headers(headers).send(body)
   }
+}
 
-  /** Refuses a request for which Fastify reports an error, such as a body that is too large. */
-  private onServerError (err: Error & { statusCode?: number }, reply: FastifyReply): FastifyReply {
-    const code = err.statusCode === 413 ? ResultCode.RequestTooLarge : ResultCode.InvalidRequest
-    return this.refuse(reply, randomUUID(), { code }, err.message)
+function renderProblem (requestId: string, refusal: Refusal, detail?: string): RenderedRefusal {
+  const problem = createProblem(requestId, refusal, detail)
+  const retryAfter: Record<string, string> = refusal.retryAfterMs === undefined ? {} : { 'retry-after': String(Math.ceil(refusal.retryAfterMs / MILLISECONDS_PER_SECOND)) }
+  return {
+    status: problem.status,
+    headers: { [AnswerHeader.RequestId]: requestId, 'content-type': 'application/problem+json', [AnswerHeader.Code]: String(problem.code), [AnswerHeader.Execution]: problem.execution, ...retryAfter },
+    body: JSON.stringify(problem),
   }
 }
 
--- a/packages/daemon/src/lib/server/GrowingBuffer.ts
+++ b/packages/daemon/src/lib/server/GrowingBuffer.ts
@@ -6,6 +6,10 @@
 const FIRST_SEGMENT_BYTES = 4 * 1024
 const MAX_SEGMENT_BYTES = 64 * 1024
 
+/** Segments that are kept for the next buffer: freed memory would stay with the process until its heap is collected. */
+const MAX_SPARE_SEGMENTS = 128
+const spareSegments: Buffer[] = []
+
 /**
  * Collects parts by copying them into segments. Small parts that are kept as they are take many times their size, as each is an object
  * and may keep the whole read that it belongs to.
@@ -44,21 +48,37 @@
 
   /** Returns the content and leaves the buffer empty. */
   take (): Buffer {
-    const content = this.segments.length === 1 ? this.segments[0]?.subarray(0, this.usedBytes) : Buffer.concat(this.segments, this.length)
+    const [first] = this.segments
+    if (first === undefined || this.segments.length > 1) {
+      const content = Buffer.concat(this.segments, this.length)
+      this.clear()
+      return content
+    }
+    const content = first.subarray(0, this.usedBytes)
+    this.segments = []
+    this.clear()
+    return content
+  }
+
+  /** Drops the content. */
+  clear (): void {
+    for (const segment of this.segments) {
+      if (segment.length === MAX_SEGMENT_BYTES && spareSegments.length < MAX_SPARE_SEGMENTS) spareSegments.push(segment)
+    }
     this.segments = []
     this.usedBytes = 0
     this.capacityBytes = 0
-    return content ?? Buffer.alloc(0)
   }
 
   private get freeBytes (): number {
     return (this.segments.at(-1)?.length ?? 0) - this.usedBytes
   }
 
-  /** Adds a segment for at least one more byte: as long as the rest of the part, and with room for more of the content. */
+  /** Adds a segment: as long as the rest of the part, and with room for more of the content. */
   private addSegment (partBytes: number, expectedBytes: number): void {
     const roomBytes = Math.min(Math.max(FIRST_SEGMENT_BYTES, this.capacityBytes), MAX_SEGMENT_BYTES, Math.max(0, expectedBytes))
-    const segment = Buffer.allocUnsafeSlow(Math.max(partBytes, roomBytes))
+    const bytes = Math.min(MAX_SEGMENT_BYTES, Math.max(partBytes, roomBytes))
+    const segment = (bytes === MAX_SEGMENT_BYTES ? spareSegments.pop() : undefined) ?? Buffer.allocUnsafeSlow(bytes)
     this.segments.push(segment)
     this.usedBytes = 0
     this.capacityBytes += segment.length
--- a/packages/daemon/src/lib/server/readBody.ts
+++ b/packages/daemon/src/lib/server/readBody.ts
@@ -38,6 +38,7 @@
     }
     const refuse = (code: ResultCode): void => {
       end()
+      content.clear()
       connection.isClosing = true
       reject(new RequestRefusal(code))
     }
@@ -55,6 +56,7 @@
     }
     const onClose = (): void => {
       end()
+      content.clear()
       reject(new RequestRefusal(ResultCode.CallerGone))
     }
     guard.beginBody(connection, announcedBytes, refuse)
--- a/packages/policy/src/lib/connections/deriveServerLimits.ts
+++ b/packages/policy/src/lib/connections/deriveServerLimits.ts
@@ -59,8 +59,8 @@
 }
 
 const SHARES: Readonly<Record<ServerRole, Shares>> = {
-  [ServerRole.Clients]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.08, connectionBytes: 64 * 1024, costPerByte: 12 },
-  [ServerRole.Callers]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.19, connectionBytes: 64 * 1024, costPerByte: 1 },
+  [ServerRole.Clients]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.08, connectionBytes: 128 * 1024, costPerByte: 12 },
+  [ServerRole.Callers]: { descriptors: 0.35, connectionMemory: 0.15, requestMemory: 0.12, connectionBytes: 128 * 1024, costPerByte: 1 },
   // Daemons read what others send at once, and there may be a thousand of them.
   [ServerRole.Peers]: { descriptors: 0.3, connectionMemory: 0.1, requestMemory: 0.08, connectionBytes: 16 * 1024, costPerByte: 1 },
   [ServerRole.Operations]: { descriptors: 0.02, connectionMemory: 0.01, requestMemory: 0.02, connectionBytes: 64 * 1024, costPerByte: 1 },
