--- a/packages/daemon/src/lib/server/ConnectionGuard.ts
+++ b/packages/daemon/src/lib/server/ConnectionGuard.ts
@@ -110,10 +110,7 @@
 
   /** Charges bytes of an unfinished request, which arrived in some parts, to its connection. */
   charge (connection: GuardedConnection, bytes: number, parts: number): void {
-    for (const other of this.ledger.charge(connection, bytes, parts, this.options.timers.now())) {
-      if (other.refuseBody === undefined) this.close(other, CloseReason.TooMuchHeld)
-      else other.refuseBody(ResultCode.Overloaded)
-    }
+    this.giveWay(this.ledger.charge(connection, bytes, parts, this.options.timers.now()))
   }
 
   /** Notes what an unfinished message of a peer takes; 0 if the last one is whole. */
@@ -226,7 +223,14 @@
     const bytes = connection.socket.bytesRead - connection.finishedBytes
     if (bytes === 0) return
     if (connection.unfinishedSinceMs === undefined) this.ledger.beginUnfinished(connection, nowMs)
-    if (bytes > connection.unfinishedCost) this.charge(connection, bytes - connection.unfinishedCost, 0)
+    this.giveWay(this.ledger.chargeHead(connection, bytes, nowMs))
+  }
+
+  private giveWay (connections: readonly GuardedConnection[]): void {
+    for (const connection of connections) {
+      if (connection.refuseBody === undefined) this.close(connection, CloseReason.TooMuchHeld)
+      else connection.refuseBody(ResultCode.Overloaded)
+    }
   }
 
   private record (connection: GuardedConnection, reason: string, fields: EventFields = {}): void {
--- a/packages/daemon/src/lib/server/createHttpServer.ts
+++ b/packages/daemon/src/lib/server/createHttpServer.ts
@@ -177,8 +177,8 @@
   }
   guard.endUnfinished(connection)
   const open = (): void => {
-    ledger.openRequest(connection)
-    res.once('close', () => ledger.closeRequest(connection))
+    const cost = ledger.openRequest(connection, req.rawHeaders.length / 2)
+    res.once('close', () => ledger.closeRequest(connection, cost))
   }
   if (hasBody(req)) connection.openWhole = open
   else open()
--- a/packages/policy/src/lib/connections/ConnectionLedger.test.ts
+++ b/packages/policy/src/lib/connections/ConnectionLedger.test.ts
@@ -113,13 +113,28 @@
       const account = openAt(ledger, 0)
       for (const expected of [true, true, false]) {
         assert.is(ledger.canOpenRequest(account), expected)
-        ledger.openRequest(account)
+        ledger.openRequest(account, 10)
       }
       ledger.close(account)
       assert.is(ledger.cost, 0)
     })
   })
 
+  describe('with heads', ({ it }) => {
+    it('counts the fields of whole requests and the bytes of unfinished heads', () => {
+      const ledger = ConnectionLedger.create(LIMITS)
+      const [many, head, other] = [openAt(ledger, 0), openAt(ledger, 0), openAt(ledger, 0)]
+      const cost = ledger.openRequest(many, 700)
+      assert.is(ledger.isFull(), true)
+      ledger.closeRequest(many, cost)
+      assert.equal([ledger.isFull(), ledger.cost], [false, 0])
+      for (const account of [head, other]) ledger.beginUnfinished(account, 0)
+      assert.equal(ledger.chargeHead(head, 16_000, 10), [])
+      assert.equal(ledger.chargeHead(head, 16_000, 20), [])
+      assert.equal(ledger.chargeHead(other, 10_000, 20), [head])
+    })
+  })
+
   describe('listOverdue', ({ it }) => {
     it('names connections by what they have not done in time', () => {
       const ledger = ConnectionLedger.create({ ...LIMITS, maxConnections: 10 })
--- a/packages/policy/src/lib/connections/ConnectionLedger.ts
+++ b/packages/policy/src/lib/connections/ConnectionLedger.ts
@@ -10,9 +10,15 @@
 /** Cost of a request whose answer has not been sent, beside its bytes. */
 const REQUEST_COST = 8 * 1024
 
+/** Cost of a header field: its name and value several times, as text and in the tables of the request. */
+const HEADER_FIELD_COST = 128
+
 /** Cost of the call that handles a request, beside that of the request's bytes. */
 const CALL_COST = 8 * 1024
 
+/** Cost of a byte of a head that is not finished: a head may be very many short fields. */
+const HEAD_COST_PER_BYTE = 4
+
 /** Cost of one part of a body: the objects that it is until it has been copied, and the processor time, which is that of a longer part. */
 const PART_COST = 1024
 
@@ -49,8 +55,9 @@
   unfinishedSinceMs: number | undefined
   /** True once the head of the unfinished request has been read. */
   isReadingBody = false
-  /** Whole requests whose answers have not been sent. */
+  /** Whole requests whose answers have not been sent, and their cost. */
   openRequests = 0
+  openCost = 0
   /** Requests that are being handled. A connection with one does not give way to another. */
   calls = 0
   hasSentRequest = false
@@ -65,8 +72,8 @@
   private readonly accounts = new Set<A>()
   private readonly unfinished = new Set<A>()
   private unfinishedCost = 0
-  /** Whole requests whose answers have not been sent. */
-  private openRequests = 0
+  /** Cost of the whole requests whose answers have not been sent. */
+  private openCost = 0
   /** Cost of the calls, which may outlast their connections. */
   private callCost = 0
 
@@ -99,7 +106,7 @@
   close (account: A): void {
     if (!this.accounts.has(account)) return
     this.dropUnfinished(account)
-    this.openRequests -= account.openRequests
+    this.openCost -= account.openCost
     this.accounts.delete(account)
   }
 
@@ -118,6 +125,11 @@
     this.addUnfinishedCost(account, REQUEST_COST)
   }
 
+  /** Charges the bytes of a head that is not finished. Returns as {@link charge}. */
+  chargeHead (account: A, bytes: number, nowMs: number): A[] {
+    return this.charge(account, Math.max(0, bytes * HEAD_COST_PER_BYTE - account.unfinishedCost), 0, nowMs)
+  }
+
   /**
    * Charges bytes of an unfinished request.
    *
@@ -160,19 +172,23 @@
     return this.callCost === 0 || this.wholeCost + this.getCallCost(bytes) <= this.limits.maxCost
   }
 
-  /** Notes a whole request. */
-  openRequest (account: A): void {
+  /** Notes a whole request with some header fields. Returns its cost, which {@link closeRequest} takes. */
+  openRequest (account: A, headerFields: number): number {
     this.dropUnfinished(account)
-    if (!this.accounts.has(account)) return
+    if (!this.accounts.has(account)) return 0
+    const cost = REQUEST_COST + headerFields * HEADER_FIELD_COST
     account.openRequests += 1
-    this.openRequests += 1
+    account.openCost += cost
+    this.openCost += cost
+    return cost
   }
 
   /** Notes that the answer to a request has been sent. */
-  closeRequest (account: A): void {
+  closeRequest (account: A, cost: number): void {
     if (!this.accounts.has(account)) return
     account.openRequests -= 1
-    this.openRequests -= 1
+    account.openCost -= cost
+    this.openCost -= cost
   }
 
   /** Begins to handle a whole request with a body of some bytes. Returns the cost, which {@link endCall} takes. */
@@ -208,7 +224,7 @@
   }
 
   private get wholeCost (): number {
-    return this.openRequests * REQUEST_COST + this.callCost
+    return this.openCost + this.callCost
   }
 
   /** Finds the unfinished request that has held most for longest. */
