Crowds: random ones in two waves, with SIGHUP and SIGTERM

Several kinds of clients at a time, drawn from a seed, against a VM of 200 to 600 MB and 512 to 8,192 descriptors. The process gets SIGHUP between the waves and SIGTERM while the second is connected; it has to live within its resources, to answer an ordinary caller beside each wave, and to exit by itself.

--- a/packages/soak/src/crowds.test.ts
+++ b/packages/soak/src/crowds.test.ts
@@ -5,7 +5,8 @@
 import { StoreFault } from '@vanillathread/stand-ins'
 import { assert, describe } from '@vanillathread/testing'
 import { CrowdRun, type Crowd, type CrowdResources } from './lib/crowds/CrowdRun.js'
-import { announce, MAX_BODY_BYTES, sendAhead, sendChunks, sendUnfinishedFrame, sendUnfinishedHead, sendWhole, staySilent, type Member } from './lib/crowds/members.js'
+import { announce, MAX_BODY_BYTES, sendAhead, sendChunks, sendUnfinishedFrame, sendUnfinishedHead, sendWhole, staySilent } from './lib/crowds/members.js'
+import { createLargeJob, MANY_STEPS, MIXED_MEMBERS, playRandomCrowds } from './lib/crowds/playRandomCrowds.js'
 import { QUEUE_HOST } from './lib/SoakCluster.js'
 
 /** Less memory than any VM of the users has, and their smallest number of descriptors. */
@@ -13,24 +14,11 @@
 
 const FEW_DESCRIPTORS: CrowdResources = { memoryMb: 200, maxDescriptors: 512 }
 
+const SEED = 1
+
 const KB = 1_024
 const FOUR_MB = 4_000_000
 
-/** A body inside the limit, with as many steps as fit. They are not valid, as they lack their number of tasks. */
-const MANY_STEPS = `{"spec":"","steps":[${'{},'.repeat(85_000)}{}]}`
-
-/** A job that fits into a row of the store. */
-function createLargeJob (): string {
-  return JSON.stringify({ spec: 'x'.repeat(4_000), steps: Array.from({ length: 180 }, () => ({ count: 1, cpu: 100, 'mem-mb': 16, 'estimate-ms': 10 })) })
-}
-
-const unfinishedBody = sendChunks(16 * KB, MAX_BODY_BYTES)
-
-/** What the members of a random crowd do, in the order of the numbers that a seed draws. */
-const MIXED: readonly Member[] = [
-  unfinishedBody, sendChunks(1, 50_000), sendChunks(16 * KB, FOUR_MB), announce(FOUR_MB, 10_000), announce(200_000, 1), sendAhead(10_000, QUEUE_HOST), sendUnfinishedHead(15 * KB), staySilent, sendWhole(() => MANY_STEPS, 1), sendWhole(createLargeJob, 3),
-]
-
 interface CrowdCase {
   readonly name: string
   readonly resources?: CrowdResources
@@ -38,7 +26,7 @@
 }
 
 const CASES: readonly CrowdCase[] = [
-  { name: '600 chunked bodies that stop short of the largest one', crowds: [{ members: 600, play: unfinishedBody }] },
+  { name: '600 chunked bodies that stop short of the largest one', crowds: [{ members: 600, play: sendChunks(16 * KB, MAX_BODY_BYTES) }] },
   { name: '150 chunked bodies that stop short of 4 MB', crowds: [{ members: 150, play: sendChunks(16 * KB, FOUR_MB) }] },
   { name: '200 bodies announced with 4 MB', crowds: [{ members: 200, play: announce(FOUR_MB, 10_000) }] },
   { name: '60 bodies of 200,000 chunks of one byte', crowds: [{ members: 60, play: sendChunks(1, 200_000) }] },
@@ -59,7 +47,7 @@
     name: '50 unfinished bodies to each of the other servers',
     crowds: [{ members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'metrics' }, { members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'readiness' }],
   },
-  { name: 'a mix of 400 clients', crowds: MIXED.map((play) => ({ members: 40, play, readsAnswers: false })) },
+  { name: 'a mix of 400 clients', crowds: MIXED_MEMBERS.map((play) => ({ members: 40, play, readsAnswers: false })) },
 ]
 
 describe('clients that do not behave (issue 56)', ({ describe }) => {
@@ -71,6 +59,10 @@
     run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.None })
   })
 
+  describe('two random crowds', ({ it }) => {
+    it('leave a daemon within its resources, and do not keep it from exiting', async () => assert.equal(await playRandomCrowds(SEED), []))
+  })
+
   function describeCrowd (name: string, resources: CrowdResources, play: (run: CrowdRun) => Promise<void>): void {
     describe(name, ({ it }) => {
       let run: CrowdRun
--- a/packages/soak/src/lib/crowds/CrowdRun.ts
+++ b/packages/soak/src/lib/crowds/CrowdRun.ts
@@ -15,6 +15,8 @@
 export interface CrowdResources {
   readonly memoryMb: number
   readonly maxDescriptors: number
+  /** Time after which a crowd whose members still wait until they can send counts as played. */
+  readonly playLimitMs?: number
 }
 
 /** Clients that all do the same. */
@@ -29,7 +31,6 @@
 /** Descriptors that the platform reserves for files. */
 const FILE_DESCRIPTORS = 200
 
-/** Time after which a crowd whose members still wait until they can send counts as played. */
 const PLAY_LIMIT_MS = 8_000
 
 /** Time for which the process is measured once all members have sent what they could. */
@@ -74,7 +75,7 @@
       await connection.waitUntilOpen()
       await crowd.play(connection, index)
     }))
-    await Promise.race([Promise.all(plays), sleep(PLAY_LIMIT_MS)])
+    await Promise.race([Promise.all(plays), sleep(this.resources.playLimitMs ?? PLAY_LIMIT_MS)])
     await sleep(HOLD_MS)
     this.meter.sample()
   }
@@ -85,6 +86,15 @@
     this.connections = []
   }
 
+  /** Sends a signal to the daemon's process. */
+  signal (name: NodeJS.Signals): void {
+    this.daemon.process.signal(name)
+  }
+
+  waitForExit (): Promise<void> {
+    return this.daemon.process.waitForExit()
+  }
+
   /** Returns what does not hold: an empty list if the process lives within the resources of its VM. */
   listFaults (): string[] {
     const { memoryMb, sockets } = this.peaks
