--- a/packages/soak/src/crowds.test.ts
+++ b/packages/soak/src/crowds.test.ts
@@ -9,7 +9,7 @@
 import { createLargeJob, MANY_STEPS, MIXED_MEMBERS, playRandomCrowds } from './lib/crowds/playRandomCrowds.js'
 import { QUEUE_HOST } from './lib/SoakCluster.js'
 
-/** Less memory than any VM of the users has, and their smallest number of descriptors. */
+/** Less memory than the VMs of the users' standard days have (250 MB), and their smallest number of descriptors. */
 const SMALL_MEMORY: CrowdResources = { memoryMb: 200, maxDescriptors: 4_100 }
 
 const FEW_DESCRIPTORS: CrowdResources = { memoryMb: 200, maxDescriptors: 512 }
