Do not take the body of a refused call for the head of the next request

Callers would see: a call that is refused by its head (401, 404, 503), whose body comes in a later segment, and then a 408 that nobody asked for and a closed connection, header-timeout-ms later.

Cause: the bytes of a body that is dropped were counted as a head that does not end.

The end of the dropped body is noted.

--- a/packages/daemon/src/lib/server/ConnectionGuard.ts
+++ b/packages/daemon/src/lib/server/ConnectionGuard.ts
@@ -140,6 +140,13 @@
     this.ledger.dropUnfinished(connection)
   }
 
+  /** Notes that the body of a refused request has been dropped. The next request may have begun. */
+  noteDroppedBody (connection: GuardedConnection): void {
+    if (connection.isReadingBody) return
+    connection.finishedBytes = connection.socket.bytesRead
+    this.ledger.dropUnfinished(connection)
+  }
+
   /** Closes a connection at once. Answers that have not been sent are lost. */
   close (connection: GuardedConnection, reason: CloseReason | OverdueReason): void {
     this.record(connection, reason)
--- a/packages/daemon/src/lib/server/createHttpServer.ts
+++ b/packages/daemon/src/lib/server/createHttpServer.ts
@@ -104,7 +104,8 @@
   guard.recordRefusal(req.socket, code, detail)
   const { status, headers, body } = render(code, detail)
   const staysOpen = WELL_FORMED_CODES.includes(code) && canStayOpen(req)
-  if (!staysOpen) closeAfterAnswer(req, guard)
+  if (staysOpen) expectDroppedBody(req, guard)
+  else closeAfterAnswer(req, guard)
   res.writeHead(status, {
     ...headers,
     'content-length': Buffer.byteLength(body),
@@ -129,11 +130,23 @@
 
 /** Prepares an answer that is sent before the request's body has been read. The connection is closed if too much of it is still to come. */
 export function settleEarlyAnswer (req: FastifyRequest, res: FastifyReply, guard: ConnectionGuard): void {
-  if (canStayOpen(req.raw)) return
+  if (canStayOpen(req.raw)) {
+    expectDroppedBody(req.raw, guard)
+    return
+  }
   closeAfterAnswer(req.raw, guard)
   res.header('connection', 'close')
 }
 
+/** Keeps a body that the HTTP server will drop from being taken for the head of the next request. */
+function expectDroppedBody (req: IncomingMessage, guard: ConnectionGuard): void {
+  if (req.complete) return
+  req.once('end', () => {
+    const connection = guard.find(req.socket)
+    if (connection !== undefined) guard.noteDroppedBody(connection)
+  })
+}
+
 function closeAfterAnswer (req: IncomingMessage, guard: ConnectionGuard): void {
   const connection = guard.find(req.socket)
   if (connection !== undefined) connection.isClosing = true
