--- a/packages/soak/src/lib/crowds/CrowdConnection.ts
+++ b/packages/soak/src/lib/crowds/CrowdConnection.ts
@@ -1,10 +1,10 @@
 /**
- * A connection of a client that does not behave: it sends what it is told, and may leave answers unread.
+ * A raw TCP connection of a test client. Nothing checks what is sent on it, and answers may stay unread.
  */
 import { connect, type Socket } from 'node:net'
 import type { Address } from '@vanillathread/model'
 
-/** A raw TCP connection. */
+/** A connection of one member of a crowd. */
 export class CrowdConnection {
   private isOpen = true
   private readonly opened: Promise<void>
