--- a/packages/soak/src/lib/crowds/CrowdRun.ts
+++ b/packages/soak/src/lib/crowds/CrowdRun.ts
@@ -2,19 +2,16 @@
  * Plays a crowd of clients that do not behave against a daemon process, and measures the process meanwhile.
  */
 import { rmSync } from 'node:fs'
-import { request } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { Address } from '@vanillathread/model'
 import { POOLS, QUEUE_HOST, SoakCluster } from '../SoakCluster.js'
 import type { SoakDaemon } from '../SoakDaemon.js'
 import { CrowdConnection } from './CrowdConnection.js'
 import { MAX_BODY_BYTES, MAX_HEADER_BYTES, type Member } from './members.js'
-import { ProcessMeter, type ProcessPeaks } from './ProcessMeter.js'
+import { ProcessMeter, type ProcessResources } from './ProcessMeter.js'
+import { sendRequest } from './sendRequest.js'
 
-/** Resources of the daemon's VM. */
-export interface CrowdResources {
-  readonly memoryMb: number
-  readonly maxDescriptors: number
+/** Resources of the daemon's VM, and the time for a crowd. */
+export interface CrowdResources extends ProcessResources {
   /** Time after which a crowd whose members still wait until they can send counts as played. */
   readonly playLimitMs?: number
 }
@@ -28,28 +25,19 @@
   readonly server?: keyof SoakDaemon['addresses']
 }
 
-/** Descriptors that the platform reserves for files. */
-const FILE_DESCRIPTORS = 200
-
 const PLAY_LIMIT_MS = 8_000
 
 /** Time for which the process is measured once all members have sent what they could. */
 const HOLD_MS = 1_000
 
-/** Attempts and time limit of an ordinary request: those of the users' clients. */
-const ATTEMPTS = 5
-const ANSWER_LIMIT_MS = 3_000
-
 /** One daemon and its stand-ins, a crowd, and what the daemon's process has reached. */
 export class CrowdRun {
-  private readonly pid: number
   private readonly meter: ProcessMeter
   private connections: CrowdConnection[] = []
   private nextJob = 1
 
   private constructor (readonly cluster: SoakCluster, private readonly daemon: SoakDaemon, private readonly resources: CrowdResources) {
-    this.pid = daemon.process.pid ?? 0
-    this.meter = ProcessMeter.start(this.pid, daemon.addresses.clients.host)
+    this.meter = ProcessMeter.start({ pid: daemon.process.pid ?? 0, ip: daemon.addresses.clients.host, resources })
   }
 
   static async start (resources: CrowdResources): Promise<CrowdRun> {
@@ -97,58 +85,32 @@
 
   /** Returns what does not hold: an empty list if the process lives within the resources of its VM. */
   listFaults (): string[] {
-    const { memoryMb, sockets } = this.peaks
-    const { memoryMb: memoryLimitMb, maxDescriptors } = this.resources
-    const faults = []
-    if (this.daemon.process.pid !== this.pid) faults.push('the process has ended')
-    if (memoryMb > memoryLimitMb) faults.push(`memory ${memoryMb} MB of ${memoryLimitMb} MB`)
-    if (sockets > maxDescriptors - FILE_DESCRIPTORS) faults.push(`${sockets} sockets of ${maxDescriptors - FILE_DESCRIPTORS}`)
-    return faults
-  }
-
-  get peaks (): ProcessPeaks {
-    return this.meter.peaks
+    return this.meter.listFaults(this.daemon.process.pid)
   }
 
   /** Reads the number of pending jobs as an ordinary client does, on a connection of its own. Returns the status, or undefined if no attempt is answered. */
   query (): Promise<number | undefined> {
-    return this.attempt('GET', `/${POOLS[0]}/`)
+    return this.send('GET', '')
   }
 
   /** Submits a small job as an ordinary client does. Returns the status, or undefined if no attempt is answered. */
   submit (): Promise<number | undefined> {
     const id = (0x5c0e7a21d94b0000n + BigInt(this.nextJob++)).toString(16)
     const spec = JSON.stringify({ steps: [{ durationMs: 10, cpuMillis: 100, memoryMb: 16 }], poison: false })
-    return this.attempt('POST', `/${POOLS[0]}/${id}`, JSON.stringify({ spec, steps: [{ count: 1, cpu: 100, 'mem-mb': 16, 'estimate-ms': 10 }] }))
+    return this.send('POST', id, JSON.stringify({ spec, steps: [{ count: 1, cpu: 100, 'mem-mb': 16, 'estimate-ms': 10 }] }))
   }
 
-  async stop (): Promise<void> {
+  /** Ends the daemon and its stand-ins. Keeps their logs if something did not hold, and returns the folder. */
+  async stop ({ keepsLogs }: { keepsLogs: boolean }): Promise<string> {
     this.disperse()
     this.meter.stop()
     await this.cluster.stop()
-    rmSync(this.cluster.folder, { recursive: true, force: true })
+    const { folder } = this.cluster
+    if (!keepsLogs) rmSync(folder, { recursive: true, force: true })
+    return folder
   }
 
-  private async attempt (method: string, path: string, body?: string): Promise<number | undefined> {
-    for (let attempt = 1; attempt <= ATTEMPTS; attempt++) {
-      const status = await send(this.daemon.addresses.clients, method, path, body)
-      if (status === 200) return status
-      if (attempt === ATTEMPTS) return status
-      await sleep(ANSWER_LIMIT_MS / ATTEMPTS)
-    }
-    return undefined
+  private send (method: string, rest: string, body?: string): Promise<number | undefined> {
+    return sendRequest(this.daemon.addresses.clients, { method, path: `/${POOLS[0]}/${rest}`, host: QUEUE_HOST, body, expectedStatus: 200 })
   }
 }
-
-/** Sends a request on a new connection. Returns the status of the answer, or undefined if there is none in time. */
-function send (address: Address, method: string, path: string, body?: string): Promise<number | undefined> {
-  return new Promise((resolve) => {
-    const req = request({ ...address, method, path, agent: false, headers: { host: QUEUE_HOST }, signal: AbortSignal.timeout(ANSWER_LIMIT_MS) }, (res) => {
-      res.resume()
-      res.once('end', () => resolve(res.statusCode))
-      res.once('error', () => resolve(undefined))
-    })
-    req.once('error', () => resolve(undefined))
-    req.end(body)
-  })
-}
--- a/packages/soak/src/lib/crowds/ProcessMeter.ts
+++ b/packages/soak/src/lib/crowds/ProcessMeter.ts
@@ -14,32 +14,51 @@
   QueuedBytes = 4,
 }
 
-/** Highest figures that a process has reached. */
-export interface ProcessPeaks {
-  /** Resident memory, and the bytes that the system has received for the process and that it has not read. */
+/** What a process may use. */
+export interface ProcessResources {
+  /** Resident memory, with the bytes that the system has received for the process and that it has not read. */
   readonly memoryMb: number
-  /** Open sockets and pipes. */
-  readonly sockets: number
+  /** Descriptors, of which {@link FILE_DESCRIPTORS} are for files and the rest for sockets and pipes. */
+  readonly maxDescriptors: number
 }
 
+/** Options of {@link ProcessMeter.start}. */
+export interface ProcessMeterOptions {
+  readonly pid: number
+  /** Local address of the process's sockets. */
+  readonly ip: string
+  readonly resources: ProcessResources
+}
+
+/** Descriptors that the platform reserves for files. */
+const FILE_DESCRIPTORS = 200
+
 /** Samples a process until it is stopped. */
 export class ProcessMeter {
   private peakMemoryBytes = 0
   private peakSockets = 0
   private readonly timer: NodeJS.Timeout
 
-  private constructor (private readonly pid: number, private readonly ip: string) {
+  private constructor (private readonly options: ProcessMeterOptions) {
     this.sample()
     this.timer = setInterval(() => this.sample(), SAMPLE_INTERVAL_MS)
   }
 
-  /** Measures the process with the id `pid`, whose sockets have the local address `ip`. */
-  static start (pid: number, ip: string): ProcessMeter {
-    return new ProcessMeter(pid, ip)
+  static start (options: ProcessMeterOptions): ProcessMeter {
+    return new ProcessMeter(options)
   }
 
-  get peaks (): ProcessPeaks {
-    return { memoryMb: Math.round(this.peakMemoryBytes / BYTES_PER_MB), sockets: this.peakSockets }
+  /** Returns what the process has exceeded. It has ended if the program now runs under another id, or under none. */
+  listFaults (currentPid: number | undefined): string[] {
+    this.sample()
+    const { pid, resources: { memoryMb, maxDescriptors } } = this.options
+    const peakMb = Math.round(this.peakMemoryBytes / BYTES_PER_MB)
+    const maxSockets = maxDescriptors - FILE_DESCRIPTORS
+    const faults = []
+    if (currentPid !== pid) faults.push('the process has ended')
+    if (peakMb > memoryMb) faults.push(`memory ${peakMb} MB of ${memoryMb} MB`)
+    if (this.peakSockets > maxSockets) faults.push(`${this.peakSockets} sockets of ${maxSockets}`)
+    return faults
   }
 
   stop (): void {
@@ -48,7 +67,7 @@
 
   sample (): void {
     try {
-      const status = readFileSync(`/proc/${this.pid}/status`, 'utf8')
+      const status = readFileSync(`/proc/${this.options.pid}/status`, 'utf8')
       const residentBytes = Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * BYTES_PER_KB
       this.peakMemoryBytes = Math.max(this.peakMemoryBytes, residentBytes + this.countUnreadBytes())
       this.peakSockets = Math.max(this.peakSockets, this.countSockets())
@@ -59,7 +78,7 @@
   }
 
   private countUnreadBytes (): number {
-    const address = Buffer.from(this.ip.split('.').reverse().map(Number)).toString('hex').toUpperCase()
+    const address = Buffer.from(this.options.ip.split('.').reverse().map(Number)).toString('hex').toUpperCase()
     let bytes = 0
     for (const line of readFileSync('/proc/net/tcp', 'utf8').split('\n').slice(1)) {
       const columns = line.trim().split(/\s+/)
@@ -70,7 +89,7 @@
   }
 
   private countSockets (): number {
-    const folder = `/proc/${this.pid}/fd`
+    const folder = `/proc/${this.options.pid}/fd`
     return readdirSync(folder).filter((descriptor) => {
       try {
         return /^(socket|pipe):/.test(readlinkSync(`${folder}/${descriptor}`))
--- a/packages/soak/src/lib/crowds/playRandomCrowds.ts
+++ b/packages/soak/src/lib/crowds/playRandomCrowds.ts
@@ -54,7 +54,8 @@
     run.signal('SIGTERM')
     if (!await Promise.race([run.waitForExit().then(() => true), sleep(GRACE_MS, false)])) faults.push('the process has not exited in time')
   } finally {
-    await run.stop()
+    const folder = await run.stop({ keepsLogs: faults.length > 0 })
+    if (faults.length > 0) faults.push(`logs in ${folder}`)
   }
   return faults
 }
