Charge unfinished heads while they are read, and with what their fields take

Cause: the bytes of a head were looked at once a second, not at all while an earlier request of the connection was open, and counted four times, while a field of six bytes takes some seventy as objects of the parser.

The pieces that the HTTP parser gets are counted, and charged with twelve times their bytes at the end of each turn. An empty line after a body is no head (RFC 9112). A head that is late behind an open answer is not refused in the middle of it.

Names in GuardedConnection say what the bytes and callbacks are for.

--- a/packages/daemon/src/lib/server/ConnectionGuard.ts
+++ b/packages/daemon/src/lib/server/ConnectionGuard.ts
@@ -43,14 +43,18 @@
 /** Connections of a server that may linger at a time. What they still receive stays in the system's buffers. */
 const MAX_LINGERING = 16
 
+/** An empty line may follow a body. Source: RFC 9112, section 2.2. */
+const EMPTY_LINE_BYTES = 2
+
 /** A connection of a client. */
 export class GuardedConnection extends ConnectionAccount {
-  /** Bytes that had been read when the latest request ended. */
-  finishedBytes = 0
-  /** Opens the request whose body is being read once it is whole. */
-  openWhole: (() => void) | undefined
-  /** Memory of an unfinished message of a peer. */
-  heldBytes = 0
+  /** Bytes that the HTTP parser has got, and how many of them when the latest request ended. The rest belongs to a head. */
+  parsedBytes = 0
+  requestEndBytes = 0
+  /** Called when the body that is being read is whole. */
+  onWholeBody: (() => void) | undefined
+  /** Memory of an unfinished message of a peer, as last reported. */
+  messageBytes = 0
   /** Bytes of an announced body that have not been read. */
   announcedBytesLeft = 0
   /** Refuses the request whose body is being read. */
@@ -113,10 +117,19 @@
     this.giveWay(this.ledger.charge(connection, bytes, parts, this.options.timers.now()))
   }
 
+  /** Charges the bytes of a head that is not finished. The HTTP server does not show a head before its end. */
+  chargeHead (connection: GuardedConnection): void {
+    const bytes = connection.parsedBytes - connection.requestEndBytes
+    if (connection.isReadingBody || bytes <= EMPTY_LINE_BYTES) return
+    const nowMs = this.options.timers.now()
+    if (connection.unfinishedSinceMs === undefined) this.ledger.beginUnfinished(connection, nowMs)
+    this.giveWay(this.ledger.chargeHead(connection, bytes, nowMs))
+  }
+
   /** Notes what an unfinished message of a peer takes; 0 if the last one is whole. */
   setHeldBytes (connection: GuardedConnection, bytes: number): void {
-    const formerBytes = connection.heldBytes
-    connection.heldBytes = bytes
+    const formerBytes = connection.messageBytes
+    connection.messageBytes = bytes
     if (bytes === 0) {
       connection.hasSentRequest = true
       this.endUnfinished(connection)
@@ -135,7 +148,7 @@
   endUnfinished (connection: GuardedConnection): void {
     connection.refuseBody = undefined
     connection.announcedBytesLeft = 0
-    connection.finishedBytes = connection.socket.bytesRead
+    connection.requestEndBytes = connection.parsedBytes
     connection.lastActiveMs = this.options.timers.now()
     this.ledger.dropUnfinished(connection)
   }
@@ -143,7 +156,7 @@
   /** Notes that the body of a refused request has been dropped. The next request may have begun. */
   noteDroppedBody (connection: GuardedConnection): void {
     if (connection.isReadingBody) return
-    connection.finishedBytes = connection.socket.bytesRead
+    connection.requestEndBytes = connection.parsedBytes
     this.ledger.dropUnfinished(connection)
   }
 
@@ -208,7 +221,7 @@
     this.reportDroppedLines()
     for (const connection of this.connections.values()) {
       connection.observe(nowMs)
-      this.observeHead(connection, nowMs)
+      this.chargeHead(connection)
     }
     metrics.gauge('server_connections', this.ledger.size, { server })
     metrics.gauge('server_request_cost_bytes', this.ledger.cost, { server })
@@ -224,15 +237,6 @@
     this.checkTimer = undefined
   }
 
-  /** Charges the bytes of a head that is not finished. The HTTP server does not show them before its end. */
-  private observeHead (connection: GuardedConnection, nowMs: number): void {
-    if (connection.isReadingBody || connection.openRequests > 0) return
-    const bytes = connection.socket.bytesRead - connection.finishedBytes
-    if (bytes === 0) return
-    if (connection.unfinishedSinceMs === undefined) this.ledger.beginUnfinished(connection, nowMs)
-    this.giveWay(this.ledger.chargeHead(connection, bytes, nowMs))
-  }
-
   private giveWay (connections: readonly GuardedConnection[]): void {
     for (const connection of connections) {
       if (connection.refuseBody === undefined) this.close(connection, CloseReason.TooMuchHeld)
--- a/packages/daemon/src/lib/server/createHttpServer.ts
+++ b/packages/daemon/src/lib/server/createHttpServer.ts
@@ -78,7 +78,7 @@
       guard.watch(server)
       server.on('connection', (socket) => {
         const connection = guard.find(socket)
-        if (connection !== undefined) paceReads(connection)
+        if (connection !== undefined) paceReads(connection, () => guard.chargeHead(connection))
       })
       return server
     },
@@ -193,7 +193,7 @@
     const cost = ledger.openRequest(connection, req.rawHeaders.length / 2)
     res.once('close', () => ledger.closeRequest(connection, cost))
   }
-  if (hasBody(req)) connection.openWhole = open
+  if (hasBody(req)) connection.onWholeBody = open
   else open()
   const refusal = findRefusal(req, methods, ledger.isFull())
   if (refusal !== undefined) refuseRequest(req, res, refusal, options)
--- a/packages/daemon/src/lib/server/paceReads.ts
+++ b/packages/daemon/src/lib/server/paceReads.ts
@@ -16,8 +16,10 @@
  *
  * One read may hold thousands of requests or of parts of a body. The parser makes the objects of all that it gets before any can be
  * refused, and would keep other connections waiting meanwhile. An announced body is passed on as it comes, as it takes one object.
+ *
+ * @param onTurnEnd - called when a turn ends and more has been read.
  */
-export function paceReads (connection: GuardedConnection): void {
+export function paceReads (connection: GuardedConnection, onTurnEnd: () => void): void {
   const { socket } = connection
   const parse = socket.listeners('data')
   const resume = socket.resume.bind(socket)
@@ -35,6 +37,7 @@
       const piece = rest.subarray(0, size)
       if (connection.announcedBytesLeft === 0) turnBytes += piece.length
       rest = size < rest.length ? rest.subarray(size) : undefined
+      connection.parsedBytes += piece.length
       for (const listener of parse) listener.call(socket, piece)
     }
     if (rest !== undefined) hold()
@@ -44,6 +47,7 @@
   const hold = (): void => {
     if (!isHeld) socket.pause()
     isHeld = true
+    onTurnEnd()
     setImmediate(runTurn)
   }
 
--- a/packages/daemon/src/lib/server/readBody.ts
+++ b/packages/daemon/src/lib/server/readBody.ts
@@ -51,7 +51,7 @@
     }
     const onEnd = (): void => {
       end()
-      connection.openWhole?.()
+      connection.onWholeBody?.()
       resolve(content.take())
     }
     const onClose = (): void => {
--- a/packages/policy/src/lib/connections/ConnectionLedger.ts
+++ b/packages/policy/src/lib/connections/ConnectionLedger.ts
@@ -17,7 +17,7 @@
 const CALL_COST = 8 * 1024
 
 /** Cost of a byte of a head that is not finished: a head may be very many short fields. */
-const HEAD_COST_PER_BYTE = 4
+const HEAD_COST_PER_BYTE = 12
 
 /** Cost of one part of a body: the objects that it is until it has been copied, and the processor time, which is that of a longer part. */
 const PART_COST = 1024
@@ -261,7 +261,8 @@
   if (account.calls > 0) return undefined
   if (account.unfinishedSinceMs !== undefined) {
     const sinceMs = nowMs - account.unfinishedSinceMs
-    if (!account.isReadingBody) return sinceMs > headerMs ? OverdueReason.Head : undefined
+    // The refusal of a head must not come in the middle of an answer.
+    if (!account.isReadingBody) return sinceMs > headerMs && account.openRequests === 0 ? OverdueReason.Head : undefined
     return sinceMs > bodyMs || quietMs > idleMs ? OverdueReason.Body : undefined
   }
   return quietMs > idleMs ? OverdueReason.Idle : undefined
--- a/packages/soak/src/crowds.test.ts
+++ b/packages/soak/src/crowds.test.ts
@@ -19,6 +19,13 @@
 const KB = 1_024
 const FOUR_MB = 4_000_000
 
+/** As many header fields as Node reads. */
+const MANY_FIELDS = Array.from({ length: 1_990 }, () => 'a: b')
+
+function createSmallJob (): string {
+  return JSON.stringify({ spec: '', steps: [{ count: 1, cpu: 100, 'mem-mb': 16 }] })
+}
+
 interface CrowdCase {
   readonly name: string
   readonly resources?: CrowdResources
@@ -47,6 +54,10 @@
     name: '50 unfinished bodies to each of the other servers',
     crowds: [{ members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'metrics' }, { members: 50, play: sendChunks(16 * KB, FOUR_MB), server: 'readiness' }],
   },
+  {
+    name: '150 unfinished bodies with a type to the metrics',
+    crowds: [{ members: 150, play: sendChunks(16 * KB, KB * KB, ['Content-Type: text/plain']), server: 'metrics' }],
+  },
   { name: 'a mix of 400 clients', crowds: MIXED_MEMBERS.map((play) => ({ members: 40, play, readsAnswers: false })) },
 ]
 
@@ -59,6 +70,12 @@
     run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.None })
   })
 
+  describeCrowd('200 clients with 2,000 header fields while the store is silent', SMALL_MEMORY, async (run) => {
+    run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.Unresponsive })
+    await run.play({ members: 200, play: sendWhole(createSmallJob, 20, MANY_FIELDS) })
+    run.cluster.sendToStore({ kind: 'fault', fault: StoreFault.None })
+  })
+
   describe('two random crowds', ({ it }) => {
     it('leave a daemon within its resources, and do not keep it from exiting', async () => assert.equal(await playRandomCrowds(SEED), []))
   })
--- a/packages/soak/src/lib/crowds/members.ts
+++ b/packages/soak/src/lib/crowds/members.ts
@@ -25,12 +25,12 @@
 }
 
 /** Sends a body in chunks of `chunkBytes`, at most `totalBytes` of it and without its end. */
-export function sendChunks (chunkBytes: number, totalBytes: number): Member {
+export function sendChunks (chunkBytes: number, totalBytes: number, headers: readonly string[] = []): Member {
   const chunk = createChunk(chunkBytes)
   const chunksPerWrite = Math.max(1, Math.floor(MAX_HEADER_BYTES / chunk.length))
   const piece = Buffer.concat(Array.from({ length: chunksPerWrite }, () => chunk))
   return async (connection, index) => {
-    if (!await connection.send(createHead(index, ['Transfer-Encoding: chunked']))) return
+    if (!await connection.send(createHead(index, ['Transfer-Encoding: chunked', ...headers]))) return
     for (let sent = chunkBytes * chunksPerWrite; sent < totalBytes; sent += chunkBytes * chunksPerWrite) {
       if (!await connection.send(piece)) return
     }
@@ -49,11 +49,11 @@
 }
 
 /** Sends whole requests with a body, one after the other. */
-export function sendWhole (createBody: (index: number) => string, count: number): Member {
+export function sendWhole (createBody: (index: number) => string, count: number, headers: readonly string[] = []): Member {
   return async (connection, index) => {
     for (let request = 0; request < count; request++) {
       const body = createBody(index * count + request)
-      if (!await connection.send(createHead(index * count + request, [`Content-Length: ${Buffer.byteLength(body)}`]) + body)) return
+      if (!await connection.send(createHead(index * count + request, [`Content-Length: ${Buffer.byteLength(body)}`, ...headers]) + body)) return
     }
   }
 }
