--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,7 +16,10 @@
 export { FleetWatch, type FleetWatchOptions } from './lib/fleet/FleetWatch.js'
 export { fleetOptions } from './lib/options.js'
 export { ConnectionGuard, type ConnectionGuardOptions, type ServerContext } from './lib/server/ConnectionGuard.js'
-export { createHttpServer, refuseOverdue, renderJsonRefusal, runCall, settleEarlyAnswer, type HttpServerOptions, type RenderedRefusal } from './lib/server/createHttpServer.js'
+export { createHttpServer, type HttpServerOptions } from './lib/server/createHttpServer.js'
+export { refuseOverdue, renderJsonRefusal, settleEarlyAnswer } from './lib/server/refusals.js'
+export { runCall } from './lib/server/runCall.js'
+// `platform` creates servers, and may not depend on `policy`.
 export { ServerRole } from '@vanillathread/policy'
 export { JobsDaemon, type JobsDaemonOptions, type JobsPlatform } from './lib/jobs/JobsDaemon.js'
 export { HedgedRowStore, type HedgedRowStoreOptions, type StorePath, type StorePathChooser } from './lib/jobs/HedgedRowStore.js'
