Close a connection of which nothing more is read

Callers would see: a body that gives way gets 503 on a connection that looks usable, as little of the body was to come, and the next request on it gets no answer for idle-timeout-ms.

Cause: the refusal looked at the length of the body alone, although readBody had already stopped reading.

Such a refusal now says connection: close, and the connection ends.

--- a/packages/daemon/src/lib/server/refusals.ts
+++ b/packages/daemon/src/lib/server/refusals.ts
@@ -49,7 +49,8 @@
   if (req.socket.destroyed) return
   guard.recordRefusal(req.socket, code, detail)
   const { status, headers, body } = render(code, detail)
-  const staysOpen = WELL_FORMED_CODES.includes(code) && canStayOpen(req)
+  const isRead = guard.find(req.socket)?.isClosing === false
+  const staysOpen = isRead && WELL_FORMED_CODES.includes(code) && canStayOpen(req)
   if (staysOpen) expectDroppedBody(req, guard)
   else closeAfterAnswer(req, guard)
   res.writeHead(status, {
