--- a/packages/daemon/src/lib/peer/FrameCodec.test.ts
+++ b/packages/daemon/src/lib/peer/FrameCodec.test.ts
@@ -8,6 +8,7 @@
 const messages: readonly PeerMessage[] = [1, 300, 100_000].map((size) => ({ kind: PeerMessageKind.Hello, name: 'x'.repeat(size), address: { host: 'h', port: 1 }, speed: 1 }))
 
 describe('FrameReader', ({ it }) => {
+  // Guards against messages that are lost or doubled where a read ends.
   it('returns the messages in order, in whatever pieces their bytes arrive', () => {
     const bytes = Buffer.concat([...messages, ...messages].map(encodeFrame))
     for (const size of [1, 3, 4, 5, 1_000, 64 * 1024, bytes.length]) {
@@ -23,6 +24,7 @@
     }
   })
 
+  // Guards against memory for what a length prefix announces.
   it('holds about as much as has arrived of a message, and rejects one that is too long at its first bytes', () => {
     const reader = FrameReader.create()
     const prefix = Buffer.alloc(4)
--- a/packages/daemon/src/lib/server/GrowingBuffer.test.ts
+++ b/packages/daemon/src/lib/server/GrowingBuffer.test.ts
@@ -5,6 +5,7 @@
 import { GrowingBuffer } from './GrowingBuffer.js'
 
 describe('GrowingBuffer', ({ it }) => {
+  // Guards against bodies that are mixed up, also with segments of an earlier one.
   it('returns the parts in order, and starts anew afterwards', () => {
     const buffer = GrowingBuffer.create()
     const parts = [1, 5_000, 3, 100_000, 4_096, 64 * 1024, 0, 1].map((size, index) => Buffer.alloc(size, index + 1))
@@ -17,6 +18,7 @@
     }
   })
 
+  // Guards against memory for what is only announced.
   it('takes at most twice what has been added and a first segment, however much is expected', () => {
     const buffer = GrowingBuffer.create()
     for (let index = 0; index < 200_000; index++) {
--- a/packages/policy/src/lib/connections/ConnectionLedger.test.ts
+++ b/packages/policy/src/lib/connections/ConnectionLedger.test.ts
@@ -22,6 +22,7 @@
 }
 
 describe('deriveServerLimits', ({ it }) => {
+  // Guards against limits that hold on one size of VM only.
   it('leaves descriptors to files and to connections of the daemon, and memory to its heap, on every VM', () => {
     for (const memoryBytes of [160e6, 256e6, 600e6]) {
       for (const descriptors of [512, 4_100, 8_192]) {
@@ -35,6 +36,7 @@
     }
   })
 
+  // Guards against limits that refuse clients inside the configuration's.
   it('lets several requests of the largest size in at a time on the smallest VM', () => {
     const { maxCost } = deriveServerLimits({ memoryBytes: 160e6, descriptors: 512 }, ServerRole.Clients)
     assert.ok(maxCost >= 8 * (262_144 + 16_384))
@@ -43,6 +45,7 @@
 
 describe('ConnectionLedger', ({ describe }) => {
   describe('with too many connections', ({ it }) => {
+    // Guards against a crowd of new connections that locks ordinary callers out.
     it('gives up the one that has been quiet for longest, first one that has not sent a whole request', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const [used, silent] = [openAt(ledger, 0), openAt(ledger, 500)]
@@ -56,6 +59,7 @@
       assert.is(ledger.open(new ConnectionAccount(1_020)), fresh)
     })
 
+    // Guards against closing a connection whose job is being stored.
     it('gives up none whose request is being handled, but the new one', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       for (let index = 0; index < 3; index++) ledger.beginCall(openAt(ledger, index), 0)
@@ -65,6 +69,7 @@
   })
 
   describe('with unfinished requests that cost too much', ({ it }) => {
+    // Guards against an ordinary request that is refused because of a crowd's.
     it('refuses the one that has held most for longest', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const [large, old, ordinary] = [openUnfinished(ledger, 1_000), openUnfinished(ledger, 0), openUnfinished(ledger, 1_990)]
@@ -75,17 +80,20 @@
       assert.equal(ledger.charge(ordinary, 1_000, 1, 2_000), [])
     })
 
+    // Guards against parts whose objects take more than their bytes.
     it('counts small parts by the objects that they are', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const [account] = [openUnfinished(ledger, 0), openUnfinished(ledger, 0)]
       assert.equal(ledger.charge(account as ConnectionAccount, 1_000, 100, 10), [account])
     })
 
+    // Guards against refusing a client inside the limits that is alone.
     it('lets the only one go on, whatever it costs', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       assert.equal(ledger.charge(openUnfinished(ledger, 0), 200_000, 1, 10), [])
     })
 
+    // Guards against giving up a request that would free nothing, or one that is being handled.
     it('leaves requests alone that are being handled', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const [busy, other] = [openUnfinished(ledger, 0), openUnfinished(ledger, 0)]
@@ -96,6 +104,7 @@
   })
 
   describe('with whole requests', ({ it }) => {
+    // Guards against clients that send a request and leave, again and again.
     it('refuses further ones once the calls cost too much, also of clients that have gone, and never the only one', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const gone = openAt(ledger, 0)
@@ -108,6 +117,7 @@
       assert.equal([ledger.canBeginCall(20_000), ledger.cost], [true, 0])
     })
 
+    // Guards against accounts that stay after a connection has ended.
     it('limits the open requests of a connection', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const account = openAt(ledger, 0)
@@ -121,6 +131,7 @@
   })
 
   describe('with heads', ({ it }) => {
+    // Guards against heads of thousands of short fields.
     it('counts the fields of whole requests and the bytes of unfinished heads', () => {
       const ledger = ConnectionLedger.create(LIMITS)
       const [many, head, other] = [openAt(ledger, 0), openAt(ledger, 0), openAt(ledger, 0)]
@@ -136,6 +147,7 @@
   })
 
   describe('listOverdue', ({ it }) => {
+    // Guards against closing connections that are in time, and against keeping those that are not.
     it('names connections by what they have not done in time', () => {
       const ledger = ConnectionLedger.create({ ...LIMITS, maxConnections: 10 })
       const head = openAt(ledger, 0)
--- a/packages/soak/src/callerCrowds.test.ts
+++ b/packages/soak/src/callerCrowds.test.ts
@@ -26,10 +26,15 @@
 const HOLD_MS = 1_000
 
 const CASES: ReadonlyArray<{ readonly name: string, readonly members: number, readonly play: Member, readonly listener: 'caller' | 'operations' | 'peer' }> = [
+  // Guards against a budget that counts a body once it is whole.
   { name: '100 bodies that stop short of 4 MB', members: 100, play: announce(FOUR_MB, 10_000), listener: 'caller' },
+  // Guards against the same, with parts that are kept.
   { name: '100 chunked bodies that stop short of 4 MB', members: 100, play: sendChunks(16_384, FOUR_MB), listener: 'caller' },
+  // Guards against objects of requests ahead.
   { name: '150 callers that send 30,000 requests ahead', members: 150, play: sendAhead(30_000, 'none.example'), listener: 'caller' },
+  // Guards against a process that ends as it has no descriptor left.
   { name: '1,500 silent connections', members: 1_500, play: staySilent, listener: 'caller' },
+  // Guards against announcements for operators that never end.
   { name: '50 unfinished bodies for operators', members: 50, play: announce(FOUR_MB, 10_000), listener: 'operations' },
 ]
 
