Adds case 12: a flapping worker makes a lasting job fail

The verdict on deadly tasks counts each life of one machine as another crashed VM and does not spare tasks that last, so three short lives of one flapping worker end the whole job as failed, though no task has ended so. Also extends the stand-ins: crashes, restarts, faults of the store, late orders.

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,5 +1,5 @@
 /**
- * A worker that runs one member of a gang drains while the gang works. Checks the checkpoints that the members' next starts carry.
+ * One worker goes down and up by turns. Checks that a job with tasks that last is not shown as failed for it.
  */
 import { dirname } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -8,71 +8,68 @@
 
 const FOLDER = dirname(fileURLToPath(import.meta.url))
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
-const JOB = '5c0e7a21d94b36f8'
-const MEMBERS = 3
-const TASK_MS = 9_000
+const JOB = 'a570000000000001'
+const WORKERS = 6
 
-/** Time from the first start to the drain: between two checkpoints, which come with each second of work. */
-const DRAIN_AFTER_MS = 2_500
+/** One task on each worker. */
+const STEP = { count: WORKERS, cpu: 1_000, 'mem-mb': 500, 'long-running': true, 'anti-affinity': 1 }
 
-/** `drain-ms` of the settings, which the worker still serves after its report, and a little more. */
-const LEAVE_AFTER_MS = 2_200
+/** Period and duration of the flapping, as in the site's list of troubles. */
+const PERIOD_MS = 1_400
+const FLAPPING_MS = 6_500
+
+/** A row is removed after three heartbeat intervals of silence. */
+const ROW_EXPIRES_MS = 4_500
 
 async function play (cluster) {
-  cluster.fleet.describeJob(JOB, [{ count: MEMBERS, ms: TASK_MS, gang: true, checkpointing: true }])
-  cluster.fleet.onEvent(({ event, worker, task, run, how, checkpoint, saved }) => cluster.log(event === 'start' ? `start of ${task} run ${run} on ${worker}, checkpoint '${checkpoint}'` : `end of ${task} run ${run} on ${worker}: ${how}, saved '${saved}'`))
+  const { fleet } = cluster
+  fleet.describeJob(JOB, [{ count: WORKERS }])
   cluster.startDaemons()
   if (!await cluster.waitUntilReady()) return { status: 2, lines: ['the daemons are not ready'] }
-  // Each member takes more than half of a worker, so that the members are on three workers.
-  const statuses = await cluster.submit(JOB, { spec: 'gang', steps: [{ count: MEMBERS, cpu: 20_000, 'mem-mb': 1_024, 'estimate-ms': TASK_MS, gang: true, checkpointing: true }] })
-  cluster.log(`POST of the job: ${statuses.join(' ')}`)
-  await waitFor(() => cluster.fleet.events.filter(({ event }) => event === 'start').length >= MEMBERS, 5_000)
-  await sleep(DRAIN_AFTER_MS)
-  const worker = [...cluster.fleet.workers.values()].find(({ runs }) => runs.size > 0)
-  if (worker === undefined) return { status: 2, lines: ['no worker runs a member'] }
-  if (HAS_TROUBLE) {
-    worker.draining = true
-    cluster.register(worker)
-    cluster.log(`${worker.id} reports draining`)
-    setTimeout(() => cluster.log(`${worker.id} may leave from now on; it has ${worker.runs.size} runs`), LEAVE_AFTER_MS)
-  }
-  let state
-  const endMs = performance.now() + 40_000
-  do {
+  cluster.log(`POST of the job: ${(await cluster.submit(JOB, { spec: 'lasts', steps: [STEP] })).join(' ')}`)
+  await sleep(4_000)
+  const running = [...fleet.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0)
+  cluster.log(`${running} of ${WORKERS} tasks run`)
+  if (running < WORKERS) return { status: 2, lines: ['not all tasks have started'] }
+  fleet.onEvent(({ event, worker, task, run, how }) => cluster.log(`${event} of ${task} run ${run} on ${worker}${how === undefined ? '' : `: ${how}`}`))
+  if (HAS_TROUBLE) await flap(cluster, [...fleet.workers.values()][0])
+  else await sleep(FLAPPING_MS)
+  const states = []
+  for (let tick = 0; tick < 40; tick++) {
+    const state = await cluster.getState(JOB)
+    if (state !== states.at(-1)) cluster.log(`state of the job: ${state}`)
+    states.push(state)
     await sleep(500)
-    state = await cluster.getState(JOB)
-  } while (state !== 'complete' && performance.now() < endMs)
-  cluster.log(`state of the job: ${state}`)
-  return check(cluster, state)
-}
-
-/** The value from any member of a gang is valid for that gang, and all must carry the same value. */
-function check (cluster, state) {
-  const starts = cluster.fleet.events.filter(({ event }) => event === 'start')
-  const runs = groupByRun(starts)
-  const lines = []
-  let broken = 0
-  for (const [run, members] of runs) {
-    const values = new Set(members.map(({ checkpoint }) => checkpoint))
-    lines.push(`run ${run}: ${members.length} members started with ${values.size} checkpoint value(s): ${[...values].map((value) => `'${value}'`).join(', ')}`)
-    if (values.size > 1) broken += 1
   }
-  if (!HAS_TROUBLE && state !== 'complete') return { status: 2, lines: [...lines, 'without the disruption the job did not complete'] }
-  lines.push(broken > 0 ? `BROKEN: ${broken} run(s) of the gang carry different checkpoints` : 'all members of each run carry the same checkpoint')
-  return { status: broken > 0 ? 1 : 0, lines }
+  return check(cluster, states)
 }
 
-function groupByRun (starts) {
-  const runs = new Map()
-  for (const start of starts) runs.set(start.run, [...runs.get(start.run) ?? [], start])
-  return runs
+/** Takes a machine's worker down and up again. Each life has an id of its own. */
+async function flap (cluster, first) {
+  const endMs = performance.now() + FLAPPING_MS
+  let worker = first
+  for (let life = 2; performance.now() + PERIOD_MS <= endMs; life++) {
+    worker.crash()
+    cluster.log(`${worker.id} on ${worker.machine} goes down`)
+    const { id } = worker
+    setTimeout(() => cluster.remove(id), ROW_EXPIRES_MS)
+    await sleep(PERIOD_MS / 2)
+    worker = await cluster.addWorker(`${first.id}-${life}`, { machine: first.machine, rack: first.rack, capacity: first.capacity })
+    cluster.log(`${worker.id} on ${worker.machine} is up`)
+    await sleep(PERIOD_MS / 2)
+  }
 }
 
-async function waitFor (condition, limitMs) {
-  const endMs = performance.now() + limitMs
-  while (!condition() && performance.now() < endMs) await sleep(20)
+/** Only ends `failed` count as attempts, and tasks that last have no limit of these. */
+function check (cluster, states) {
+  const failedEnds = cluster.fleet.events.filter(({ event, how }) => event === 'end' && how === 'failed').length
+  const running = [...cluster.fleet.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0)
+  const reasons = cluster.readLogs().flatMap((log) => log.split('\n')).filter((line) => line.includes('given up'))
+  const lines = [`tasks that ended failed: ${failedEnds}; tasks that run now: ${running} of ${WORKERS}`, ...reasons.slice(0, 1).map((line) => `log of the owner: ${line}`), `last state: ${states.at(-1)}`]
+  if (states.at(-1) === 'failed') return { status: 1, lines: [...lines, 'BROKEN: a job whose tasks last is shown as failed, and no task of it has ended failed'] }
+  return states.at(-1) === 'running' ? { status: 0, lines: [...lines, 'the job is shown as running'] } : { status: 2, lines: [...lines, 'the job has another state'] }
 }
 
-const cluster = await Cluster.create({ daemons: 3, workers: 6 })
+const cluster = await Cluster.create({ daemons: 3, workers: WORKERS })
 const result = await play(cluster).catch((err) => ({ status: 2, lines: [String(err.stack)] }))
 await finish(cluster, FOLDER, result)
--- a/review/lib-3/cluster.mjs
+++ b/review/lib-3/cluster.mjs
@@ -40,7 +40,6 @@
 
   static async create ({ daemons = 3, workers = 6, capacity = { cpu: 32_000, 'mem-mb': 65_536, gpu: 0 }, queue = {}, bounds = {}, advice } = {}) {
     const cluster = new Cluster()
-    const storePort = await serveStore(cluster.store)
     const machinesPort = await cluster.#serveMachines()
     cluster.store.put('op', 'config', {
       version: 7,
@@ -48,13 +47,13 @@
       services: [{ name: POOL, 'admission-check': false }],
       limits: {},
     })
-    for (let index = 0; index < workers; index++) await cluster.addWorker(`i-${index}`, { rack: `r1-${Math.floor(index / 4)}`, capacity })
-    for (let index = 0; index < daemons; index++) await cluster.#addDaemon(index, { storePort, machinesPort, bounds, advice })
+    for (let index = 0; index < workers; index++) await cluster.addWorker(`i-7f3a91${(index + 16).toString(16)}`, { rack: `r1-${Math.floor(index / 4)}`, capacity })
+    for (let index = 0; index < daemons; index++) await cluster.#addDaemon(index, { machinesPort, bounds, advice })
     return cluster
   }
 
-  async addWorker (id, { rack = 'r1-0', capacity }) {
-    const worker = Worker.create(this.fleet, id, { pool: POOL, machine: `m-${id}`, rack, capacity })
+  async addWorker (id, { machine = `m-${id}`, rack = 'r1-0', capacity }) {
+    const worker = Worker.create(this.fleet, id, { pool: POOL, machine, rack, capacity })
     await worker.listen()
     this.store.put('servers', id, worker.entry)
     return worker
@@ -65,6 +64,11 @@
     this.store.put('servers', worker.id, worker.entry)
   }
 
+  /** Removes a worker's row. */
+  remove (id) {
+    this.store.remove('servers', id)
+  }
+
   log (text) {
     this.lines.push(`${((performance.now() - this.startedAtMs) / 1_000).toFixed(2).padStart(7)} s  ${text}`)
   }
@@ -153,9 +157,11 @@
     else console.log(this.#folder)
   }
 
-  async #addDaemon (index, { storePort, machinesPort, bounds, advice }) {
+  async #addDaemon (index, { machinesPort, bounds, advice }) {
+    const daemon = { name: `edge-a-${index}`, ownEnds: 0, isWanted: false, chooseStoreFault: undefined }
+    const storePort = await serveStore(this.store, (path) => daemon.chooseStoreFault?.(path))
     const [frontend, readiness, peer, last] = await findFreePorts(4)
-    const name = `edge-a-${index}`
+    const { name } = daemon
     const settingsPath = join(this.#folder, `${name}.yaml`)
     writeFileSync(settingsPath, JSON.stringify({
       'node-name': name,
@@ -173,13 +179,17 @@
       platform: { address: `127.0.0.1:${storePort}`, form: 'table', 'row-bytes': 65_536 },
       'cloud-api': { address: `127.0.0.1:${machinesPort}` },
     }))
-    this.daemons.push({ name, frontend, readiness, settingsPath, logPath: join(this.#folder, `${name}.log`), ownEnds: 0, isWanted: false })
+    this.daemons.push(Object.assign(daemon, { frontend, readiness, settingsPath, logPath: join(this.#folder, `${name}.log`) }))
   }
 
   /** Serves the list of machines. All are in one pool, so that there is nothing to move. */
   async #serveMachines () {
     const server = createServer((req, res) => {
-      const machines = [...this.fleet.workers.values()].map(({ machine, pool, rack, capacity, id }) => ({ machine, pool, state: 'up', zone: 'a', labels: ['a', rack], capacity, id }))
+      const machines = [...this.fleet.lastWorkers.values()].map((worker) => {
+        const { machine, pool, rack, capacity, id } = worker
+        const isUp = this.fleet.workers.get(id) === worker
+        return { machine, pool, state: isUp ? 'up' : 'down', zone: 'a', labels: ['a', rack], capacity, id: isUp ? id : null }
+      })
       const isList = req.url.startsWith('/machines')
       res.writeHead(isList ? 200 : 409, { 'content-type': 'application/json' })
       res.end(JSON.stringify(isList ? { machines, 'next-token': null } : { reason: 'busy' }))
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -15,6 +15,9 @@
 /** The store's steady clock at the start of the case: the store has run for some time. */
 const CLOCK_BASE_MS = 1_000_000
 
+/** Time after which a late call is carried out. */
+const LATE_MS = 3_000
+
 const READ_ONLY_TABLES = ['op', 'servers']
 
 function nameOf ({ table, part, key }) {
@@ -52,6 +55,11 @@
     this.#commit([{ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64') }], [])
   }
 
+  /** Removes a row of the operator or of a worker. */
+  remove (table, key) {
+    this.#commit([], [{ table, part: '', key }])
+  }
+
   /** Writes many rows, whose changes are older than the history. */
   load (rows) {
     this.#commit(rows, [])
@@ -136,11 +144,23 @@
   }
 }
 
-/** Serves a store on a loopback port that the system chooses. */
-export async function serveStore (store) {
+/**
+ * Serves a store on a loopback port that the system chooses.
+ *
+ * @param chooseFault - returns what happens to a call: undefined, or 'busy', 'reset', 'silent', 'lost' (done and not answered) or 'late' (done
+ *   later, if its condition still holds, and not answered).
+ */
+export async function serveStore (store, chooseFault = () => undefined) {
   const server = createServer(async (req, res) => {
     const chunks = []
     for await (const chunk of req) chunks.push(chunk)
+    const fault = chooseFault(req.url)
+    if (fault === 'silent') return
+    if (fault === 'reset') return req.socket.destroy()
+    if (fault === 'busy') return res.writeHead(503).end()
+    if (fault === 'lost') store.transact(JSON.parse(Buffer.concat(chunks).toString()))
+    if (fault === 'late') setTimeout(() => store.transact(JSON.parse(Buffer.concat(chunks).toString())), LATE_MS)
+    if (fault !== undefined) return
     const url = new URL(req.url, 'http://store')
     const query = Object.fromEntries(url.searchParams)
     let answer = [404, {}]
--- a/review/lib-3/workers.mjs
+++ b/review/lib-3/workers.mjs
@@ -13,7 +13,10 @@
 
 /** What the tasks of each job do, by job, and what happened. */
 export class Fleet {
+  /** Workers that are up, by id. */
   workers = new Map()
+  /** The last life of each machine's worker, by machine. */
+  lastWorkers = new Map()
   jobs = new Map()
   events = []
   #gangs = new Map()
@@ -95,6 +98,7 @@
   constructor (fleet, id, { pool, machine, rack, capacity }) {
     Object.assign(this, { fleet, id, pool, machine, rack, capacity })
     fleet.workers.set(id, this)
+    fleet.lastWorkers.set(machine, this)
   }
 
   static create (fleet, id, options) {
@@ -130,9 +134,53 @@
     this.port = this.server.address().port
   }
 
+  /** Ends the worker and what it runs, without a word. Connections to it are refused. */
+  crash () {
+    this.#loseRuns()
+    this.server.close()
+    this.server.closeAllConnections()
+    this.fleet.workers.delete(this.id)
+  }
+
+  /** Starts a crashed worker again under its id and at its address. It knows nothing of before. */
+  async revive () {
+    this.#forget()
+    await new Promise((resolve) => this.server.listen(this.port, '127.0.0.1', resolve))
+    this.fleet.workers.set(this.id, this)
+  }
+
+  /** Ends the worker as a crash does, and starts it again at once. */
+  restart () {
+    this.#loseRuns()
+    this.#forget()
+    this.server.closeAllConnections()
+  }
+
+  #loseRuns () {
+    clearTimeout(this.leaseTimer)
+    for (const run of [...this.runs.values()]) {
+      this.runs.delete(run.name)
+      clearTimeout(run.doneTimer)
+      this.fleet.record({ event: 'end', worker: this.id, task: run.task, run: run.run, how: 'crash' })
+      if (run.step.gang) this.fleet.leaveGang(run, 'crash')
+    }
+  }
+
+  #forget () {
+    this.#ends = []
+    this.#nextEnd = 1
+    this.#fence = 0
+    this.#leaseUntilMs = 0
+    this.#barred.clear()
+    this.#startedAtMs = performance.now()
+    this.bornMs = Date.now()
+  }
+
   /** Begins or resumes the work of a run. */
   begin (run) {
     run.workSinceMs = performance.now()
+    // A task that lasts has no end of its own.
+    if (run.step.ms === undefined) return
     const leftMs = Math.max(1, run.step.ms - run.baseMs)
     run.doneTimer = setTimeout(() => this.end(run, 'done'), leftMs)
   }
@@ -154,6 +202,13 @@
     const chunks = []
     for await (const chunk of req) chunks.push(chunk)
     const body = JSON.parse(Buffer.concat(chunks).toString() || '{}')
+    const lateMs = this.fleet.chooseLateMs?.(req.url)
+    if (lateMs !== undefined) {
+      // The order gets no answer and is carried out late, unless the worker has started again meanwhile.
+      const { bornMs } = this
+      setTimeout(() => { if (this.bornMs === bornMs && this.fleet.workers.get(this.id) === this) this.#answer(req, body) }, lateMs)
+      return
+    }
     const [status, answer] = await this.#answer(req, body)
     res.writeHead(status, { 'content-type': 'application/json' })
     res.end(JSON.stringify({ 'clock-ms': this.clockMs, born: this.bornMs, ...answer }))
@@ -182,7 +237,7 @@
     if (this.runs.has(name)) return [200, {}]
     if (run <= (this.#barred.get(task) ?? 0)) return [409, { reason: 'old' }]
     const step = this.fleet.getStep(task)
-    this.fleet.record({ event: 'start', worker: this.id, task, run, spec: spec.slice(0, 40), checkpoint, token: body['fencing-token'] })
+    this.fleet.record({ event: 'start', worker: this.id, task, run, spec, checkpoint, ticket: body.ticket, token: body['fencing-token'] })
     if (step === undefined) return [200, {}]
     const started = { name, task, run, step, worker: this, baseMs: checkpoint === '' ? 0 : parseInt(checkpoint.slice(0, 8), 16), saved: checkpoint }
     this.runs.set(name, started)
@@ -200,6 +255,7 @@
 
   async #hold (body) {
     const seen = body['last-seen'] ?? 0
+    for (const [number, task, run, how] of this.#ends) if (number <= seen) this.fleet.record({ event: 'noted', worker: this.id, task, run, how })
     this.#ends = this.#ends.filter(([number]) => number > seen)
     if (body['until-ms'] !== undefined) this.#extendLease(body['until-ms'])
     if (this.#ends.length === 0 && body['wait-ms'] > 0) await this.#waitForEnd(Math.min(2_000, body['wait-ms']))
