Shows case 12 with short jobs too

While all other workers are full, the lives of the flapping worker are the only room, so that waiting tasks of short jobs are started there again and again until their jobs fail.

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { Cluster, finish } from '../lib-3/cluster.mjs'
+import { flap, FLAPPING_MS } from '../lib-3/flap.mjs'
 
 const FOLDER = dirname(fileURLToPath(import.meta.url))
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
@@ -14,13 +15,6 @@
 /** One task on each worker. */
 const STEP = { count: WORKERS, cpu: 1_000, 'mem-mb': 500, 'long-running': true, 'anti-affinity': 1 }
 
-/** Period and duration of the flapping, as in the site's list of troubles. */
-const PERIOD_MS = 1_400
-const FLAPPING_MS = 6_500
-
-/** A row is removed after three heartbeat intervals of silence. */
-const ROW_EXPIRES_MS = 4_500
-
 async function play (cluster) {
   const { fleet } = cluster
   fleet.describeJob(JOB, [{ count: WORKERS }])
@@ -44,22 +38,6 @@
   return check(cluster, states)
 }
 
-/** Takes a machine's worker down and up again. Each life has an id of its own. */
-async function flap (cluster, first) {
-  const endMs = performance.now() + FLAPPING_MS
-  let worker = first
-  for (let life = 2; performance.now() + PERIOD_MS <= endMs; life++) {
-    worker.crash()
-    cluster.log(`${worker.id} on ${worker.machine} goes down`)
-    const { id } = worker
-    setTimeout(() => cluster.remove(id), ROW_EXPIRES_MS)
-    await sleep(PERIOD_MS / 2)
-    worker = await cluster.addWorker(`${first.id}-${life}`, { machine: first.machine, rack: first.rack, capacity: first.capacity })
-    cluster.log(`${worker.id} on ${worker.machine} is up`)
-    await sleep(PERIOD_MS / 2)
-  }
-}
-
 /** Only ends `failed` count as attempts, and tasks that last have no limit of these. */
 function check (cluster, states) {
   const failedEnds = cluster.fleet.events.filter(({ event, how }) => event === 'end' && how === 'failed').length
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -f target/vanillathreadd.cjs ] || bash deploy/build.sh
-for module in review/lib-3/*.mjs review/1[1-5]/case.mjs; do [ ! -f "$module" ] || node --check "$module"; done
+for module in review/lib-3/*.mjs review/1[1-5]/*.mjs; do [ ! -f "$module" ] || node --check "$module"; done
--- a/review/lib-3/cluster.mjs
+++ b/review/lib-3/cluster.mjs
@@ -219,10 +219,10 @@
 }
 
 /** Writes the record of a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export async function finish (cluster, folder, { status, lines }) {
+export async function finish (cluster, folder, { status, lines }, record = 'record.txt') {
   await cluster?.stop()
   const text = [...cluster?.lines ?? [], '', ...lines, `exit status: ${status}`].join('\n')
-  writeFileSync(join(folder, 'record.txt'), `${text}\n`)
+  writeFileSync(join(folder, record), `${text}\n`)
   console.log(text.split('\n').slice(-12).join('\n'))
   process.exit(status)
 }
