--- a/review/lib-3/cluster.mjs
+++ b/review/lib-3/cluster.mjs
@@ -38,23 +38,23 @@
   #folder = mkdtempSync(join(tmpdir(), 'review-3-'))
   #agent = new Agent({ keepAlive: true, maxSockets: 64 })
 
-  static async create ({ daemons = 3, workers = 6, capacity = { cpu: 32_000, 'mem-mb': 65_536, gpu: 0 }, queue = {}, bounds = {}, advice } = {}) {
+  static async create ({ daemons = 3, workers = 6, capacity = { cpu: 32_000, 'mem-mb': 65_536, gpu: 0 }, queue = {}, services = [], bounds = {}, advice } = {}) {
     const cluster = new Cluster()
     const machinesPort = await cluster.#serveMachines()
     cluster.store.put('op', 'config', {
       version: 7,
       routes: [{ name: 'r-puxa400', host: HOST, 'path-prefix': PREFIX, type: 'unsafe', 'timeout-ms': 3_000, 'target-latency-ms': 600, priority: 0, service: POOL, 'max-attempts': 3, 'deadline-factor': 1.6, ...queue }],
-      services: [{ name: POOL, 'admission-check': false }],
+      services: [POOL, ...services].map((name) => ({ name, 'admission-check': false })),
       limits: {},
     })
-    for (let index = 0; index < workers; index++) await cluster.addWorker(`i-7f3a91${(index + 16).toString(16)}`, { rack: `r1-${Math.floor(index / 4)}`, capacity })
+    for (let index = 0; index < workers; index++) await cluster.addWorker(`i-07f3a91c2e4b5d6${(index + 16).toString(16)}`, { rack: `r1-${Math.floor(index / 4)}`, capacity })
     for (let index = 0; index < daemons; index++) await cluster.#addDaemon(index, { machinesPort, bounds, advice })
     return cluster
   }
 
-  async addWorker (id, { machine = `m-${id}`, rack = 'r1-0', capacity }) {
-    const worker = Worker.create(this.fleet, id, { pool: POOL, machine, rack, capacity })
-    await worker.listen()
+  async addWorker (id, { pool = POOL, machine = `m-${id}`, rack = 'r1-0', capacity, port = 0 }) {
+    const worker = Worker.create(this.fleet, id, { pool, machine, rack, capacity })
+    await worker.listen(port)
     this.store.put('servers', id, worker.entry)
     return worker
   }
@@ -182,7 +182,7 @@
     this.daemons.push(Object.assign(daemon, { frontend, readiness, settingsPath, logPath: join(this.#folder, `${name}.log`) }))
   }
 
-  /** Serves the list of machines. All are in one pool, so that there is nothing to move. */
+  /** Serves the list of machines. Each pool is one of other machines, so that no move is possible. */
   async #serveMachines () {
     const server = createServer((req, res) => {
       const machines = [...this.fleet.lastWorkers.values()].map((worker) => {
@@ -191,8 +191,8 @@
         return { machine, pool, state: isUp ? 'up' : 'down', zone: 'a', labels: ['a', rack], capacity, id: isUp ? id : null }
       })
       const isList = req.url.startsWith('/machines')
-      res.writeHead(isList ? 200 : 409, { 'content-type': 'application/json' })
-      res.end(JSON.stringify(isList ? { machines, 'next-token': null } : { reason: 'busy' }))
+      res.writeHead(isList ? 200 : 400, { 'content-type': 'application/json' })
+      res.end(JSON.stringify(isList ? { machines, 'next-token': null } : {}))
     })
     await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
     return server.address().port
--- a/review/lib-3/workers.mjs
+++ b/review/lib-3/workers.mjs
@@ -128,9 +128,10 @@
     }
   }
 
-  async listen () {
+  /** Listens on a port, or on one that the system chooses. */
+  async listen (port) {
     this.server = createServer((req, res) => this.#serve(req, res))
-    await new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+    await new Promise((resolve) => this.server.listen(port, '127.0.0.1', resolve))
     this.port = this.server.address().port
   }
 
