--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -232,6 +232,10 @@
   OwnershipProven = 766,
   /** A client of a VM could not be opened, or a call to the VM or the handling of its answer failed with an unexpected error; `call` says which. */
   VmCallFailed = 767,
+  /** A VM gets no tasks but those of a trial of `step`; `obstacle` says why the trial cannot begin there now. */
+  TrialVmReserved = 768,
+  /** A VM is reserved no more; `reason` says why. */
+  TrialVmReleased = 769,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -342,5 +346,7 @@
   [EventCode.LogReaderSlow]: { level: EventLevel.Warn, message: 'log lines were dropped as the reader of the log did not keep up' },
   [EventCode.OwnershipUnproven]: { level: EventLevel.Warn, message: 'owner has no proof that it still owns the shard' },
   [EventCode.OwnershipProven]: { level: EventLevel.Info, message: 'owner has proof again that it owns the shard' },
+  [EventCode.TrialVmReserved]: { level: EventLevel.Info, message: 'VM is reserved for a trial of tasks that may crash it' },
+  [EventCode.TrialVmReleased]: { level: EventLevel.Info, message: 'VM is not reserved for a trial any more' },
   [EventCode.VmCallFailed]: { level: EventLevel.Error, message: 'call to a VM failed with an unexpected error' },
 }
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -2,6 +2,7 @@
  * Starts tasks that may have crashed a VM in trials: those of one step together, on a VM where no other task is started meanwhile, so
  * that another crash shows which job is at fault and costs few other tasks their runs.
  */
+import { EventCode } from '@vanillathread/model'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { hasCrashedRecently } from './crashBlame.js'
 import type { SchedulerState } from './SchedulerState.js'
@@ -20,7 +21,7 @@
 export function placeSuspects (state: SchedulerState, pool: string, vms: readonly TrackedVm[], context: PlacementContext): void {
   const waiting = groupWaiting(state, pool, context)
   if (waiting.size === 0) {
-    for (const vm of context.vms) vm.reservedForTrial = false
+    for (const vm of context.vms) if (vm.reservedForTrial) release(state, vm, 'no task waits for a trial')
     return
   }
   const onTrial = context.vms.filter((vm) => vm.isOnTrial)
@@ -69,7 +70,7 @@
     if (canTakeTask(vm, step) && state.teams.mayStartTask(task)) runs.push(startTask(state, task, vm, task.lastRun + 1, tickets, context))
   }
   vm.trialRuns = runs
-  vm.reservedForTrial = false
+  if (vm.reservedForTrial) release(state, vm, 'trial has begun')
   return true
 }
 
@@ -77,7 +78,16 @@
 function reserveVm (state: SchedulerState, { step, tickets, vms }: TrialRequest, context: PlacementContext): void {
   if (vms.some((vm) => vm.reservedForTrial)) return
   const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && isAllowed(step, each, tickets)), context.nowMs)
-  if (vm !== undefined) vm.reservedForTrial = true
+  if (vm === undefined) return
+  vm.reservedForTrial = true
+  state.logDecision(EventCode.TrialVmReserved, {
+    vm: vm.id, job: step.occurrence.job.id, step: step.index, freeCpuMillis: vm.freeCpuMillis, tasksOfStep: vm.countRunsOf(step), maxTasksPerVm: step.spec.maxTasksPerVm, quiet: vm.isQuiet(context.nowMs),
+  })
+}
+
+function release (state: SchedulerState, vm: TrackedVm, reason: string): void {
+  vm.reservedForTrial = false
+  state.logDecision(EventCode.TrialVmReleased, { vm: vm.id, reason })
 }
 
 function canTakeTask (vm: TrackedVm, step: TrackedStep): boolean {
