--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -6,6 +6,7 @@
 import { DurationEstimates } from './DurationEstimates.js'
 import { OrderKind, type Order } from './orders.js'
 import { NearPlaces, type NearPlaceRules } from '../placement/NearPlaces.js'
+import { TrialReservations } from '../placement/TrialReservations.js'
 import type { TrackedJob } from './TrackedJob.js'
 import type { TrackedTask } from './TrackedTask.js'
 import { RunPhase, StopReason, TrackedRun } from './TrackedRun.js'
@@ -54,7 +55,10 @@
   /** Waits for places near the data of tasks; undefined if it is not known what another place costs. */
   readonly nearPlaces: NearPlaces | undefined
 
+  readonly trialReservations: TrialReservations
+
   private constructor (readonly logDecision: DecisionLogger, readonly stopMs: number, readonly teams: TeamScheduling, rules: NearPlaceRules | undefined) {
+    this.trialReservations = TrialReservations.create(logDecision)
     this.nearPlaces = rules && NearPlaces.create({ ...rules, estimates: this.estimates, logDecision })
   }
 
--- a/packages/policy/src/lib/jobs/placeSuspects.test.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.test.ts
@@ -3,6 +3,7 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import type { JobScheduler } from './JobScheduler.js'
+import { TrialObstacle } from '../placement/findTrialObstacle.js'
 import { createTeam } from '../teams/testSupport.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from './testSupport.js'
 
@@ -57,7 +58,7 @@
     assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 10).length, 1)
     reportRunning(scheduler, createVmEntry('b'), CRASH_FOUND_MS + 500)
     planAndAccept(scheduler, CRASH_FOUND_MS + 500)
-    assert.is([...scheduler.state.vms.values()].some((vm) => vm.reservedForTrial), false)
+    assert.is([...scheduler.state.vms.values()].some((vm) => vm.trialReservation !== undefined), false)
   })
 
   it('starts no other task on the VM of a trial until the VM has answered after it', () => {
@@ -90,7 +91,9 @@
     store(scheduler)
     const vm = scheduler.state.vms.get('a-next')
     if (vm === undefined) throw new Error('no VM')
-    vm.reservedForTrial = true
+    const step = scheduler.state.jobs.get(SUSPECT)?.occurrences.get(0)?.steps[0]
+    if (step === undefined) throw new Error('no step')
+    vm.trialReservation = { step, obstacle: TrialObstacle.EndingRuns, sinceMs: CRASH_FOUND_MS }
     scheduler.cancelJob(SUSPECT, CRASH_FOUND_MS + 5)
     scheduler.addJob({ ...createTestJob({ id: '00000000000000cc', steps: [createTestStep({ taskCount: 1 })] }), pool: 'other' }, 2, CRASH_FOUND_MS + 10)
     planAndAccept(scheduler, CRASH_FOUND_MS + 20)
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -2,11 +2,12 @@
  * Starts tasks that may have crashed a VM in trials: those of one step together, on a VM where no other task is started meanwhile, so
  * that another crash shows which job is at fault and costs few other tasks their runs.
  */
-import { EventCode } from '@vanillathread/model'
+import { findTrialObstacle, TrialObstacle } from '../placement/findTrialObstacle.js'
+import { ReservationEnd } from '../placement/TrialReservations.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { hasCrashedRecently } from './crashBlame.js'
 import type { SchedulerState } from './SchedulerState.js'
-import { getTicketsIfRequired, isAllowed, startTask, type PlacementContext } from './startTask.js'
+import { getTicketsIfRequired, startTask, type PlacementContext } from './startTask.js'
 import type { TrackedStep } from './TrackedJob.js'
 import type { TrackedTask } from './TrackedTask.js'
 import type { TrackedRun } from './TrackedRun.js'
@@ -19,28 +20,33 @@
 
 /** Starts the tasks of a pool that need a trial, as far as VMs are quiet. Reserves a VM if none is. */
 export function placeSuspects (state: SchedulerState, pool: string, vms: readonly TrackedVm[], context: PlacementContext): void {
+  const { nowMs } = context
   const waiting = groupWaiting(state, pool, context)
-  if (waiting.size === 0) {
-    for (const vm of context.vms) if (vm.reservedForTrial) release(state, vm, 'no task waits for a trial')
-    return
-  }
   const onTrial = context.vms.filter((vm) => vm.isOnTrial)
   const silenced = onTrial.filter((vm) => vm.unresponsiveSinceMs !== undefined).length
-  if (silenced > Math.floor(context.vms.length * SILENCED_SHARE)) return
-  let trials = onTrial.length - silenced
+  const areTrialsSuspended = silenced > Math.floor(context.vms.length * SILENCED_SHARE)
+  state.trialReservations.review({ vms: context.vms, usableVms: vms, waiting, areTrialsSuspended, nowMs })
+  if (areTrialsSuspended) return
   const maxTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE))
+  let freeTrials = maxTrials - (onTrial.length - silenced)
   for (const [step, tasks] of waiting) {
-    if (trials >= maxTrials) return
+    if (freeTrials <= 0) return
     const tickets = getTicketsIfRequired(step, vms, context)
     if (tickets === undefined) continue
-    if (!beginTrial(state, { step, tasks, tickets, vms }, context)) {
-      reserveVm(state, { step, tasks, tickets, vms }, context)
+    const req = { step, tasks, tickets, vms: vms.filter((vm) => isOpenToTrial(vm, step, nowMs)) }
+    if (!beginTrial(state, req, context)) {
+      reserveVm(state, [req], context)
       return
     }
-    trials += 1
+    freeTrials -= 1
   }
 }
 
+/** Returns true unless the VM is kept for another step's trial, or trials have kept other tasks away until a moment ago. */
+function isOpenToTrial (vm: TrackedVm, step: TrackedStep, nowMs: number): boolean {
+  return vm.trialReservation === undefined ? nowMs >= vm.openToOthersUntilMs : vm.trialReservation.step === step
+}
+
 /** Returns the tasks of a pool that need a trial and can be started now, by step. No VM is reserved for those that a cap forbids. */
 function groupWaiting (state: SchedulerState, pool: string, context: PlacementContext): Map<TrackedStep, TrackedTask[]> {
   const waiting = new Map<TrackedStep, TrackedTask[]>()
@@ -58,36 +64,40 @@
   readonly step: TrackedStep
   readonly tasks: readonly TrackedTask[]
   readonly tickets: ReadonlyMap<string, string> | 'none'
+  /** VMs on which the trial may begin, or that may be reserved for it. */
   readonly vms: readonly TrackedVm[]
 }
 
 /** Starts as many of the tasks as fit on one VM. Returns false if there is none for them. */
 function beginTrial (state: SchedulerState, { step, tasks, tickets, vms }: TrialRequest, context: PlacementContext): boolean {
-  const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && each.isQuiet(context.nowMs) && isAllowed(step, each, tickets) && canTakeTask(each, step)), context.nowMs)
+  const { nowMs } = context
+  const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findTrialObstacle(step, each, tickets, nowMs) === undefined), nowMs)
   if (vm === undefined) return false
   const runs: TrackedRun[] = []
   for (const task of tasks) {
     if (canTakeTask(vm, step) && state.teams.mayStartTask(task)) runs.push(startTask(state, task, vm, task.lastRun + 1, tickets, context))
   }
   vm.trialRuns = runs
-  if (vm.reservedForTrial) release(state, vm, 'trial has begun')
+  vm.keptForTrialsSinceMs ??= nowMs
+  state.trialReservations.end(vm, ReservationEnd.TrialBegun, nowMs)
   return true
 }
 
-/** Keeps other tasks away from a VM, unless one of the pool is reserved already, so that it becomes quiet and has room. */
-function reserveVm (state: SchedulerState, { step, tickets, vms }: TrialRequest, context: PlacementContext): void {
-  if (vms.some((vm) => vm.reservedForTrial)) return
-  const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && isAllowed(step, each, tickets)), context.nowMs)
-  if (vm === undefined) return
-  vm.reservedForTrial = true
-  state.logDecision(EventCode.TrialVmReserved, {
-    vm: vm.id, job: step.occurrence.job.id, step: step.index, freeCpuMillis: vm.freeCpuMillis, tasksOfStep: vm.countRunsOf(step), maxTasksPerVm: step.spec.maxTasksPerVm, quiet: vm.isQuiet(context.nowMs),
-  })
-}
-
-function release (state: SchedulerState, vm: TrackedVm, reason: string): void {
-  vm.reservedForTrial = false
-  state.logDecision(EventCode.TrialVmReleased, { vm: vm.id, reason })
+/**
+ * Keeps other tasks away from a VM on which a trial of one of the steps becomes possible by that, unless one of the pool is reserved already. VMs that
+ * only have to become quiet come first, as that takes a moment.
+ */
+function reserveVm (state: SchedulerState, requests: readonly TrialRequest[], context: PlacementContext): void {
+  const { nowMs } = context
+  if (context.vms.some((vm) => vm.trialReservation !== undefined)) return
+  for (const obstacle of [TrialObstacle.RecentStart, TrialObstacle.EndingRuns]) {
+    for (const { step, tickets, vms } of requests) {
+      const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findTrialObstacle(step, each, tickets, nowMs) === obstacle), nowMs)
+      if (vm === undefined) continue
+      state.trialReservations.begin(vm, { step, obstacle, sinceMs: nowMs })
+      return
+    }
+  }
 }
 
 function canTakeTask (vm: TrackedVm, step: TrackedStep): boolean {
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -18,7 +18,7 @@
   if (jobs === undefined || jobs.size === 0) return
   const usableVms = context.vms.filter((vm) => vm.isUsable(context.nowMs))
   placeSuspects(state, pool, usableVms, context)
-  const vms = usableVms.filter((vm) => !vm.reservedForTrial && !vm.isOnTrial)
+  const vms = usableVms.filter((vm) => !vm.isKeptForTrials)
   if (vms.length === 0) return
   for (const rank of state.teams.order(rankJobs(state, jobs, context))) {
     for (const step of listReadySteps(rank.job, context.wallClockMs)) {
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -4,6 +4,7 @@
 import type { Capacity, VmEntry } from '@vanillathread/model'
 import type { TrackedRun } from '../jobs/TrackedRun.js'
 import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrialReservation } from '../placement/TrialReservations.js'
 
 /** Share by which a VM's steady clock may run slow, as the platform states. */
 const MAX_CLOCK_SLOWDOWN = 0.02
@@ -68,8 +69,12 @@
   lastReportSentAtMs = -Infinity
   /** Runs of the latest trial: tasks of one step that may crash their VM and were started here without others beside them. */
   trialRuns: readonly TrackedRun[] = []
-  /** True while the VM gets no tasks but those of a trial. */
-  reservedForTrial = false
+  /** Set while the VM gets no tasks but those of a trial. */
+  trialReservation: TrialReservation | undefined
+  /** Time since which trials, and reservations for them, keep other tasks away; undefined while they do not. */
+  keptForTrialsSinceMs: number | undefined
+  /** Time until which no trial begins here and the VM is not reserved for one, so that other tasks get their turn. */
+  openToOthersUntilMs = 0
   /** Time until which the VM is paused, that is, gets no new tasks, because it refused an order, failed tasks or was slow. */
   pausedUntilMs = 0
   /** True while the VM is evacuated: its tasks are stopped, and none is placed on it. */
@@ -126,6 +131,11 @@
     return this.trialRuns.some((run) => this.runs.get(run.key) === run && (run.confirmedAtMs === undefined || this.lastAnswerAtMs < run.confirmedAtMs + TRIAL_MS))
   }
 
+  /** True while other tasks are kept away for a trial. */
+  get isKeptForTrials (): boolean {
+    return this.trialReservation !== undefined || this.isOnTrial
+  }
+
   /** Returns true if no run was started here within the time of a trial. */
   isQuiet (nowMs: number): boolean {
     return [...this.runs.values()].every((run) => nowMs - run.orderedAtMs >= TRIAL_MS)
