--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -16,6 +16,8 @@
   longestMs = 0
   /** Time on the owner's clock from which a wait of the step's tasks for near places counts; set by `getReadySinceMs`. */
   readySinceMs: number | undefined
+  /** Time at which a trial of the step's tasks last began, or a VM was last reserved for one. */
+  lastTrialAtMs = 0
 
   private constructor (
     readonly occurrence: TrackedOccurrence,
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -27,19 +27,22 @@
   const areTrialsSuspended = silenced > Math.floor(context.vms.length * SILENCED_SHARE)
   state.trialReservations.review({ vms: context.vms, usableVms: vms, waiting, areTrialsSuspended, nowMs })
   if (areTrialsSuspended) return
-  const maxTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE))
-  let freeTrials = maxTrials - (onTrial.length - silenced)
-  for (const [step, tasks] of waiting) {
+  let freeTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE)) - (onTrial.length - silenced)
+  const withoutVm: TrialRequest[] = []
+  for (const [step, tasks] of orderByTurn(waiting)) {
     if (freeTrials <= 0) return
     const tickets = getTicketsIfRequired(step, vms, context)
     if (tickets === undefined) continue
     const req = { step, tasks, tickets, vms: vms.filter((vm) => isOpenToTrial(vm, step, nowMs)) }
-    if (!beginTrial(state, req, context)) {
-      reserveVm(state, [req], context)
-      return
-    }
-    freeTrials -= 1
+    if (beginTrial(state, req, context)) freeTrials -= 1
+    else withoutVm.push(req)
   }
+  if (freeTrials > 0 && withoutVm.length > 0) reserveVm(state, withoutVm, context)
+}
+
+/** Returns the steps in the order of their last trials, so that one whose tasks never pass theirs does not hold up the others. */
+function orderByTurn (waiting: ReadonlyMap<TrackedStep, TrackedTask[]>): Array<[TrackedStep, TrackedTask[]]> {
+  return [...waiting].sort(([a], [b]) => a.lastTrialAtMs - b.lastTrialAtMs)
 }
 
 /** Returns true unless the VM is kept for another step's trial, or trials have kept other tasks away until a moment ago. */
@@ -79,6 +82,7 @@
   }
   vm.trialRuns = runs
   vm.keptForTrialsSinceMs ??= nowMs
+  step.lastTrialAtMs = nowMs
   state.trialReservations.end(vm, ReservationEnd.TrialBegun, nowMs)
   return true
 }
@@ -94,6 +98,7 @@
     for (const { step, tickets, vms } of requests) {
       const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findTrialObstacle(step, each, tickets, nowMs) === obstacle), nowMs)
       if (vm === undefined) continue
+      step.lastTrialAtMs = nowMs
       state.trialReservations.begin(vm, { step, obstacle, sinceMs: nowMs })
       return
     }
--- a/packages/policy/src/lib/placement/TrialReservations.test.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.test.ts
@@ -10,6 +10,7 @@
 import { MAX_RESERVATION_MS } from './TrialReservations.js'
 
 const SUSPECT = '00000000000000aa'
+const SECOND_SUSPECT = '00000000000000ab'
 const OTHER = '00000000000000bb'
 const LASTING = '00000000000000cc'
 
@@ -188,6 +189,27 @@
     })
   })
 
+  describe('for a step whose trial no VM can give', ({ it }) => {
+    // Guards against LOST: the first step without a VM ended the loop, so that no step behind it had a trial.
+    it('does not hold up the suspects of other jobs', () => {
+      const pool = Pool.create([...VMS, CRASHING])
+      pool.addJob(SUSPECT, { longRunning: true, taskCount: VMS.length + 1, maxTasksPerVm: 1 })
+      pool.plan('')
+      for (const id of VMS) pool.get(id).pausedUntilMs = pool.nowMs + 1
+      pool.addJob(SECOND_SUSPECT, { longRunning: true, taskCount: 2, maxTasksPerVm: 2, need: { cpuMillis: 500, memoryMb: 1, accelerators: 0 } })
+      assert.equal(pool.plan(SECOND_SUSPECT), [CRASHING, CRASHING])
+      pool.nowMs = 10
+      pool.crash(CRASHING)
+      assert.is(pool.run(1_000, SECOND_SUSPECT).length, 2)
+    })
+
+    it('takes turns with the others if their tasks fail in each trial', () => {
+      const pool = createAfterCrash([[SUSPECT, { longRunning: true, taskCount: 2 }], [SECOND_SUSPECT, { longRunning: true, taskCount: 2 }]], undefined, ['a'])
+      const started = pool.run(2_000, SECOND_SUSPECT, () => pool.report('a', { job: SUSPECT, end: 'failed' as RunEnd }))
+      assert.ok(started.length > 0)
+    })
+  })
+
   describe('for a trial that a VM can give later', ({ it }) => {
     const large = { taskCount: 1, need: { cpuMillis: 7_500, memoryMb: 1, accelerators: 0 } }
     const fill = (pool: Pool): void => {
