--- a/packages/policy/src/lib/jobs/placeSuspects.test.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.test.ts
@@ -2,6 +2,7 @@
  * Trials of tasks that may have crashed a VM.
  */
 import { assert, describe } from '@vanillathread/testing'
+import { RunEnd } from '@vanillathread/model'
 import type { JobScheduler } from './JobScheduler.js'
 import { TrialObstacle } from '../placement/findTrialObstacle.js'
 import { createTeam } from '../teams/testSupport.js'
@@ -81,6 +82,22 @@
     assert.is(scheduler.state.jobs.get(SUSPECT)?.failed, true)
   })
 
+  // Guards against starts beyond the verdict on crashes: a member started again before its crash was stored, which a successor then lacked.
+  it('starts a gang again only once the crash of each member is stored', () => {
+    const scheduler = createScheduler()
+    for (const id of ['a', 'b']) reportRunning(scheduler, createVmEntry(id), 0)
+    scheduler.addJob(createTestJob({ id: SUSPECT, steps: [createTestStep({ taskCount: 2, gang: true, maxTasksPerVm: 1 })] }), 1, 0)
+    assert.is(planAndAccept(scheduler, 10).length, 2)
+    crash(scheduler, 'a', CRASH_FOUND_MS)
+    // The platform ends the other member, as its gang is broken.
+    const vm = scheduler.state.vms.get('b')
+    if (vm === undefined) throw new Error('no VM')
+    scheduler.applyReport(vm, { clockMs: CRASH_FOUND_MS, bornMs: 1, running: [], ends: [{ number: 1, task: `${SUSPECT}.0.0.1`, run: 1, end: RunEnd.Broken, checkpoint: '' }] }, CRASH_FOUND_MS, CRASH_FOUND_MS)
+    assert.equal(planAndAccept(scheduler, CRASH_FOUND_MS + 500), [])
+    store(scheduler)
+    assert.is(planAndAccept(scheduler, CRASH_FOUND_MS + 510).length, 2)
+  })
+
   it('does not keep a VM reserved for a suspect whose job was cancelled, whichever pool is planned next', () => {
     const scheduler = createScheduler()
     reportRunning(scheduler, createVmEntry('a'), 0)
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -96,7 +96,7 @@
 function placeGang (state: SchedulerState, step: TrackedStep, vms: readonly TrackedVm[], context: PlacementContext, rank: JobRank): void {
   const { nearPlaces } = state
   if (nearPlaces !== undefined && step.spec.sameRack) getReadySinceMs(step, context)
-  if (step.tasks.some((task) => task.runs.size > 0) || !state.teams.mayStart(step.tasks)) return
+  if (step.tasks.some((task) => task.runs.size > 0 || !task.isWaiting) || !state.teams.mayStart(step.tasks)) return
   const tickets = getTicketsIfRequired(step, vms, context)
   if (tickets === undefined) return
   const racks = step.spec.sameRack ? new Set(vms.map((vm) => vm.rack)) : new Set<string>()
--- a/packages/policy/src/lib/placement/TrialReservations.test.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.test.ts
@@ -2,7 +2,7 @@
  * How long trials, and reservations for them, may keep other tasks from a VM, whatever the suspects need.
  */
 import { assert, describe } from '@vanillathread/testing'
-import type { RunEnd, StepSpec } from '@vanillathread/model'
+import { RunEnd, type StepSpec } from '@vanillathread/model'
 import type { JobScheduler } from '../jobs/JobScheduler.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from '../jobs/testSupport.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
@@ -77,7 +77,7 @@
     const ends = runs.map((run) => {
       const number = (this.ends.get(id) ?? 0) + 1
       this.ends.set(id, number)
-      return { number, task: run.name, run: run.number, end: ended?.end ?? 'done' as RunEnd, checkpoint: '' }
+      return { number, task: run.name, run: run.number, end: ended?.end ?? RunEnd.Done, checkpoint: '' }
     })
     const running = [...vm.runs.values()].filter((run) => !runs.includes(run)).map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
     scheduler.applyReport(vm, { clockMs: nowMs, bornMs: vm.entry.bornMs, running, ends }, nowMs, nowMs)
@@ -129,7 +129,7 @@
       assert.equal(pool.run(PLAN_MS, OTHER).sort(), [...vms])
       pool.run(20_000, '')
       for (const id of vms) {
-        pool.report(id, { job: OTHER, end: 'failed' as RunEnd })
+        pool.report(id, { job: OTHER, end: RunEnd.Failed })
         assert.equal(pool.run(PLAN_MS, OTHER), [id], `task that failed on ${id}`)
       }
     }
@@ -205,7 +205,7 @@
 
     it('takes turns with the others if their tasks fail in each trial', () => {
       const pool = createAfterCrash([[SUSPECT, { longRunning: true, taskCount: 2 }], [SECOND_SUSPECT, { longRunning: true, taskCount: 2 }]], undefined, ['a'])
-      const started = pool.run(2_000, SECOND_SUSPECT, () => pool.report('a', { job: SUSPECT, end: 'failed' as RunEnd }))
+      const started = pool.run(2_000, SECOND_SUSPECT, () => pool.report('a', { job: SUSPECT, end: RunEnd.Failed }))
       assert.ok(started.length > 0)
     })
   })
@@ -222,7 +222,7 @@
       pool.run(500, '')
       const reserved = VMS.filter((id) => pool.get(id).trialReservation !== undefined)
       assert.is(reserved.length, 1)
-      for (const id of VMS) pool.report(id, { job: LASTING, end: 'done' as RunEnd })
+      for (const id of VMS) pool.report(id, { job: LASTING, end: RunEnd.Done })
       assert.equal(pool.run(500, SUSPECT).length, 1)
     })
 
@@ -230,7 +230,7 @@
       const pool = createAfterCrash([[SUSPECT, { taskCount: 1 }]], undefined, ['a'])
       let next = 0x100
       const started = pool.run(1_500, SUSPECT, () => {
-        pool.report('a', { job: '0000000000000', end: 'done' as RunEnd })
+        pool.report('a', { job: '0000000000000', end: RunEnd.Done })
         if (pool.nowMs % 50 === 0) pool.addJob((next++).toString(16).padStart(16, '0'), { taskCount: 1, need: { cpuMillis: 10, memoryMb: 1, accelerators: 0 } })
       })
       assert.equal(started, ['a'])
@@ -249,7 +249,7 @@
     // Guards against LOST: a task that fails as it starts, and needs a trial for each start, kept its VM from all others.
     it('leaves other tasks their turn on the only VM if the suspect fails in each trial', () => {
       const pool = createAfterCrash([[SUSPECT, { longRunning: true, taskCount: 1 }]], undefined, ['a'])
-      const wait = measureLongestWait(pool, 'a', 10_000, () => pool.report('a', { job: SUSPECT, end: 'failed' as RunEnd }))
+      const wait = measureLongestWait(pool, 'a', 10_000, () => pool.report('a', { job: SUSPECT, end: RunEnd.Failed }))
       assert.ok(wait <= MAX_RESERVATION_MS, `${wait} ms`)
     })
 
