Move steps and occurrences out of TrackedJob.ts

TrackedStep and TrackedOccurrence move to TrackedOccurrence.ts without a change; the imports follow.

--- a/packages/policy/src/lib/jobs/TrackedTask.ts
+++ b/packages/policy/src/lib/jobs/TrackedTask.ts
@@ -1,7 +1,7 @@
 /**
  * A task in the memory of its job's owner.
  */
-import type { TrackedStep } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import type { TrackedRun } from './TrackedRun.js'
 
 /** A crash of a VM on which a task had just been started. @public */
--- a/packages/policy/src/lib/jobs/evacuateVm.ts
+++ b/packages/policy/src/lib/jobs/evacuateVm.ts
@@ -3,7 +3,7 @@
  */
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import type { SchedulerState } from './SchedulerState.js'
-import type { TrackedStep } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import { RunPhase, StopReason, type TrackedRun } from './TrackedRun.js'
 
 /**
--- a/packages/policy/src/lib/jobs/occurrenceProgress.ts
+++ b/packages/policy/src/lib/jobs/occurrenceProgress.ts
@@ -2,7 +2,7 @@
  * Conversion of an occurrence to the progress that is stored of it, and back.
  */
 import type { OccurrenceProgress } from './JobProgress.js'
-import type { TrackedOccurrence } from './TrackedJob.js'
+import type { TrackedOccurrence } from './TrackedOccurrence.js'
 import type { TaskCrash } from './TrackedTask.js'
 
 /** Done tasks of a step are listed one by one up to this number, as earlier builds read only that. A bit for each task takes less room. */
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -8,7 +8,7 @@
 import { hasCrashedRecently } from './crashBlame.js'
 import type { SchedulerState } from './SchedulerState.js'
 import { getTicketsIfRequired, startTask, type PlacementContext } from './startTask.js'
-import type { TrackedStep } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import type { TrackedTask } from './TrackedTask.js'
 import type { TrackedRun } from './TrackedRun.js'
 
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -8,7 +8,8 @@
 import { rankJob, type JobRank } from './rankJobs.js'
 import type { SchedulerState } from './SchedulerState.js'
 import { getTicketsIfRequired, isAllowed, startTask, type PlacementContext } from './startTask.js'
-import type { TrackedJob, TrackedStep } from './TrackedJob.js'
+import type { TrackedJob } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import type { TrackedTask } from './TrackedTask.js'
 
 /** Starts as many of a pool's waiting tasks as fit on its VMs, in the order of the jobs' ranks. @public */
--- a/packages/policy/src/lib/jobs/rankJobs.ts
+++ b/packages/policy/src/lib/jobs/rankJobs.ts
@@ -2,7 +2,8 @@
  * Order in which jobs get free capacity.
  */
 import type { DurationEstimates } from './DurationEstimates.js'
-import type { TrackedJob, TrackedOccurrence } from './TrackedJob.js'
+import type { TrackedJob } from './TrackedJob.js'
+import type { TrackedOccurrence } from './TrackedOccurrence.js'
 
 /** A job that misses its objective still earns if it ends within this multiple of it, as the users' rules state. */
 const LATE_FACTOR = 3
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -8,7 +8,7 @@
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { maySilenceVm } from './crashBlame.js'
 import type { SchedulerState } from './SchedulerState.js'
-import type { TrackedStep } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import { RunPhase, StopReason, type TrackedRun } from './TrackedRun.js'
 
 /**
--- a/packages/policy/src/lib/jobs/startTask.ts
+++ b/packages/policy/src/lib/jobs/startTask.ts
@@ -4,7 +4,8 @@
 import { EventCode } from '@vanillathread/model'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import type { SchedulerState } from './SchedulerState.js'
-import type { TrackedJob, TrackedStep } from './TrackedJob.js'
+import type { TrackedJob } from './TrackedJob.js'
+import type { TrackedStep } from './TrackedOccurrence.js'
 import type { TrackedTask } from './TrackedTask.js'
 import type { TrackedRun } from './TrackedRun.js'
 
--- a/packages/policy/src/lib/machines/PoolCapacityDemand.ts
+++ b/packages/policy/src/lib/machines/PoolCapacityDemand.ts
@@ -3,7 +3,8 @@
  */
 import { rankJob, Urgency } from '../jobs/rankJobs.js'
 import type { SchedulerState } from '../jobs/SchedulerState.js'
-import type { TrackedJob, TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedJob } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import { TeamDemand } from '../teams/TeamDemand.js'
 
 /** Demand of one pool. @public */
--- a/packages/policy/src/lib/placement/TrialReservations.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.ts
@@ -6,7 +6,7 @@
  */
 import { EventCode } from '@vanillathread/model'
 import type { DecisionLogger } from '../jobs/SchedulerState.js'
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import type { TrialObstacle } from './findTrialObstacle.js'
 
--- a/packages/policy/src/lib/placement/findTrialObstacle.ts
+++ b/packages/policy/src/lib/placement/findTrialObstacle.ts
@@ -2,7 +2,7 @@
  * Says why a VM cannot give a step's tasks a trial now, which decides whether reserving the VM for them can help.
  */
 import { isAllowed } from '../jobs/startTask.js'
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import { RunPhase, type TrackedRun } from '../jobs/TrackedRun.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 
--- a/packages/policy/src/lib/placement/forecastPlaces.ts
+++ b/packages/policy/src/lib/placement/forecastPlaces.ts
@@ -3,7 +3,7 @@
  */
 import type { DurationEstimates } from '../jobs/DurationEstimates.js'
 import { RunPhase, type TrackedRun } from '../jobs/TrackedRun.js'
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 
 /** Number of done tasks that a queue's mean duration must be based on before waits are based on it. */
--- a/packages/policy/src/lib/placement/getReadySinceMs.ts
+++ b/packages/policy/src/lib/placement/getReadySinceMs.ts
@@ -2,7 +2,7 @@
  * Time from which the wait of a step's tasks counts.
  */
 import type { PlacementContext } from '../jobs/startTask.js'
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 
 /**
  * Returns the time on the owner's steady clock from which a ready step's tasks wait. It is found when the step is first seen ready,
--- a/packages/policy/src/lib/teams/PossibleRuns.ts
+++ b/packages/policy/src/lib/teams/PossibleRuns.ts
@@ -4,7 +4,8 @@
  */
 import { JobState, type Capacity, type StepSpec } from '@vanillathread/model'
 import type { ClockReadings } from '../jobs/JobSchedulerOptions.js'
-import type { TrackedJob, TrackedOccurrence } from '../jobs/TrackedJob.js'
+import type { TrackedJob } from '../jobs/TrackedJob.js'
+import type { TrackedOccurrence } from '../jobs/TrackedOccurrence.js'
 import type { TrackedTask } from '../jobs/TrackedTask.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { addCapacity, createCapacity, type MutableCapacity } from './capacity.js'
--- a/packages/policy/src/lib/teams/TeamDemand.ts
+++ b/packages/policy/src/lib/teams/TeamDemand.ts
@@ -1,7 +1,7 @@
 /**
  * How many tasks of a step count as demand for machines: those that the cap of their team forbids at present do not.
  */
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import { addCapacity, DIMENSIONS, type MutableCapacity } from './capacity.js'
 import type { TeamScheduling } from './TeamScheduling.js'
 
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -3,7 +3,7 @@
  */
 import type { Capacity, VmEntry } from '@vanillathread/model'
 import type { TrackedRun } from '../jobs/TrackedRun.js'
-import type { TrackedStep } from '../jobs/TrackedJob.js'
+import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import type { TrialReservation } from '../placement/TrialReservations.js'
 
 /** Share by which a VM's steady clock may run slow, as the platform states. */
