--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -8,6 +8,7 @@
 import { StoreFailureKind, type RowCondition, type RowKey, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { readMoment } from './OwnershipProver.js'
+import { ProgressEncoder } from './ProgressEncoder.js'
 import { encodeRow, Table } from './rows.js'
 
 /** Options of {@link CommitLoop.create}. */
@@ -49,8 +50,11 @@
   /** Number of transactions that hold one row only, after the store rejected one that held as many rows. */
   private singleRowCommits = 0
   private disposed = false
+  private readonly encoder: ProgressEncoder
 
-  private constructor (private readonly options: CommitLoopOptions) {}
+  private constructor (private readonly options: CommitLoopOptions) {
+    this.encoder = ProgressEncoder.create(options)
+  }
 
   static create (options: CommitLoopOptions): CommitLoop {
     return new CommitLoop(options)
@@ -101,7 +105,7 @@
     const changed = scheduler.listJobsToStore()
     const jobs = changed.slice(0, Math.min(maxRows, taskOptions.jobsPerCommit)).map((job) => {
       job.changed = false
-      return { job, ...this.encodeProgress(job) }
+      return { job, ...this.encoder.encode(job, this.options.rows.getStoreClockMs()) }
     })
     const vms = [...scheduler.state.vms.values()]
     const rosterWrites = this.listRosterWrites()
@@ -117,20 +121,6 @@
     return { jobs, roster, left, ends }
   }
 
-  /** Encodes a job's progress. A job whose progress outgrows a row is given up, as none of its progress could be stored any more. */
-  private encodeProgress (job: TrackedJob): { progress: JobProgress, value: Uint8Array } {
-    const { scheduler, rows, rowBytes, timers } = this.options
-    const encode = () => {
-      const progress = job.toProgress(rows.getStoreClockMs())
-      return { progress, value: encodeRow(progress) }
-    }
-    const encoded = encode()
-    if (encoded.value.length <= rowBytes) return encoded
-    scheduler.state.failJob(job, `progress of ${encoded.value.length} bytes exceeds a row`, timers.now())
-    job.changed = false
-    return encode()
-  }
-
   /** Commits a batch in one transaction. Returns false if its changes must be committed again. */
   private async commit (batch: Batch): Promise<boolean> {
     const { scheduler } = this.options
@@ -165,8 +155,8 @@
   }
 
   /**
-   * Keeps a row that the store rejects from holding up the others: the rows of a rejected transaction are written one by one, and the job or
-   * VM whose row is rejected alone is given up.
+   * Keeps a row that the store rejects from holding up the others: the rows of a rejected transaction are written one by one. Progress that is rejected
+   * alone is stored in a smaller form; a job whose smallest form is rejected, and a VM whose row is, are given up.
    */
   private isolate (batch: Batch, rowCount: number): void {
     const { scheduler, timers, log } = this.options
@@ -178,7 +168,7 @@
     log.write(EventCode.RowRejected, { shard: this.options.shard, row })
     for (const { job } of batch.jobs) {
       if (job.isOver) job.changed = false
-      else scheduler.state.failJob(job, 'the store rejects its progress', timers.now())
+      else if (!this.encoder.requireSmallerForm(job)) scheduler.state.failJob(job, 'the store rejects its progress', timers.now())
     }
     for (const { vm } of batch.roster) vm.recordRejected = true
     for (const id of batch.left) scheduler.forgottenVms.delete(id)
--- a/packages/integration/src/jobRows.test.ts
+++ b/packages/integration/src/jobRows.test.ts
@@ -2,10 +2,11 @@
  * Tests that daemons log the loss and the return of the store once each, and that the rows of ended jobs are removed from it.
  */
 import { assert, describe } from '@vanillathread/testing'
-import { EventCode, ResultCode } from '@vanillathread/model'
+import { EventCode, JobState, ResultCode } from '@vanillathread/model'
 import { IngressAnswerKind } from '@vanillathread/ports'
-import { StoreFault } from '@vanillathread/stand-ins'
+import { StoreFault, type VmStandIn } from '@vanillathread/stand-ins'
 import { createJob, createStep, JobLab } from './lib/jobs/JobLab.js'
+import type { SubmittedJob } from './lib/jobs/SubmittedJob.js'
 
 describe('the store', ({ it }) => {
   it('is logged as lost once and as regained once after it was silent, with the length of the outage', async () => {
@@ -60,8 +61,36 @@
     assert.is(small?.kind, IngressAnswerKind.Accepted)
     for (const { daemon } of lab.daemons) await daemon?.kill()
   })
+
+  // Guards against LOST (review/13): the crash of one rack made the progress of a wide job outgrow its row, and the job was shown as failed.
+  it('keeps a job on many VMs that crash together, in a row of bounded size, also if its owner is lost then', async () => {
+    for (const isOwnerLost of [false, true]) {
+      const lab = JobLab.create({ seed: 1, settings: { rowBytes: 2_000 } })
+      await lab.start()
+      const job = await submitWide(lab)
+      const countRuns = ({ vm }: { readonly vm?: VmStandIn }): number => vm?.runs.size ?? 0
+      const listBusy = (): string[] => [...lab.fleet.machines].filter(([, machine]) => countRuns(machine) > 0).map(([id]) => id)
+      // Machines move into the pool of the job.
+      for (let waits = 0; waits < 50 && listBusy().length < 4; waits++) await lab.run(100)
+      const crashing = listBusy().slice(0, 3)
+      assert.is(crashing.length, 3)
+      for (const id of crashing) lab.fleet.crash(id, 4_500)
+      await lab.run(6_000)
+      if (isOwnerLost) await lab.crashDaemon(lab.findOwner(), 1_500)
+      await lab.finish(30_000)
+      assert.equal(lab.history.violations, [])
+      assert.is(job.shownState, JobState.Complete)
+      assert.ok([...lab.store.rows.values()].every(({ value }) => value.length <= 2_000))
+    }
+  })
 })
 
+async function submitWide (lab: JobLab): Promise<SubmittedJob> {
+  const pending = lab.submit(createJob(createStep({ taskCount: 320, estimateMs: 4_000, need: { cpuMillis: 200, memoryMb: 10, accelerators: 0 } })))
+  await lab.run(100)
+  return pending
+}
+
 async function submitAll (lab: JobLab, count: number): Promise<Array<{ id: string }>> {
   const pending = []
   for (let job = 0; job < count; job++) pending.push(lab.submit(createJob(createStep({ taskCount: 1, estimateMs: 300 }))))
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -236,6 +236,10 @@
   TrialVmReserved = 768,
   /** A VM is reserved no more; `reason` says why. */
   TrialVmReleased = 769,
+  /** The progress of a job took `largestBytes`, more than a row, and is stored in a form of `bytes` with the same content. */
+  ProgressCompacted = 770,
+  /** Part of the progress of a job, which `form` says, is not stored, as a row would not hold it. A new owner has to learn it again. */
+  ProgressReduced = 771,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -348,5 +352,7 @@
   [EventCode.OwnershipProven]: { level: EventLevel.Info, message: 'owner has proof again that it owns the shard' },
   [EventCode.TrialVmReserved]: { level: EventLevel.Info, message: 'VM is reserved for a trial of tasks that may crash it' },
   [EventCode.TrialVmReleased]: { level: EventLevel.Info, message: 'VM is not reserved for a trial any more' },
+  [EventCode.ProgressCompacted]: { level: EventLevel.Info, message: 'progress of a job is stored in a compact form' },
+  [EventCode.ProgressReduced]: { level: EventLevel.Warn, message: 'progress of a job is stored in part, as it would not fit into a row' },
   [EventCode.VmCallFailed]: { level: EventLevel.Error, message: 'call to a VM failed with an unexpected error' },
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -56,6 +56,8 @@
 export { NearPlaces, type NearPlaceCounts, type NearPlaceRequest, type NearPlaceRules, type NearPlacesOptions } from './lib/placement/NearPlaces.js'
 export type { ClockReadings, JobSchedulerOptions } from './lib/jobs/JobSchedulerOptions.js'
 export type { JobProgress, OccurrenceProgress } from './lib/jobs/JobProgress.js'
+export { getMaxSmallestProgressBytes } from './lib/jobs/progressBounds.js'
+export { getMinStoredCrashes, ProgressForm, PROGRESS_FORMS } from './lib/jobs/ProgressForm.js'
 export { OrderKind, StartOutcome, type Order } from './lib/jobs/orders.js'
 export { SchedulerState, type DecisionFields, type DecisionLogger } from './lib/jobs/SchedulerState.js'
 export { TrackedJob } from './lib/jobs/TrackedJob.js'
--- a/packages/policy/src/lib/jobs/TrackedJob.ts
+++ b/packages/policy/src/lib/jobs/TrackedJob.ts
@@ -5,7 +5,8 @@
 import { countDueOccurrences, getMaxOpenOccurrences, MAX_WAITING_OCCURRENCES } from './dueOccurrences.js'
 import { IndexRanges } from './IndexRanges.js'
 import type { JobProgress, OccurrenceProgress } from './JobProgress.js'
-import { restoreOccurrence, toOccurrenceProgress } from './occurrenceProgress.js'
+import { listCrashes, restoreOccurrence, toOccurrenceProgress } from './occurrenceProgress.js'
+import { getMinStoredCrashes, ProgressForm } from './ProgressForm.js'
 import { TrackedOccurrence } from './TrackedOccurrence.js'
 import type { TrackedTask } from './TrackedTask.js'
 
@@ -54,7 +55,7 @@
     this.endedAtMs = options.progress?.endedAtMs
     this.failed = this.storedState === JobState.Failed
     this.cancelled = this.storedState === JobState.Cancelled
-    for (const saved of options.progress?.occurrences ?? []) restoreOccurrence(this.getOccurrence(saved.index), saved)
+    for (const saved of options.progress?.occurrences ?? []) restoreOccurrence(this.getOccurrence(saved.index), saved, options.progress?.crashVms)
     for (const index of options.progress?.finished ?? []) this.finishedOccurrences.add(index)
     for (const [from, to] of options.progress?.finishedRanges ?? []) this.finishedOccurrences.addRange(from, to)
     if (accepted.spec.repeatCount === 0) this.getOccurrence(0)
@@ -159,14 +160,17 @@
   /** Records that progress of the job is stored. */
   markStored (progress: JobProgress): void {
     this.storedState = progress.state
-    for (const { index, crashed = [] } of progress.occurrences) {
-      for (const [step, task, crashes] of crashed) {
-        const stored = this.occurrences.get(index)?.steps[step]?.tasks[task]
-        if (stored !== undefined) stored.storedCrashCount = Math.min(crashes.length, stored.crashes.length)
-      }
+    for (const saved of progress.occurrences) {
+      for (const [task, crashes] of listCrashes(this.occurrences.get(saved.index), saved, progress.crashVms)) task.storedCrashCount = Math.min(crashes.length, task.crashes.length)
     }
   }
 
+  /** Lets tasks start whose crashes are not part of a form, as these are not stored. */
+  waiveCrashes (form: ProgressForm): void {
+    const minCrashes = getMinStoredCrashes(form)
+    for (const task of this.listSuspects()) if (task.crashes.length < minCrashes) task.storedCrashCount = task.crashes.length
+  }
+
   /** Returns a task, also one of an occurrence that has ended: a VM may still run copies of it. */
   findTask (occurrence: number, step: number, index: number): TrackedTask | undefined {
     return (this.occurrences.get(occurrence) ?? this.getOccurrence(occurrence) ?? this.trackEnded(occurrence))?.steps[step]?.tasks[index]
@@ -196,10 +200,10 @@
 
   /** Counts a failed run. A finite task that has reached the job's limit of attempts fails the job. */
   markFailed (task: TrackedTask, run: number): void {
-    if (task.done || task.failedRuns.has(run)) return
+    if (task.done || task.hasCountedFailure(run)) return
     task.failedRuns.add(run)
     this.changed = true
-    if (!task.step.spec.longRunning && task.failedRuns.size >= this.accepted.maxAttempts) this.failed = true
+    if (!task.step.spec.longRunning && task.failureCount >= this.accepted.maxAttempts) this.failed = true
   }
 
   /** Fails the job although none of its tasks has reached the limit of attempts. */
@@ -215,20 +219,22 @@
   }
 
   /** Returns the progress to be stored for this job. */
-  toProgress (storeNowMs: number): JobProgress {
+  toProgress (storeNowMs: number, form = ProgressForm.Listed): JobProgress {
     const state = this.state
     if (isFinalState(state)) {
       this.endedAtMs ??= Math.round(storeNowMs)
       return { state, occurrences: [], finished: [], endedAtMs: this.endedAtMs }
     }
     const occurrences: OccurrenceProgress[] = []
+    const crashVms: string[] = []
     for (const occurrence of this.occurrences.values()) {
-      const progress = this.finishedOccurrences.has(occurrence.index) ? undefined : toOccurrenceProgress(occurrence)
+      const progress = this.finishedOccurrences.has(occurrence.index) ? undefined : toOccurrenceProgress(occurrence, form, crashVms)
       if (progress !== undefined) occurrences.push(progress)
     }
     const ranges = this.finishedOccurrences.toRanges()
-    if (this.finishedOccurrences.size > MAX_FINISHED_LISTED) return { state, occurrences, finished: [], finishedRanges: ranges }
-    return { state, occurrences, finished: ranges.flatMap(([from, to]) => Array.from({ length: to - from }, (_, offset) => from + offset)) }
+    const common = { state, occurrences, ...(crashVms.length > 0 && { crashVms }) }
+    if (this.finishedOccurrences.size > MAX_FINISHED_LISTED) return { ...common, finished: [], finishedRanges: ranges }
+    return { ...common, finished: ranges.flatMap(([from, to]) => Array.from({ length: to - from }, (_, offset) => from + offset)) }
   }
 }
 
--- a/packages/policy/src/lib/jobs/TrackedTask.ts
+++ b/packages/policy/src/lib/jobs/TrackedTask.ts
@@ -18,6 +18,8 @@
   lastRun: number
   /** Numbers of the runs that failed, as a set because a VM may report the same end more than once. */
   readonly failedRuns = new Set<number>()
+  /** Failed runs of which a previous owner stored the number only: how many, and up to which run number they count. */
+  formerFailures: { readonly count: number, readonly upToRun: number } | undefined
   /** Ids of VMs on which a run of this task failed or was overdue. */
   readonly failedVms = new Set<string>()
   /** Number of runs that were stopped because they took several times the expected duration. */
@@ -51,6 +53,20 @@
     return !this.done && (this.runs.size === 0 || this.needsSecondRun) && this.storedCrashCount >= this.crashes.length
   }
 
+  /** Number of failed runs that count as attempts. */
+  get failureCount (): number {
+    return this.failedRuns.size + (this.formerFailures?.count ?? 0)
+  }
+
+  get highestFailedRun (): number {
+    return Math.max(this.formerFailures?.upToRun ?? 0, ...this.failedRuns)
+  }
+
+  /** Returns true if a failed run counts already. */
+  hasCountedFailure (run: number): boolean {
+    return this.failedRuns.has(run) || run <= (this.formerFailures?.upToRun ?? 0)
+  }
+
   /** Records that a VM crashed under a run of this task. */
   recordCrash (crash: TaskCrash, needsTrial: boolean): void {
     this.crashes = [...this.crashes, crash]
