--- a/packages/daemon/src/lib/jobs/JobGateway.ts
+++ b/packages/daemon/src/lib/jobs/JobGateway.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type Metrics, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, isFinalState, JobState, ResultCode, type AcceptedJob, type JobSpec, type QueueRules } from '@vanillathread/model'
-import { spreadRetryAfter, type ConfigurationBounds } from '@vanillathread/policy'
+import { getMaxSmallestProgressBytes, spreadRetryAfter, type ConfigurationBounds } from '@vanillathread/policy'
 import { IngressAnswerKind, readRow, type ClientApi, type ClientLimits, type ClientRequest, type IngressAnswer, type RowStore } from '@vanillathread/ports'
 import { PeerMessageKind, WriteOutcome, type PeerMessage } from '../peer/messages.js'
 import type { PeerTransport } from '../peer/PeerTransport.js'
@@ -189,8 +189,10 @@
   private async store (job: AcceptedJob, req: ClientRequest, permit: WritePermit | undefined): Promise<IngressAnswer> {
     const { timers, log } = this.options
     const startedAtMs = timers.now()
+    const { rowBytes } = this.options
+    if (getMaxSmallestProgressBytes(job.spec, job.maxAttempts) > rowBytes) return this.refuse(job.id, ResultCode.InvalidJob, 'job has more tasks than a row of the store can hold the progress of')
     const value = encodeRow(job)
-    if (value.length > this.options.rowBytes) return this.refuse(job.id, ResultCode.InvalidJob, 'job does not fit into a row of the store')
+    if (value.length > rowBytes) return this.refuse(job.id, ResultCode.InvalidJob, 'job does not fit into a row of the store')
     const { outcome, version } = await this.retryUnknown(req, (unsent) => this.writer.writeJob(job.id, value, unsent, permit), permit)
     const storeMs = Math.round(timers.now() - startedAtMs)
     switch (outcome) {
--- a/packages/integration/src/jobRows.test.ts
+++ b/packages/integration/src/jobRows.test.ts
@@ -83,6 +83,19 @@
       assert.ok([...lab.store.rows.values()].every(({ value }) => value.length <= 2_000))
     }
   })
+
+  // Guards against LOST: such a job was accepted, and failed once many of its tasks had.
+  it('is not asked to store a job whose progress can outgrow a row; the job is refused as invalid', async () => {
+    const lab = JobLab.create({ seed: 1 })
+    await lab.start()
+    const submit = (digit: string, taskCount: number) => lab.daemons[0]?.api?.submit({ host: 'lab', path: `/checks/${digit.repeat(16)}`, deadlineMs: 3_000 }, createJob(...Array.from({ length: 8 }, () => createStep({ taskCount }))))
+    const answers = [submit('a', 100_000), submit('b', 10)]
+    await lab.run(1_000)
+    const [wide, narrow] = await Promise.all(answers)
+    assert.is(wide?.kind === IngressAnswerKind.Refused && wide.code, ResultCode.InvalidJob)
+    assert.is(narrow?.kind, IngressAnswerKind.Accepted)
+    for (const { daemon } of lab.daemons) await daemon?.kill()
+  })
 })
 
 async function submitWide (lab: JobLab): Promise<SubmittedJob> {
