--- a/packages/daemon/src/lib/jobs/CommitLoop.test.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.test.ts
@@ -3,11 +3,11 @@
  */
 import { assert, describe } from '@vanillathread/testing'
 import { delay, FakeTimerService, MemoryEventLog } from '@vanillathread/kernel'
-import { JobState, RunEnd, STEP_DEFAULTS, Result, type AcceptedJob, type VmEntry } from '@vanillathread/model'
+import { JobState, RunEnd, STEP_DEFAULTS, Result, type AcceptedJob, type StepSpec, type VmEntry } from '@vanillathread/model'
 import { JobScheduler, type TrackedJob } from '@vanillathread/policy'
 import { StoreFailureKind, type RowStore, type RowTransaction } from '@vanillathread/ports'
 import { CommitLoop } from './CommitLoop.js'
-import { decodeProgressRow } from './rows.js'
+import { decodeProgressRow, decodeRosterRow } from './rows.js'
 
 /** Platform limit on the entries of one transaction. */
 const MAX_ENTRIES = 100
@@ -61,7 +61,7 @@
   const transactions: RowTransaction[] = []
   const rows = {
     getStoreClockMs: () => timers.now(),
-    getStoreClockReading: () => undefined,
+    getStoreClockReading: () => ({ clockMs: timers.now(), sentAgoMs: 0 }),
     transact: async (transaction: RowTransaction) => {
       if (transaction.puts.some(({ key, value }) => isRejected(key, value))) return Result.err({ kind: StoreFailureKind.NotDone, reason: 'status 400', rejected: true })
       transactions.push(transaction)
@@ -188,6 +188,36 @@
     loop.dispose()
   })
 
+  // Guards against LOST: the row of a silent VM with thousands of runs was rejected, and the VM got no tasks any more.
+  it('records the end of the lease of a silent VM whose runs do not fit into a row', async () => {
+    const { scheduler, timers, transactions, loop } = createFixture((_key, { length }) => length > 65_536)
+    const entry = { ...createVm(0), capacity: { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 } }
+    scheduler.applyRegistration(entry, 0)
+    const vm = scheduler.state.vms.get(entry.id)
+    if (vm === undefined) throw new Error('no VM')
+    const report = (): void => {
+      const running = [...vm.runs.values()].map((run) => ({ task: run.name, run: run.number, checkpoint: '', percent: 100 }))
+      scheduler.applyReport(vm, { clockMs: timers.now(), bornMs: 1, running, ends: [] }, timers.now(), timers.now())
+    }
+    report()
+    vm.recorded = true
+    const [step] = createJob(1).spec.steps
+    scheduler.addJob({ ...createJob(1), spec: { ...createJob(1).spec, steps: [{ ...step ?? {}, taskCount: 4_000 } as StepSpec] } }, 2, 0)
+    scheduler.plan({ nowMs: 0, storeNowMs: 0, wallClockMs: 0 }, () => undefined)
+    report()
+    assert.is(vm.runs.size, 4_000)
+    scheduler.markUnresponsive(vm, timers.now())
+    await timers.advance(1_500)
+    loop.requestDueRecords()
+    await timers.advance(0)
+    await timers.advance(1_000)
+    assert.is(vm.recordRejected, false)
+    const rows = transactions.flatMap(({ puts }) => puts).filter(({ key }) => key === entry.id)
+    const record = decodeRosterRow(rows.at(-1)?.value ?? Uint8Array.of())
+    assert.ok(record?.leaseEndMs !== undefined && record.runs === undefined)
+    loop.dispose()
+  })
+
   // Guards against TWICE: ends of a VM that had started again were acknowledged, and so dropped there, before they were stored.
   it('does not acknowledge ends of a new incarnation because as many of the former one are stored', async () => {
     const { scheduler, timers, transactions, loop } = createFixture(() => false, 100)
--- a/packages/daemon/src/lib/jobs/CommitLoop.ts
+++ b/packages/daemon/src/lib/jobs/CommitLoop.ts
@@ -4,7 +4,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode } from '@vanillathread/model'
-import type { JobProgress, JobScheduler, Moment, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
+import type { JobProgress, JobScheduler, Moment, RosterRecord, RosterWrite, TrackedJob, TrackedVm } from '@vanillathread/policy'
 import { StoreFailureKind, type RowCondition, type RowKey, type RowPut, type RowStore, type StoreFailure } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { readMoment } from './OwnershipProver.js'
@@ -177,10 +177,18 @@
   private listPuts (batch: Batch): RowPut[] {
     const { shard } = this.options
     const jobs = batch.jobs.map(({ job, value }) => ({ table: Table.Progress, part: shard, key: job.id, value }))
-    const roster = batch.roster.map(({ vm, record: { entry, ...rest } }) => ({ table: Table.Rosters, part: shard, key: vm.id, value: encodeRow({ ...entry, ...rest }) }))
+    const roster = batch.roster.map(({ vm, record }) => ({ table: Table.Rosters, part: shard, key: vm.id, value: this.encodeRosterRow(record) }))
     return [...jobs, ...roster]
   }
 
+  /** Encodes a VM's record. Runs that do not fit into a row are left out, and a successor waits for the end of the lease before it starts tasks again that may run there. */
+  private encodeRosterRow ({ entry, ...rest }: RosterRecord): Uint8Array {
+    const value = encodeRow({ ...entry, ...rest })
+    if (value.length <= this.options.rowBytes || rest.runs === undefined) return value
+    this.options.log.write(EventCode.RosterRunsLeftOut, { shard: this.options.shard, vm: entry.id, runs: rest.runs.length, bytes: value.length })
+    return encodeRow({ ...entry, ...rest, runs: undefined })
+  }
+
   private markCommitted (batch: Batch): void {
     const { scheduler } = this.options
     for (const { job, progress } of batch.jobs) scheduler.markStored(job, progress)
--- a/packages/model/src/lib/events/EventCode.ts
+++ b/packages/model/src/lib/events/EventCode.ts
@@ -240,6 +240,8 @@
   ProgressCompacted = 770,
   /** Part of the progress of a job, which `form` says, is not stored, as a row would not hold it. A new owner has to learn it again. */
   ProgressReduced = 771,
+  /** The row of a silent VM says when its lease is over, but not which runs it may have until then, as they are too many. */
+  RosterRunsLeftOut = 772,
 }
 
 /** Level and text with which an event is logged. @public */
@@ -354,5 +356,6 @@
   [EventCode.TrialVmReleased]: { level: EventLevel.Info, message: 'VM is not reserved for a trial any more' },
   [EventCode.ProgressCompacted]: { level: EventLevel.Info, message: 'progress of a job is stored in a compact form' },
   [EventCode.ProgressReduced]: { level: EventLevel.Warn, message: 'progress of a job is stored in part, as it would not fit into a row' },
+  [EventCode.RosterRunsLeftOut]: { level: EventLevel.Warn, message: 'runs of a silent VM are left out of its row, as they would not fit' },
   [EventCode.VmCallFailed]: { level: EventLevel.Error, message: 'call to a VM failed with an unexpected error' },
 }
