--- a/packages/daemon/src/lib/jobs/VmSession.ts
+++ b/packages/daemon/src/lib/jobs/VmSession.ts
@@ -3,7 +3,7 @@
  */
 import { delay, type EventLog, type TimerService } from '@vanillathread/kernel'
 import { EventCode, exhaustiveSwitchError, OrderRefusal } from '@vanillathread/model'
-import { OrderKind, RunPhase, StartOutcome, TRIAL_MS, type JobScheduler, type Order, type TrackedRun, type TrackedVm } from '@vanillathread/policy'
+import { OrderKind, PauseReason, RunPhase, StartOutcome, TRIAL_MS, type JobScheduler, type Order, type TrackedRun, type TrackedVm } from '@vanillathread/policy'
 import { VmAnswerKind, type RunReference, type VmAnswer, type VmClient } from '@vanillathread/ports'
 import { taskOptions } from './jobOptions.js'
 import { readMoment } from './OwnershipProver.js'
@@ -225,7 +225,7 @@
     if (refusal === OrderRefusal.Fenced) this.options.onFenced(vm.id)
     else if (refusal === OrderRefusal.OtherIncarnation) this.options.onReplaced(vm.id)
     else if (refusal === OrderRefusal.Restarted) vm.suspectRestart(calledBornMs, timers.now())
-    else if (refusal !== OrderRefusal.OldRun) vm.pausedUntilMs = timers.now() + REFUSAL_PAUSE_MS
+    else if (refusal !== OrderRefusal.OldRun) vm.pause.begin(PauseReason.Refusal, REFUSAL_PAUSE_MS, timers.now())
   }
 }
 
--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -3,6 +3,7 @@
  */
 import { EventCode, parseTaskName, type EndEntry } from '@vanillathread/model'
 import { TrackedVm } from '../vms/TrackedVm.js'
+import { PauseReason } from '../vms/VmPause.js'
 import { DurationEstimates } from './DurationEstimates.js'
 import { OrderKind, type Order } from './orders.js'
 import { NearPlaces, type NearPlaceRules } from '../placement/NearPlaces.js'
@@ -239,12 +240,13 @@
     if (step.doneCount === taskCount - 1) this.estimates.addStepSample(queue, this.estimates.getTaskMs(queue, estimateMs), step.longestMs, taskCount)
   }
 
-  private applyFailure (vm: TrackedVm, task: TrackedTask, run: number, nowMs: number): void {
-    const { job } = task.step.occurrence
-    job.markFailed(task, run)
+  private applyFailure (vm: TrackedVm, task: TrackedTask, number: number, nowMs: number): void {
+    const { step } = task
+    const { job } = step.occurrence
+    job.markFailed(task, number)
     task.failedVms.add(vm.id)
     this.recordVmFailure(vm, job.id, nowMs)
-    if (task.step.spec.gang) this.stopGangMembers(task, run, nowMs)
+    if (step.spec.gang) this.stopGangMembers(task, number, nowMs)
   }
 
   /** Counts a failure of a VM, and pauses the VM if tasks of several jobs failed there with none done in between. */
@@ -252,12 +254,13 @@
     const failures = this.failuresByVm.get(vm.id) ?? { jobs: new Set<string>(), pauses: 0 }
     failures.jobs.add(jobId)
     this.failuresByVm.set(vm.id, failures)
+    vm.pause.recordFailure(nowMs)
     if (failures.jobs.size < MIN_FAILED_JOBS) return
     const pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures.pauses)
     failures.pauses += 1
     failures.jobs.clear()
-    vm.pausedUntilMs = nowMs + pauseMs
-    this.logDecision(EventCode.VmAvoided, { vm: vm.id, pauseMs, reason: 'tasks of several jobs failed' })
+    vm.pause.begin(PauseReason.Failures, pauseMs, nowMs)
+    this.logDecision(EventCode.VmAvoided, { vm: vm.id, pauseMs, reason: PauseReason.Failures })
   }
 
   /** Stops the members of a gang that still run under the given run number. */
--- a/packages/policy/src/lib/jobs/placeSuspects.test.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.test.ts
@@ -4,7 +4,7 @@
 import { assert, describe } from '@vanillathread/testing'
 import { RunEnd } from '@vanillathread/model'
 import type { JobScheduler } from './JobScheduler.js'
-import { TrialObstacle } from '../placement/findTrialObstacle.js'
+import { PlaceObstacle } from '../placement/findPlaceObstacle.js'
 import { createTeam } from '../teams/testSupport.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from './testSupport.js'
 
@@ -110,7 +110,7 @@
     if (vm === undefined) throw new Error('no VM')
     const step = scheduler.state.jobs.get(SUSPECT)?.occurrences.get(0)?.steps[0]
     if (step === undefined) throw new Error('no step')
-    vm.trialReservation = { step, obstacle: TrialObstacle.EndingRuns, sinceMs: CRASH_FOUND_MS }
+    vm.trialReservation = { step, obstacle: PlaceObstacle.EndingRuns, sinceMs: CRASH_FOUND_MS }
     scheduler.cancelJob(SUSPECT, CRASH_FOUND_MS + 5)
     scheduler.addJob({ ...createTestJob({ id: '00000000000000cc', steps: [createTestStep({ taskCount: 1 })] }), pool: 'other' }, 2, CRASH_FOUND_MS + 10)
     planAndAccept(scheduler, CRASH_FOUND_MS + 20)
--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -2,7 +2,7 @@
  * Starts tasks that may have crashed a VM in trials: those of one step together, on a VM where no other task is started meanwhile, so
  * that another crash shows which job is at fault and costs few other tasks their runs.
  */
-import { findTrialObstacle, TrialObstacle } from '../placement/findTrialObstacle.js'
+import { findPlaceObstacle, PlaceObstacle } from '../placement/findPlaceObstacle.js'
 import { ReservationEnd } from '../placement/TrialReservations.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { hasCrashedRecently } from './crashBlame.js'
@@ -74,7 +74,7 @@
 /** Starts as many of the tasks as fit on one VM. Returns false if there is none for them. */
 function beginTrial (state: SchedulerState, { step, tasks, tickets, vms }: TrialRequest, context: PlacementContext): boolean {
   const { nowMs } = context
-  const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findTrialObstacle(step, each, tickets, nowMs) === undefined), nowMs)
+  const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findPlaceObstacle(step, each, tickets, nowMs) === undefined), nowMs)
   if (vm === undefined) return false
   const runs: TrackedRun[] = []
   for (const task of tasks) {
@@ -94,9 +94,9 @@
 function reserveVm (state: SchedulerState, requests: readonly TrialRequest[], context: PlacementContext): void {
   const { nowMs } = context
   if (context.vms.some((vm) => vm.trialReservation !== undefined)) return
-  for (const obstacle of [TrialObstacle.RecentStart, TrialObstacle.EndingRuns]) {
+  for (const obstacle of [PlaceObstacle.RecentStart, PlaceObstacle.EndingRuns]) {
     for (const { step, tickets, vms } of requests) {
-      const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findTrialObstacle(step, each, tickets, nowMs) === obstacle), nowMs)
+      const vm = chooseVm(state, vms.filter((each) => !each.isOnTrial && findPlaceObstacle(step, each, tickets, nowMs) === obstacle), nowMs)
       if (vm === undefined) continue
       step.lastTrialAtMs = nowMs
       state.trialReservations.begin(vm, { step, obstacle, sinceMs: nowMs })
--- a/packages/policy/src/lib/jobs/placeTasks.ts
+++ b/packages/policy/src/lib/jobs/placeTasks.ts
@@ -4,6 +4,7 @@
 import type { TrackedVm } from '../vms/TrackedVm.js'
 import { getReadySinceMs } from '../placement/getReadySinceMs.js'
 import { canWait } from '../placement/NearPlaces.js'
+import { canHavePlaceLater, findPlaceObstacle } from '../placement/findPlaceObstacle.js'
 import { placeSuspects } from './placeSuspects.js'
 import { rankJob, type JobRank } from './rankJobs.js'
 import type { SchedulerState } from './SchedulerState.js'
@@ -20,11 +21,15 @@
   const usableVms = context.vms.filter((vm) => vm.isUsable(context.nowMs))
   placeSuspects(state, pool, usableVms, context)
   const vms = usableVms.filter((vm) => !vm.isKeptForTrials)
-  if (vms.length === 0) return
+  const pausedVms = context.vms.filter((vm) => vm.pause.isActive(context.nowMs) && vm.isUsableUnlessPaused(context.nowMs) && !vm.isKeptForTrials)
+  if (vms.length === 0 && pausedVms.length === 0) return
   for (const rank of state.teams.order(rankJobs(state, jobs, context))) {
     for (const step of listReadySteps(rank.job, context.wallClockMs)) {
       if (step.spec.gang) placeGang(state, step, vms, context, rank)
-      else placeStep(state, step, vms, context, rank)
+      else {
+        placeStep(state, step, vms, context, rank)
+        if (pausedVms.length > 0) placeOnPausedVms(state, step, { usableVms, pausedVms }, context)
+      }
     }
   }
 }
@@ -89,6 +94,23 @@
   }
 }
 
+/** Starts the waiting tasks of a step that have no place on any VM that is not paused, nor will have one once runs have ended there. */
+function placeOnPausedVms (
+  state: SchedulerState, step: TrackedStep, { usableVms, pausedVms }: { readonly usableVms: readonly TrackedVm[], readonly pausedVms: readonly TrackedVm[] }, context: PlacementContext
+): void {
+  const { nowMs } = context
+  const vms = pausedVms.filter((vm) => vm.pause.allowsLastResort(step.spec.longRunning, nowMs))
+  if (vms.length === 0 || !step.tasks.some((task) => task.isWaiting && !task.needsTrial)) return
+  const tickets = getTicketsIfRequired(step, vms, context)
+  if (tickets === undefined || usableVms.some((vm) => canHavePlaceLater(findPlaceObstacle(step, vm, tickets, nowMs)))) return
+  for (const task of step.tasks) {
+    if (!task.isWaiting || task.needsTrial) continue
+    const vm = state.teams.mayStartTask(task) ? chooseVm(step, task, vms, tickets, undefined) : undefined
+    if (vm === undefined) return
+    startTask(state, task, vm, task.lastRun + 1, tickets, context)
+  }
+}
+
 function isFar ({ spec: { dataRack } }: TrackedStep, vm: TrackedVm): boolean {
   return dataRack !== undefined && vm.rack !== dataRack
 }
--- a/packages/policy/src/lib/jobs/restartOverdue.test.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.test.ts
@@ -143,7 +143,7 @@
         endJob(scheduler, 'a', id, nowMs + DURATION_MS)
       }
       planAndAccept(scheduler, startMs + 4 * DURATION_MS)
-      assert.is(scheduler.state.vms.get('a')?.pausedUntilMs, 0)
+      assert.is(scheduler.state.vms.get('a')?.pause.untilMs, 0)
     })
 
     it('takes no task for long because it is overdue on several VMs that end nothing', () => {
@@ -155,7 +155,7 @@
       for (const id of ['b', 'c', 'd']) reportRunning(scheduler, createVmEntry(id, { capacity: { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 } }), atMs)
       const stops = planAndAccept(scheduler, atMs).filter(({ kind }) => kind === OrderKind.Stop)
       assert.equal([...new Set(stops.map(({ run }) => run.vmId))].filter((id) => id !== 'a').sort(), ['b', 'c', 'd'])
-      assert.ok(['b', 'c', 'd'].every((id) => (scheduler.state.vms.get(id)?.pausedUntilMs ?? 0) > atMs))
+      assert.ok(['b', 'c', 'd'].every((id) => (scheduler.state.vms.get(id)?.pause.untilMs ?? 0) > atMs))
     })
   })
 })
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -6,6 +6,7 @@
  */
 import { EventCode } from '@vanillathread/model'
 import type { TrackedVm } from '../vms/TrackedVm.js'
+import { PauseReason } from '../vms/VmPause.js'
 import { maySilenceVm } from './crashBlame.js'
 import type { SchedulerState } from './SchedulerState.js'
 import type { TrackedStep } from './TrackedOccurrence.js'
@@ -97,9 +98,9 @@
 }
 
 function pauseSlow (state: SchedulerState, vm: TrackedVm, overdueCount: number, nowMs: number): void {
-  if (vm.pausedUntilMs > nowMs + PAUSE_MS / 2) return
-  vm.pausedUntilMs = nowMs + PAUSE_MS
-  state.logDecision(EventCode.VmAvoided, { vm: vm.id, pauseMs: PAUSE_MS, reason: 'tasks of several jobs are overdue', overdue: overdueCount })
+  if (vm.pause.untilMs > nowMs + PAUSE_MS / 2) return
+  vm.pause.begin(PauseReason.OverdueRuns, PAUSE_MS, nowMs)
+  state.logDecision(EventCode.VmAvoided, { vm: vm.id, pauseMs: PAUSE_MS, reason: PauseReason.OverdueRuns, overdue: overdueCount })
 }
 
 /** What speaks for the VM or for the step as the cause of an overdue run. */
--- a/packages/policy/src/lib/placement/TrialReservations.test.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.test.ts
@@ -6,7 +6,8 @@
 import type { JobScheduler } from '../jobs/JobScheduler.js'
 import { createScheduler, createTestJob, createTestStep, createVmEntry, planAndAccept, reportRunning } from '../jobs/testSupport.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
-import { TrialObstacle } from './findTrialObstacle.js'
+import { PauseReason } from '../vms/VmPause.js'
+import { PlaceObstacle } from './findPlaceObstacle.js'
 import { MAX_RESERVATION_MS } from './TrialReservations.js'
 
 const SUSPECT = '00000000000000aa'
@@ -99,7 +100,7 @@
   prepare(pool)
   pool.nowMs = CRASH_MS
   for (const id of vms) pool.report(id)
-  for (const id of vms) pool.get(id).pausedUntilMs = CRASH_MS + 1
+  for (const id of vms) pool.get(id).pause.begin(PauseReason.Refusal, 1, CRASH_MS)
   reportRunning(pool.scheduler, createVmEntry(CRASHING), CRASH_MS)
   for (const [id, step] of suspects) pool.addJob(id, step)
   assert.ok(pool.plan('').includes(CRASHING))
@@ -176,7 +177,7 @@
       })
       const [suspect] = pool.scheduler.state.suspects
       if (suspect === undefined) throw new Error('no suspect')
-      pool.scheduler.state.trialReservations.begin(pool.get('a'), { step: suspect.step, obstacle: TrialObstacle.EndingRuns, sinceMs: pool.nowMs })
+      pool.scheduler.state.trialReservations.begin(pool.get('a'), { step: suspect.step, obstacle: PlaceObstacle.EndingRuns, sinceMs: pool.nowMs })
       for (const id of ['b', 'c', 'd']) {
         const vm = pool.get(id)
         vm.trialRuns = [...vm.runs.values()]
@@ -195,7 +196,7 @@
       const pool = Pool.create([...VMS, CRASHING])
       pool.addJob(SUSPECT, { longRunning: true, taskCount: VMS.length + 1, maxTasksPerVm: 1 })
       pool.plan('')
-      for (const id of VMS) pool.get(id).pausedUntilMs = pool.nowMs + 1
+      for (const id of VMS) pool.get(id).pause.begin(PauseReason.Refusal, 1, pool.nowMs)
       pool.addJob(SECOND_SUSPECT, { longRunning: true, taskCount: 2, maxTasksPerVm: 2, need: { cpuMillis: 500, memoryMb: 1, accelerators: 0 } })
       assert.equal(pool.plan(SECOND_SUSPECT), [CRASHING, CRASHING])
       pool.nowMs = 10
@@ -258,7 +259,7 @@
       pool.run(200, '')
       const reserved = VMS.find((id) => pool.get(id).trialReservation !== undefined)
       if (reserved === undefined) throw new Error('no VM is reserved')
-      pool.get(reserved).pausedUntilMs = pool.nowMs + 1_000
+      pool.get(reserved).pause.begin(PauseReason.Refusal, 1_000, pool.nowMs)
       pool.run(100, '')
       assert.is(pool.get(reserved).trialReservation, undefined)
       assert.is(VMS.filter((id) => pool.get(id).trialReservation !== undefined).length, 1)
--- a/packages/policy/src/lib/placement/TrialReservations.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.ts
@@ -8,7 +8,7 @@
 import type { DecisionLogger } from '../jobs/SchedulerState.js'
 import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
-import type { TrialObstacle } from './findTrialObstacle.js'
+import type { PlaceObstacle } from './findPlaceObstacle.js'
 
 /**
  * Longest time for which a VM is reserved. A long-running task that has failed may have no place but there, and must be at work again within
@@ -20,7 +20,7 @@
 export interface TrialReservation {
   readonly step: TrackedStep
   /** Why the trial could not begin there at once. */
-  readonly obstacle: TrialObstacle
+  readonly obstacle: PlaceObstacle
   readonly sinceMs: number
 }
 
--- a/packages/policy/src/lib/placement/findTrialObstacle.ts
+++ b/packages/policy/src/lib/placement/findPlaceObstacle.ts
@@ -1,14 +1,15 @@
 /**
- * Says why a VM cannot give a step's tasks a trial now, which decides whether reserving the VM for them can help.
+ * Says why a VM has no place for tasks of a step, or none in which they are alone, and whether that passes by itself. Reserving the VM for them, or
+ * waiting for it, helps only then.
  */
 import { isAllowed } from '../jobs/startTask.js'
 import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import { RunPhase, type TrackedRun } from '../jobs/TrackedRun.js'
 import type { TrackedVm } from '../vms/TrackedVm.js'
 
-/** Why a VM cannot give a step's tasks a trial now. @public */
-export enum TrialObstacle {
-  /** A run was started there a moment ago. Passes if no other is started. */
+/** Why a VM has no place for tasks of a step. @public */
+export enum PlaceObstacle {
+  /** A run was started there a moment ago, which matters to trials only. Passes if no other is started. */
   RecentStart = 'recent start',
   /** Runs that end by themselves take the room, or the places that the step may have on one VM. Passes if no others are started. */
   EndingRuns = 'ending runs',
@@ -20,14 +21,19 @@
   NotAllowed = 'not allowed',
 }
 
-/** Returns why a VM cannot give tasks of the step a trial, or undefined if it can. */
-export function findTrialObstacle (step: TrackedStep, vm: TrackedVm, tickets: ReadonlyMap<string, string> | 'none', nowMs: number): TrialObstacle | undefined {
-  if (!isAllowed(step, vm, tickets)) return TrialObstacle.NotAllowed
-  if (!hasPlaceBeside(step, vm, [])) return TrialObstacle.Size
+/** Returns true if a VM has a place, or has one once the runs there that end have ended. */
+export function canHavePlaceLater (obstacle: PlaceObstacle | undefined): boolean {
+  return obstacle === undefined || obstacle === PlaceObstacle.RecentStart || obstacle === PlaceObstacle.EndingRuns
+}
+
+/** Returns why a VM has no place for a trial of the step's tasks, or undefined if it has one. */
+export function findPlaceObstacle (step: TrackedStep, vm: TrackedVm, tickets: ReadonlyMap<string, string> | 'none', nowMs: number): PlaceObstacle | undefined {
+  if (!isAllowed(step, vm, tickets)) return PlaceObstacle.NotAllowed
+  if (!hasPlaceBeside(step, vm, [])) return PlaceObstacle.Size
   const runs = [...vm.runs.values()]
-  if (!hasPlaceBeside(step, vm, runs.filter(isLasting))) return TrialObstacle.LongRunningTasks
-  if (!hasPlaceBeside(step, vm, runs)) return TrialObstacle.EndingRuns
-  return vm.isQuiet(nowMs) ? undefined : TrialObstacle.RecentStart
+  if (!hasPlaceBeside(step, vm, runs.filter(isLasting))) return PlaceObstacle.LongRunningTasks
+  if (!hasPlaceBeside(step, vm, runs)) return PlaceObstacle.EndingRuns
+  return vm.isQuiet(nowMs) ? undefined : PlaceObstacle.RecentStart
 }
 
 /** Returns true if a task of the step could be started on the VM if only the given runs were there. */
--- a/packages/policy/src/lib/vms/TrackedVm.ts
+++ b/packages/policy/src/lib/vms/TrackedVm.ts
@@ -5,6 +5,7 @@
 import type { TrackedRun } from '../jobs/TrackedRun.js'
 import type { TrackedStep } from '../jobs/TrackedOccurrence.js'
 import type { TrialReservation } from '../placement/TrialReservations.js'
+import { VmPause } from './VmPause.js'
 
 /** Share by which a VM's steady clock may run slow, as the platform states. */
 const MAX_CLOCK_SLOWDOWN = 0.02
@@ -75,8 +76,7 @@
   keptForTrialsSinceMs: number | undefined
   /** Time until which no trial begins here and the VM is not reserved for one, so that other tasks get their turn. */
   openToOthersUntilMs = 0
-  /** Time until which the VM is paused, that is, gets no new tasks, because it refused an order, failed tasks or was slow. */
-  pausedUntilMs = 0
+  readonly pause = VmPause.create()
   /** True while the VM is evacuated: its tasks are stopped, and none is placed on it. */
   evacuating = false
   /** The acknowledged end: the progress from end entries up to this number is stored. */
@@ -114,8 +114,13 @@
 
   /** Returns true if new tasks may be placed on the VM. */
   isUsable (nowMs: number): boolean {
+    return !this.pause.isActive(nowMs) && this.isUsableUnlessPaused(nowMs)
+  }
+
+  /** Returns true if new tasks may be placed on the VM once its pause is over. */
+  isUsableUnlessPaused (nowMs: number): boolean {
     return this.isReconciled && this.recorded && this.mayBeLeased && this.unconfirmedSinceMs === undefined && !this.isRegistrationStale && this.isRegisteredOrInGrace(nowMs) && !this.entry.draining &&
-      !this.evacuating && !this.isOnTrial && nowMs >= this.pausedUntilMs
+      !this.evacuating && !this.isOnTrial
   }
 
   /**
@@ -150,10 +155,7 @@
     return this.unregisteredAtMs === undefined
   }
 
-  /**
-   * Returns true if the VM is registered, or lost its registration only moments ago: registrations also expire during a
-   * store outage.
-   */
+  /** Returns true if the VM is registered, or lost its registration only moments ago: registrations also expire during a store outage. */
   private isRegisteredOrInGrace (nowMs: number): boolean {
     return this.unregisteredAtMs === undefined || nowMs - this.unregisteredAtMs < UNREGISTERED_GRACE_MS
   }
