--- a/packages/policy/src/lib/jobs/SchedulerState.ts
+++ b/packages/policy/src/lib/jobs/SchedulerState.ts
@@ -27,9 +27,12 @@
 
 /**
  * First pause of a VM on which tasks of several jobs failed; a paused VM gets no new tasks. The pause doubles with each
- * further one until a task is done there.
+ * further one until a task is done there, or fails only after `WORKING_VM_MS`.
  */
 const FIRST_PAUSE_MS = 1_500
+/** A long-running task that fails after it has worked for this long shows, like a task that is done, that its VM works. */
+const WORKING_VM_MS = 5_000
+
 /** Longest pause of such a VM. */
 const MAX_PAUSE_MS = 12_000
 
@@ -176,7 +179,7 @@
     job.dropIfEnded(task.step.occurrence)
     if (job.isOver) return
     if (end.end === 'done') this.applyDone(vm, run, task, nowMs)
-    else if (end.end === 'failed') this.applyFailure(vm, task, end.run, nowMs)
+    else if (end.end === 'failed') this.applyFailure(vm, run, task, end.run, nowMs)
     else if (task.step.spec.gang) this.stopGangMembers(task, end.run, nowMs)
     this.closeIfOver(job, nowMs)
   }
@@ -240,12 +243,13 @@
     if (step.doneCount === taskCount - 1) this.estimates.addStepSample(queue, this.estimates.getTaskMs(queue, estimateMs), step.longestMs, taskCount)
   }
 
-  private applyFailure (vm: TrackedVm, task: TrackedTask, number: number, nowMs: number): void {
+  private applyFailure (vm: TrackedVm, run: TrackedRun | undefined, task: TrackedTask, number: number, nowMs: number): void {
     const { step } = task
     const { job } = step.occurrence
     job.markFailed(task, number)
     task.failedVms.add(vm.id)
-    this.recordVmFailure(vm, job.id, nowMs)
+    if (step.spec.longRunning && run?.confirmedAtMs !== undefined && nowMs - run.confirmedAtMs >= WORKING_VM_MS) this.failuresByVm.delete(vm.id)
+    else this.recordVmFailure(vm, job.id, nowMs)
     if (step.spec.gang) this.stopGangMembers(task, number, nowMs)
   }
 
--- a/packages/policy/src/lib/vms/VmPause.test.ts
+++ b/packages/policy/src/lib/vms/VmPause.test.ts
@@ -106,4 +106,18 @@
     end(scheduler, vm, 'd', RunEnd.Failed, 5_000)
     assert.ok(measureWait(scheduler, 'd', 5_000, 10_000) <= MUST_WORK_AFTER_MS - START_MS)
   })
+
+  // Guards against LOST (review/8): tasks that fail now and then count against their VM for ever if none is ever done there.
+  it('does not begin because of long-running tasks that fail after they have worked for long', () => {
+    const scheduler = createScheduler()
+    reportRunning(scheduler, createVmEntry('a'), 0)
+    const ids = ['1', '2', '3', '4', '5', '6']
+    for (const id of ids) addJob(scheduler, id, { longRunning: true }, 0)
+    planAndAccept(scheduler, 0)
+    for (let nowMs = 14_000; nowMs < 100_000; nowMs += 2_500) {
+      end(scheduler, getVm(scheduler, 'a'), ids[(nowMs / 2_500) % ids.length | 0] ?? '', RunEnd.Failed, nowMs)
+      assert.is(getVm(scheduler, 'a').pause.isActive(nowMs), false, `at ${nowMs} ms`)
+      planAndAccept(scheduler, nowMs + PLAN_MS)
+    }
+  })
 })
