--- a/packages/policy/src/lib/jobs/restartOverdue.test.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.test.ts
@@ -97,13 +97,14 @@
       assert.equal(stops.map(({ kind }) => kind), [OrderKind.Stop, OrderKind.Stop])
     })
 
-    it('gives each further run twice the time, so that a task that takes longer than the limit is not restarted for ever', () => {
+    // The second factor is that of tasks of 40 s in a queue of 0.64 s (review/11), which were stopped and started again without end.
+    for (const [factor, maxStarts, limitMs] of [[14, 6, 60_000], [62, 10, 100_000]] as const) it(`gives each further run twice the time, so that a task of ${factor} times the mean is not restarted for ever`, () => {
       const { scheduler, startMs } = prepare(false)
-      const taskMs = 14 * DURATION_MS
+      const taskMs = factor * DURATION_MS
       const beganAtMs = new Map<string, number>()
       let ended = 0
       let starts = 0
-      for (let nowMs = startMs; nowMs < startMs + 60_000 && ended < 2; nowMs += 100) {
+      for (let nowMs = startMs; nowMs < startMs + limitMs && ended < 2; nowMs += 100) {
         for (const vm of scheduler.state.vms.values()) {
           const runs = [...vm.runs.values()]
           const isDone = (key: string): boolean => nowMs - (beganAtMs.get(key) ?? nowMs) >= taskMs
@@ -121,7 +122,7 @@
         }
       }
       assert.is(ended, 2)
-      assert.ok(starts <= 6, `${starts} starts after the first two`)
+      assert.ok(starts <= maxStarts, `${starts} starts after the first two`)
     })
 
     it('pauses no VM on which two long tasks of different jobs run beside many that end in time', () => {
--- a/packages/policy/src/lib/jobs/restartOverdue.ts
+++ b/packages/policy/src/lib/jobs/restartOverdue.ts
@@ -28,8 +28,8 @@
  */
 const LONG_TASK_FACTOR = 2
 
-/** Largest number of such signs that count, so that a task on a hung VM is stopped in the end. */
-const MAX_SIGNS = 3
+/** Largest number of such signs that count: a limit beyond any task that a queue of short ones can hold. */
+const MAX_SIGNS = 10
 
 /** Number of VMs on which runs of one step must be overdue for the step to count as long: estimates may be far too short for a whole job. */
 const LONG_STEP_VMS = 3
