--- a/packages/integration/src/deadlyTasks.test.ts
+++ b/packages/integration/src/deadlyTasks.test.ts
@@ -64,6 +64,22 @@
       assert.ok(Math.max(...lab.history.crashes.values()) <= EXPECTED_CRASHES, `seed ${seed}: ${[...lab.history.crashes.values()].join()} crashes`)
     }
   })
+
+  // Guards against a task that takes one VM after the other because the crashes of its wide job are stored in a smaller form.
+  it('is given up in a job whose progress outgrows a row, and the job beside it completes', async () => {
+    for (const seed of SEEDS) {
+      const lab = createLab(seed, { settings: { rowBytes: 2_000 } })
+      await lab.start()
+      const need = { cpuMillis: 100, memoryMb: 10, accelerators: 0 }
+      lab.submit(createJob(createStep({ taskCount: 400, estimateMs: 3_000, need })), { deadlyTask: 7 })
+      lab.submit(createJob(createStep({ taskCount: 20, estimateMs: 1_000, need })))
+      await lab.finish(40_000)
+      assert.equal(lab.history.violations, [], `seed ${seed}`)
+      assert.equal([...listStates(lab, true), ...listStates(lab, false)], [JobState.Failed, JobState.Complete], `seed ${seed}`)
+      const crashes = Math.max(...lab.history.crashes.values())
+      assert.ok(crashes === EXPECTED_CRASHES || crashes === EXPECTED_CRASHES + 1, `seed ${seed}: ${crashes} crashes`)
+    }
+  })
 })
 
 /** Time for which a VM that flaps is down, and for which it is up, as the platform's sites state. */
