--- a/packages/policy/src/lib/jobs/placeSuspects.ts
+++ b/packages/policy/src/lib/jobs/placeSuspects.ts
@@ -20,20 +20,27 @@
 
 /** Starts the tasks of a pool that need a trial, as far as VMs are quiet. Reserves a VM if none is. */
 export function placeSuspects (state: SchedulerState, pool: string, vms: readonly TrackedVm[], context: PlacementContext): void {
-  const { nowMs } = context
   const waiting = groupWaiting(state, pool, context)
   const onTrial = context.vms.filter((vm) => vm.isOnTrial)
   const silenced = onTrial.filter((vm) => vm.unresponsiveSinceMs !== undefined).length
   const areTrialsSuspended = silenced > Math.floor(context.vms.length * SILENCED_SHARE)
-  state.trialReservations.review({ vms: context.vms, usableVms: vms, waiting, areTrialsSuspended, nowMs })
-  if (areTrialsSuspended) return
-  let freeTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE)) - (onTrial.length - silenced)
+  state.trialReservations.review({ vms: context.vms, usableVms: vms, waiting, areTrialsSuspended, nowMs: context.nowMs })
+  const maxTrials = Math.max(1, Math.floor(context.vms.length * TRIAL_SHARE))
+  if (!areTrialsSuspended) beginTrials(state, { waiting, vms, maxTrials: maxTrials - (onTrial.length - silenced) }, context)
+  state.trialReservations.recordKeptVms(context.vms, context.nowMs)
+}
+
+/** Begins up to `maxTrials` trials on quiet VMs. Reserves a VM for a step that finds none. */
+function beginTrials (
+  state: SchedulerState, { waiting, vms, maxTrials }: { readonly waiting: ReadonlyMap<TrackedStep, TrackedTask[]>, readonly vms: readonly TrackedVm[], readonly maxTrials: number }, context: PlacementContext
+): void {
+  let freeTrials = maxTrials
   const withoutVm: TrialRequest[] = []
   for (const [step, tasks] of orderByTurn(waiting)) {
     if (freeTrials <= 0) return
     const tickets = getTicketsIfRequired(step, vms, context)
     if (tickets === undefined) continue
-    const req = { step, tasks, tickets, vms: vms.filter((vm) => isOpenToTrial(vm, step, nowMs)) }
+    const req = { step, tasks, tickets, vms: vms.filter((vm) => isOpenToTrial(vm, step, context.nowMs)) }
     if (beginTrial(state, req, context)) freeTrials -= 1
     else withoutVm.push(req)
   }
@@ -45,7 +52,7 @@
   return [...waiting].sort(([a], [b]) => a.lastTrialAtMs - b.lastTrialAtMs)
 }
 
-/** Returns true unless the VM is kept for another step's trial, or trials have kept other tasks away until a moment ago. */
+/** Returns true unless the VM is kept for another step's trial, or is open to other tasks after such a time. */
 function isOpenToTrial (vm: TrackedVm, step: TrackedStep, nowMs: number): boolean {
   return vm.trialReservation === undefined ? nowMs >= vm.openToOthersUntilMs : vm.trialReservation.step === step
 }
@@ -81,7 +88,6 @@
     if (canTakeTask(vm, step) && state.teams.mayStartTask(task)) runs.push(startTask(state, task, vm, task.lastRun + 1, tickets, context))
   }
   vm.trialRuns = runs
-  vm.keptForTrialsSinceMs ??= nowMs
   step.lastTrialAtMs = nowMs
   state.trialReservations.end(vm, ReservationEnd.TrialBegun, nowMs)
   return true
--- a/packages/policy/src/lib/placement/TrialReservations.test.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.test.ts
@@ -237,6 +237,26 @@
       assert.equal(started, ['a'])
     })
 
+    // Guards against innocent tasks that wait for seconds: each trial of a busy pool had to wait for a quiet VM again.
+    it('begins trials one after the other on a VM, as long as it may be kept from other tasks', () => {
+      const suspects = Array.from({ length: 10 }, (_, index) => `000000000000005${index}`)
+      const pool = createAfterCrash(suspects.map((id) => [id, { taskCount: 1, need: { cpuMillis: 100, memoryMb: 1, accelerators: 0 } }]), undefined, ['a'])
+      const others: Array<{ readonly id: string, readonly untilMs: number }> = []
+      const startedAtMs = pool.nowMs
+      const isRunning = (id: string): boolean => [...pool.get('a').runs.values()].some(({ name }) => name.startsWith(id))
+      while (!suspects.every(isRunning) && pool.nowMs < startedAtMs + 10_000) {
+        pool.run(PLAN_MS, '', () => {
+          while ((others[0]?.untilMs ?? Infinity) <= pool.nowMs) pool.report('a', { job: others.shift()?.id ?? '', end: RunEnd.Done })
+          if (pool.nowMs % 50 === 0) {
+            const id = (0x1000 + pool.nowMs).toString(16).padStart(16, '0')
+            others.push({ id, untilMs: pool.nowMs + 600 })
+            pool.addJob(id, { taskCount: 1, need: { cpuMillis: 10, memoryMb: 1, accelerators: 0 } })
+          }
+        })
+      }
+      assert.ok(pool.nowMs - startedAtMs <= MAX_RESERVATION_MS, `${pool.nowMs - startedAtMs} ms`)
+    })
+
     // Guards against LOST: a reservation had no end while the suspect waited.
     it('keeps other tasks away for a bounded time if the runs do not end', () => {
       const pool = createAfterCrash([[SUSPECT, large]], (filled) => {
--- a/packages/policy/src/lib/placement/TrialReservations.ts
+++ b/packages/policy/src/lib/placement/TrialReservations.ts
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Ends reservations that are over, and opens VMs to other tasks for as long as trials and reservations kept these away. Call it once in
-   * each plan of a pool, before trials are begun.
+   * Ends reservations that are over, and opens VMs to other tasks for this plan if one trial after the other has kept these away for too long. Call it in each
+   * plan of a pool before trials are begun, and `recordKeptVms` after that.
    */
   review ({ vms, usableVms, waiting, areTrialsSuspended, nowMs }: ReservationReview): void {
     for (const vm of vms) {
@@ -67,19 +67,23 @@
         if (!waiting.has(reservation.step)) this.end(vm, ReservationEnd.NotNeeded, nowMs)
         else if (!usableVms.includes(vm)) this.end(vm, ReservationEnd.VmNotUsable, nowMs)
         else if (areTrialsSuspended) this.end(vm, ReservationEnd.TrialsSuspended, nowMs)
-        else if (nowMs - reservation.sinceMs >= MAX_RESERVATION_MS) this.end(vm, ReservationEnd.TimeOver, nowMs)
-      }
-      if (vm.isKeptForTrials) vm.keptForTrialsSinceMs ??= nowMs
-      else if (vm.keptForTrialsSinceMs !== undefined) {
-        vm.openToOthersUntilMs = nowMs + Math.min(nowMs - vm.keptForTrialsSinceMs, MAX_RESERVATION_MS)
-        vm.keptForTrialsSinceMs = undefined
+        else if (nowMs - reservation.sinceMs >= MAX_RESERVATION_MS) {
+          this.end(vm, ReservationEnd.TimeOver, nowMs)
+          vm.openToOthersUntilMs = nowMs + MAX_RESERVATION_MS
+        }
       }
+      const { keptForTrialsSinceMs: sinceMs = nowMs } = vm
+      if (!vm.isKeptForTrials && nowMs - sinceMs >= MAX_RESERVATION_MS) vm.openToOthersUntilMs = Math.max(vm.openToOthersUntilMs, nowMs + 1)
     }
   }
 
+  /** Records which VMs a plan leaves to trials. All others are open to other tasks in that plan. */
+  recordKeptVms (vms: readonly TrackedVm[], nowMs: number): void {
+    for (const vm of vms) vm.keptForTrialsSinceMs = vm.isKeptForTrials ? vm.keptForTrialsSinceMs ?? nowMs : undefined
+  }
+
   begin (vm: TrackedVm, reservation: TrialReservation): void {
     vm.trialReservation = reservation
-    vm.keptForTrialsSinceMs ??= reservation.sinceMs
     const { step, obstacle } = reservation
     this.logDecision(EventCode.TrialVmReserved, { vm: vm.id, job: step.occurrence.job.id, step: step.index, obstacle, runs: vm.runs.size, freeCpuMillis: vm.freeCpuMillis })
   }
