--- a/packages/policy/src/lib/vms/VmPause.ts
+++ b/packages/policy/src/lib/vms/VmPause.ts
@@ -1,8 +1,8 @@
 /**
  * Pause of a VM, which gets no new tasks meanwhile so that they start on others.
  *
- * This answers two loads that pauses must not confuse: VMs that fail or slow tasks while others work, and tasks that have no place but on a paused
- * VM, or on pools of which all VMs are paused. The latter start there after a bounded time, as waiting longer helps nobody.
+ * This answers two loads: VMs that fail or slow down tasks while others work, and tasks that have a place on paused VMs only. The latter start there
+ * after a bounded time, as no other VM becomes free for them.
  */
 
 /**
